--- /dev/null
+++ b/tests/world/script.c
@@ -0,0 +1,627 @@
+/* Runs a script of timed happenings against cores in virtual time and prints
+ * what came of it; the output is compared with what is expected. */
+#include "world.h"
+
+#include "core/private.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define LINE_BYTES 4096
+#define WORDS_MAX 16
+
+typedef struct
+{
+  world_t world;
+  const char *folder; /* of intent files */
+  int line;
+  char plan_id[32];
+} script_t;
+
+typedef struct
+{
+  const char *name;
+  int words; /* least number of words after the name */
+  const char *usage;
+  void (*run) (script_t *script, char **words, int count);
+} script_command_t;
+
+static void
+script_fail (const script_t *script, const char *text)
+{
+  fprintf (stderr, "line %d: %s\n", script->line, text);
+  exit (2);
+}
+
+static int
+script_entry (const script_t *script, const char *name)
+{
+  int entry = world_find_entry (&script->world, name);
+
+  if (entry < 0)
+    script_fail (script, "no such entry");
+  return entry;
+}
+
+static int
+script_endpoint (const script_t *script, const char *name)
+{
+  int endpoint = world_find_endpoint (&script->world, name);
+
+  if (endpoint < 0)
+    script_fail (script, "no such endpoint");
+  return endpoint;
+}
+
+/* Value of "name=value" among the words, or NULL. */
+static const char *
+script_option (char **words, int count, const char *name)
+{
+  size_t length = strlen (name);
+
+  for (int i = 0; i < count; i++)
+    {
+      if (strncmp (words[i], name, length) == 0 && words[i][length] == '=')
+        return words[i] + length + 1;
+    }
+  return NULL;
+}
+
+static uint64_t
+script_ms (const char *text)
+{
+  return strtoull (text, NULL, 10) * CA_US_PER_MS;
+}
+
+/* --- Set-up --- */
+
+static void
+run_entry (script_t *script, char **words, int count)
+{
+  (void)count;
+  world_add_entry (&script->world, words[0], words[1]);
+}
+
+static void
+run_engine (script_t *script, char **words, int count)
+{
+  int index = world_add_endpoint (&script->world, words[0], words[1],
+                                  words[2], false);
+  const char *step = script_option (words, count, "step_us");
+  const char *batch = script_option (words, count, "batch");
+
+  if (step != NULL)
+    script->world.endpoints[index].step_us = strtoull (step, NULL, 10);
+  if (batch != NULL)
+    script->world.endpoints[index].batch
+        = (uint32_t)strtoul (batch, NULL, 10);
+}
+
+static void
+run_service (script_t *script, char **words, int count)
+{
+  (void)count;
+  world_add_endpoint (&script->world, words[0], words[1], words[2], true);
+}
+
+static char *
+script_read_file (const script_t *script, const char *name)
+{
+  char path[512];
+  char *text = calloc (1, 65536);
+  FILE *in;
+
+  snprintf (path, sizeof path, "%s/%s", script->folder, name);
+  in = fopen (path, "r");
+  if (in == NULL)
+    script_fail (script, "file cannot be read");
+  text[fread (text, 1, 65535, in)] = '\0';
+  fclose (in);
+  return text;
+}
+
+static void
+run_configure (script_t *script, char **words, int count)
+{
+  char *intent = script_read_file (script, words[1]);
+
+  (void)count;
+  if (!world_configure (&script->world, script_entry (script, words[0]),
+                        intent))
+    printf ("not confirmed: %u\n", script->world.last_status);
+  free (intent);
+}
+
+static void
+script_print_status (const script_t *script, const char *what)
+{
+  json_t *reply = json_loads (script->world.last_reply, 0, NULL);
+  const char *kind = json_string_value (json_object_get (reply, "kind"));
+
+  if (script->world.last_status == 200)
+    printf ("%s: ok\n", what);
+  else
+    printf ("%s: %s\n", what, kind == NULL ? "?" : kind);
+  json_decref (reply);
+}
+
+static void
+script_wait_operator (script_t *script, uint64_t call)
+{
+  world_t *world = &script->world;
+  uint64_t limit_us = world->now_us + 60 * CA_US_PER_S;
+
+  while (world->last_call != call && world->now_us < limit_us)
+    world_run_until (world, world->now_us + CA_US_PER_MS);
+}
+
+static void
+run_plan (script_t *script, char **words, int count)
+{
+  world_t *world = &script->world;
+  char *intent = script_read_file (script, words[1]);
+  uint64_t call = ++world->next_call;
+  json_t *reply;
+  const char *plan;
+
+  (void)count;
+  ca_core_plan (&world->entries[script_entry (script, words[0])].core,
+                world->now_us, call, intent);
+  free (intent);
+  script_wait_operator (script, call);
+  reply = json_loads (world->last_reply, 0, NULL);
+  plan = json_string_value (json_object_get (reply, "plan"));
+  strlcpy (script->plan_id, plan == NULL ? "" : plan,
+           sizeof script->plan_id);
+  json_decref (reply);
+  script_print_status (script, "plan");
+}
+
+static void
+run_confirm (script_t *script, char **words, int count)
+{
+  world_t *world = &script->world;
+  uint64_t call = ++world->next_call;
+
+  (void)count;
+  ca_core_confirm (&world->entries[script_entry (script, words[0])].core,
+                   world->now_us, call, script->plan_id);
+  script_wait_operator (script, call);
+  script_print_status (script, "confirm");
+}
+
+/* --- Time and faults --- */
+
+static void
+run_run (script_t *script, char **words, int count)
+{
+  (void)count;
+  world_run_until (&script->world,
+                   script->world.now_us + script_ms (words[0]));
+}
+
+static void
+run_kill (script_t *script, char **words, int count)
+{
+  (void)count;
+  world_kill (&script->world, script_entry (script, words[0]));
+}
+
+static void
+run_start (script_t *script, char **words, int count)
+{
+  (void)count;
+  world_start (&script->world, script_entry (script, words[0]));
+}
+
+static void
+run_pause (script_t *script, char **words, int count)
+{
+  (void)count;
+  world_pause (&script->world, script_entry (script, words[0]));
+}
+
+static void
+run_resume (script_t *script, char **words, int count)
+{
+  (void)count;
+  world_resume (&script->world, script_entry (script, words[0]));
+}
+
+static void
+run_stop (script_t *script, char **words, int count)
+{
+  (void)count;
+  ca_core_stop (
+      &script->world.entries[script_entry (script, words[0])].core,
+      script->world.now_us);
+}
+
+static void
+run_reclaim_entry (script_t *script, char **words, int count)
+{
+  (void)count;
+  ca_core_reclaimed (
+      &script->world.entries[script_entry (script, words[0])].core,
+      script->world.now_us, script_ms (words[1]));
+}
+
+static void
+run_reclaim (script_t *script, char **words, int count)
+{
+  (void)count;
+  world_reclaim (&script->world, script_endpoint (script, words[0]),
+                 script_ms (words[1]));
+}
+
+static void
+run_crash (script_t *script, char **words, int count)
+{
+  (void)count;
+  world_crash (&script->world, script_endpoint (script, words[0]));
+}
+
+static void
+run_restart (script_t *script, char **words, int count)
+{
+  (void)count;
+  world_restart (&script->world, script_endpoint (script, words[0]));
+}
+
+static void
+run_silence (script_t *script, char **words, int count)
+{
+  (void)count;
+  world_silence (&script->world, script_endpoint (script, words[0]));
+}
+
+static void
+run_cut (script_t *script, char **words, int count)
+{
+  (void)count;
+  world_cut (&script->world, words[0], words[1]);
+}
+
+static void
+run_heal (script_t *script, char **words, int count)
+{
+  (void)words;
+  (void)count;
+  world_heal (&script->world);
+}
+
+/* store up | down | frozen | lose=N | latency_ms=N */
+static void
+run_store (script_t *script, char **words, int count)
+{
+  world_table_t *table = &script->world.table;
+  const char *lose = script_option (words, count, "lose");
+  const char *latency = script_option (words, count, "latency_ms");
+
+  table->down = strcmp (words[0], "down") == 0;
+  table->frozen = strcmp (words[0], "frozen") == 0;
+  if (lose != NULL)
+    table->lose_answers = (uint32_t)strtoul (lose, NULL, 10);
+  if (latency != NULL)
+    table->latency_us = script_ms (latency);
+}
+
+static void
+run_platform (script_t *script, char **words, int count)
+{
+  const char *lag = script_option (words, count, "list_lag_ms");
+
+  script->world.platform_down = strcmp (words[0], "down") == 0;
+  if (lag != NULL)
+    script->world.list_lag_us = script_ms (lag);
+}
+
+/* --- Requests --- */
+
+static void
+run_request (script_t *script, char **words, int count)
+{
+  const char *tokens = script_option (words, count, "tokens");
+  const char *prompt = script_option (words, count, "prompt");
+  const char *stream = script_option (words, count, "stream");
+
+  world_request (&script->world, words[0], script_entry (script, words[1]),
+                 words[2], words[3], script_option (words, count, "key"),
+                 prompt == NULL ? words[0] : prompt,
+                 tokens == NULL ? 20 : (uint32_t)strtoul (tokens, NULL, 10),
+                 stream == NULL || strcmp (stream, "no") != 0);
+}
+
+static void
+run_caller_gone (script_t *script, char **words, int count)
+{
+  world_request_t *request = world_find_request (&script->world, words[0]);
+
+  (void)count;
+  ca_core_caller_gone (&script->world.entries[request->entry].core,
+                       script->world.now_us, request->id);
+  request->final = WORLD_LOST;
+}
+
+/* --- What came of it --- */
+
+static void
+run_show (script_t *script, char **words, int count)
+{
+  static const char *const outcomes[] = { "not_run", "ran", "unknown" };
+
+  for (int i = 0; i < count; i++)
+    {
+      const world_request_t *request
+          = world_find_request (&script->world, words[i]);
+
+      if (request == NULL)
+        script_fail (script, "no such request");
+      switch (request->final)
+        {
+        case WORLD_WAITING:
+          printf ("%s waiting\n", words[i]);
+          break;
+        case WORLD_ANSWERED:
+          printf ("%s answered%s%s\n", words[i],
+                  request->replayed ? ", replayed" : "",
+                  request->moves > 0 ? ", moved" : "");
+          break;
+        case WORLD_REFUSED:
+          printf ("%s refused %s %s%s\n", words[i],
+                  ca_error_info (request->kind)->name,
+                  outcomes[request->outcome],
+                  request->retry_us > 0 ? ", come back" : "");
+          break;
+        case WORLD_LOST:
+          printf ("%s lost with its entry\n", words[i]);
+          break;
+        }
+    }
+}
+
+/* Time to the final word, against a bound. */
+static void
+run_within (script_t *script, char **words, int count)
+{
+  const world_request_t *request
+      = world_find_request (&script->world, words[0]);
+  uint64_t took_us = request->end_us - request->at_us;
+
+  (void)count;
+  printf ("%s had its final word within %s ms: %s\n", words[0], words[1],
+          request->final != WORLD_WAITING && took_us <= script_ms (words[1])
+              ? "yes"
+              : "no");
+}
+
+static void
+run_ran (script_t *script, char **words, int count)
+{
+  (void)count;
+  printf ("%s ran %u times\n", words[0],
+          (unsigned)world_ledger (&script->world, words[0])->made[0]);
+}
+
+static void
+run_starts (script_t *script, char **words, int count)
+{
+  for (int i = 0; i < count; i++)
+    printf ("%s began %llu runs\n", words[i],
+            (unsigned long long)script->world
+                .endpoints[script_endpoint (script, words[i])]
+                .started);
+}
+
+/* Work begun at a leaving endpoint after the bound, which is none. */
+static void
+run_new_work (script_t *script, char **words, int count)
+{
+  const world_endpoint_t *endpoint
+      = &script->world.endpoints[script_endpoint (script, words[0])];
+
+  (void)count;
+  printf ("%s got new work in the last %s ms: %s\n", words[0], words[1],
+          endpoint->last_start_us + script_ms (words[1])
+                  > script->world.now_us
+              ? "yes"
+              : "no");
+}
+
+static void
+run_revisions (script_t *script, char **words, int count)
+{
+  (void)words;
+  (void)count;
+  for (int i = 0; i < script->world.entry_count; i++)
+    {
+      const world_entry_t *entry = &script->world.entries[i];
+
+      if (entry->alive)
+        printf ("%s revision %llu\n", entry->name,
+                (unsigned long long)entry->core.config.revision);
+    }
+}
+
+/* What an entry says of each zone. */
+static void
+run_zones (script_t *script, char **words, int count)
+{
+  json_t *status = ca_core_status (
+      &script->world.entries[script_entry (script, words[0])].core);
+  size_t index;
+  json_t *zone;
+
+  (void)count;
+  json_array_foreach (json_object_get (status, "zones"), index, zone)
+  printf ("%s says %s: %s\n", words[0],
+          json_string_value (json_object_get (zone, "zone")),
+          json_is_true (json_object_get (zone, "in_force"))
+              ? "in force"
+              : "not yet in force");
+  json_decref (status);
+}
+
+static void
+run_members (script_t *script, char **words, int count)
+{
+  const world_entry_t *entry
+      = &script->world.entries[script_entry (script, words[0])];
+
+  (void)count;
+  printf ("%s sees %zu live entries\n", entry->name,
+          ca_member_live_count (&entry->core, NULL));
+}
+
+static void
+run_alive (script_t *script, char **words, int count)
+{
+  for (int i = 0; i < count; i++)
+    printf ("%s is %s\n", words[i],
+            script->world.entries[script_entry (script, words[i])].alive
+                ? "running"
+                : "ended");
+}
+
+static void
+run_peaks (script_t *script, char **words, int count)
+{
+  const world_table_t *table = &script->world.table;
+
+  (void)count;
+  printf ("writes a second stayed under %s: %s\n", words[0],
+          table->peak_writes < strtoull (words[0], NULL, 10) ? "yes" : "no");
+  printf ("reads a second stayed under %s: %s\n", words[1],
+          table->peak_reads < strtoull (words[1], NULL, 10) ? "yes" : "no");
+}
+
+/* Sum of one counter over the entries that live, against a word. */
+static void
+run_recomputed (script_t *script, char **words, int count)
+{
+  uint64_t recomputed = 0;
+
+  (void)words;
+  (void)count;
+  for (int i = 0; i < script->world.entry_count; i++)
+    {
+      if (script->world.entries[i].alive)
+        recomputed += script->world.entries[i]
+                          .core.counters.counts[CA_COUNT_RECOMPUTED_TOKENS];
+    }
+  printf ("recomputed tokens: %s\n", recomputed == 0 ? "none" : "some");
+}
+
+static void
+run_faults (script_t *script, char **words, int count)
+{
+  (void)words;
+  (void)count;
+  world_check (&script->world);
+  printf ("broken promises: %llu %s\n",
+          (unsigned long long)script->world.faults,
+          script->world.first_fault);
+}
+
+static const script_command_t script_commands[] = {
+  { "entry", 2, "NAME ZONE", run_entry },
+  { "engine", 3, "NAME ZONE POOL [step_us=N] [batch=N]", run_engine },
+  { "service", 3, "NAME ZONE POOL", run_service },
+  { "configure", 2, "ENTRY FILE", run_configure },
+  { "plan", 2, "ENTRY FILE", run_plan },
+  { "confirm", 1, "ENTRY", run_confirm },
+  { "run", 1, "MS", run_run },
+  { "kill", 1, "ENTRY", run_kill },
+  { "start", 1, "ENTRY", run_start },
+  { "pause", 1, "ENTRY", run_pause },
+  { "resume", 1, "ENTRY", run_resume },
+  { "stop", 1, "ENTRY", run_stop },
+  { "reclaim-entry", 2, "ENTRY NOTICE_MS", run_reclaim_entry },
+  { "reclaim", 2, "ENDPOINT NOTICE_MS", run_reclaim },
+  { "crash", 1, "ENDPOINT", run_crash },
+  { "restart", 1, "ENDPOINT", run_restart },
+  { "silence", 1, "ENDPOINT", run_silence },
+  { "cut", 2, "PLACE PLACE", run_cut },
+  { "heal", 0, "", run_heal },
+  { "store", 1, "up|down|frozen [lose=N] [latency_ms=N]", run_store },
+  { "platform", 1, "up|down [list_lag_ms=N]", run_platform },
+  { "request", 4, "NAME ENTRY WORKSPACE CLASS [key= tokens= prompt= stream=]",
+    run_request },
+  { "caller-gone", 1, "REQUEST", run_caller_gone },
+  { "show", 1, "REQUEST...", run_show },
+  { "within", 2, "REQUEST MS", run_within },
+  { "ran", 1, "WORKSPACE/KEY", run_ran },
+  { "starts", 1, "ENDPOINT...", run_starts },
+  { "new-work", 2, "ENDPOINT MS", run_new_work },
+  { "revisions", 0, "", run_revisions },
+  { "zones", 1, "ENTRY", run_zones },
+  { "members", 1, "ENTRY", run_members },
+  { "alive", 1, "ENTRY...", run_alive },
+  { "peaks", 2, "WRITES READS", run_peaks },
+  { "recomputed", 0, "", run_recomputed },
+  { "faults", 0, "", run_faults },
+};
+
+static void
+script_run_words (script_t *script, char **words, int count)
+{
+  size_t commands = sizeof script_commands / sizeof script_commands[0];
+
+  for (size_t i = 0; i < commands; i++)
+    {
+      if (strcmp (script_commands[i].name, words[0]) != 0)
+        continue;
+      if (count - 1 < script_commands[i].words)
+        script_fail (script, script_commands[i].usage);
+      script_commands[i].run (script, words + 1, count - 1);
+      return;
+    }
+  script_fail (script, "unknown command");
+}
+
+static void
+script_run_line (script_t *script, char *line)
+{
+  char *words[WORDS_MAX];
+  int count = 0;
+  char *rest = line;
+  char *word;
+
+  line[strcspn (line, "#\n")] = '\0';
+  while ((word = strsep (&rest, " \t")) != NULL && count < WORDS_MAX)
+    {
+      if (*word != '\0')
+        words[count++] = word;
+    }
+  if (count > 0)
+    script_run_words (script, words, count);
+}
+
+int
+main (int argc, char **argv)
+{
+  static script_t script;
+  char line[LINE_BYTES];
+  FILE *in;
+
+  if (argc < 3)
+    {
+      fprintf (stderr, "usage: script FOLDER FILE [trace]\n");
+      return 2;
+    }
+  script.folder = argv[1];
+  in = fopen (argv[2], "r");
+  if (in == NULL)
+    script_fail (&script, "script cannot be read");
+  world_init (&script.world, 1, 64);
+  if (argc > 3)
+    script.world.trace = stderr;
+  while (fgets (line, sizeof line, in) != NULL)
+    {
+      script.line++;
+      script_run_line (&script, line);
+    }
+  fclose (in);
+  world_finish (&script.world);
+  return 0;
+}
--- /dev/null
+++ b/tests/world/world.h
@@ -0,0 +1,302 @@
+/* Fakes at the core's ports, in virtual time: entries, peers' network, table
+ * service, endpoints and callers in one process, driven by one queue of timed
+ * events and one seed. */
+#ifndef CA_TESTS_WORLD_WORLD_H
+#define CA_TESTS_WORLD_WORLD_H
+
+#include "core/core.h"
+
+#include <stdbool.h>
+#include <stdint.h>
+#include <stdio.h>
+
+#define WORLD_ZONES 8
+#define WORLD_ENDPOINTS 256
+#define WORLD_NAME_BYTES 32
+#define WORLD_TOKENS_MAX 256
+
+struct world;
+struct world_event;
+
+typedef void (*world_run_t) (struct world *world, struct world_event *event);
+
+/* One timed event; `data` is freed after it ran or was dropped. */
+typedef struct world_event
+{
+  uint64_t at_us;
+  uint64_t order;
+  world_run_t run;
+  int entry;     /* held while this entry is paused; -1: none */
+  uint32_t life; /* dropped if the entry has another life by then */
+  uint64_t number;
+  void *data;
+  void (*free_data) (void *data);
+} world_event_t;
+
+typedef struct
+{
+  struct world *world;
+  int index;
+  char name[WORLD_NAME_BYTES];
+  char zone[WORLD_NAME_BYTES];
+  bool alive;
+  bool paused;
+  bool stopping;
+  uint32_t life;
+  ca_core_t core;
+  ca_core_options_t options;
+  uint64_t sent_messages;
+  uint64_t sent_bytes;
+  uint64_t core_ns; /* processor time spent in the core */
+} world_entry_t;
+
+typedef enum
+{
+  WORLD_RUN_RUNNING,
+  WORLD_RUN_FINISHED,
+  WORLD_RUN_STOPPED,
+  WORLD_RUN_TOMBSTONE
+} world_run_state_t;
+
+/* One run at a fake engine. */
+typedef struct world_run
+{
+  uint64_t request;
+  uint32_t run;
+  uint32_t unused;
+  world_run_state_t state;
+  uint64_t seed;
+  char key[CA_NAME_BYTES * 2]; /* of a non-idempotent request, else "" */
+  uint32_t made;
+  uint32_t max_tokens;
+  uint32_t recomputed;
+  uint64_t ready_us;
+  uint64_t fingerprint;
+  bool poison;
+  int reader; /* entry, -1 if none */
+  uint32_t reader_life;
+  ca_leg_t leg;
+  uint32_t sent;
+  bool silent; /* the reader's connection carries nothing any more */
+  uint64_t alive_us;
+  UT_hash_handle hh;
+} world_run_row_t;
+
+typedef struct
+{
+  char name[WORLD_NAME_BYTES];
+  char zone[WORLD_NAME_BYTES];
+  char pool[CA_NAME_BYTES];
+  ca_address_t address;
+  bool service;
+  bool alive;
+  bool leaving;
+  bool listed;
+  uint64_t boot;
+  uint64_t leave_at_us;
+  uint64_t step_us;
+  uint64_t prefill_us; /* per prompt token */
+  uint32_t batch;
+  bool stepping;
+  world_run_row_t *runs;
+  ca_prefix_index_t cache;
+  uint64_t started;        /* runs begun */
+  uint64_t last_start_us;
+  uint64_t computed;       /* prompt tokens processed */
+} world_endpoint_t;
+
+typedef struct world_row
+{
+  char *key;
+  char *value;
+  uint64_t version;
+  UT_hash_handle hh;
+} world_row_t;
+
+typedef struct
+{
+  world_row_t *rows;
+  uint64_t version;
+  bool down;
+  bool frozen;
+  uint64_t latency_us;
+  uint32_t lose_answers;
+  double lose_share; /* of answers, at random */
+  uint64_t reads;
+  uint64_t writes;
+  uint64_t second;        /* current second, for the peaks */
+  uint64_t second_reads;
+  uint64_t second_writes;
+  uint64_t peak_reads;
+  uint64_t peak_writes;
+} world_table_t;
+
+typedef enum
+{
+  WORLD_WAITING,
+  WORLD_ANSWERED,
+  WORLD_REFUSED,
+  WORLD_LOST /* its entry died; nobody can tell the caller */
+} world_final_t;
+
+typedef struct world_request
+{
+  uint64_t id;
+  char name[WORLD_NAME_BYTES];
+  int entry;
+  uint32_t entry_life;
+  char workspace[CA_NAME_BYTES];
+  char class_name[CA_NAME_BYTES];
+  char key[CA_NAME_BYTES];
+  char *prompt;
+  uint64_t seed; /* of the tokens of its answer */
+  uint32_t max_tokens;
+  bool stream;
+  bool idempotent;
+  bool service;
+  uint64_t at_us;
+  uint64_t first_us;
+  uint64_t end_us;
+  uint32_t got;
+  uint32_t moves;
+  bool replayed;
+  world_final_t final;
+  ca_error_kind_t kind;
+  ca_outcome_t outcome;
+  uint64_t retry_us;
+  UT_hash_handle hh;
+} world_request_t;
+
+/* What endpoints really ran of one non-idempotent key. */
+typedef struct world_ledger
+{
+  char key[CA_NAME_BYTES * 2];
+  uint8_t made[WORLD_TOKENS_MAX]; /* times each token was made */
+  uint64_t first_us;
+  UT_hash_handle hh;
+} world_ledger_t;
+
+typedef struct
+{
+  char a[WORLD_NAME_BYTES];
+  char b[WORLD_NAME_BYTES];
+} world_cut_t;
+
+typedef struct world
+{
+  uint64_t now_us;
+  uint64_t order;
+  uint64_t events_run;
+  world_event_t **queue;
+  size_t queued;
+  size_t queue_room;
+  unsigned short rng[3];
+  world_entry_t *entries;
+  int entry_count;
+  int entry_room;
+  world_endpoint_t endpoints[WORLD_ENDPOINTS];
+  int endpoint_count;
+  world_table_t table;
+  world_cut_t cuts[32];
+  int cut_count;
+  double loss_share; /* of peer messages, at random */
+  uint64_t list_lag_us;
+  bool platform_down; /* VM list and notices */
+  world_request_t *requests;
+  world_ledger_t *ledgers;
+  uint64_t faults;         /* broken promises seen */
+  char first_fault[256];
+  FILE *trace;             /* events of the cores, NULL for none */
+  /* Operators' calls. */
+  uint64_t next_call;
+  uint64_t last_call;
+  uint32_t last_status;
+  char *last_reply;
+} world_t;
+
+/* --- world.c --- */
+
+void world_init (world_t *world, uint32_t seed, int entry_room);
+void world_finish (world_t *world);
+double world_random (world_t *world);
+uint64_t world_below (world_t *world, uint64_t limit);
+
+/* Posts an event; `entry` -1 for one of no entry. */
+world_event_t *world_post (world_t *world, uint64_t delay_us, world_run_t run,
+                           int entry);
+
+/* Runs events until `until_us`. */
+void world_run_until (world_t *world, uint64_t until_us);
+
+/* Notes a broken promise. */
+void world_fault (world_t *world, const char *format, ...)
+    __attribute__ ((format (printf, 2, 3)));
+
+int world_add_entry (world_t *world, const char *name, const char *zone);
+int world_find_entry (const world_t *world, const char *name);
+void world_kill (world_t *world, int entry);
+void world_start (world_t *world, int entry);
+void world_pause (world_t *world, int entry);
+void world_resume (world_t *world, int entry);
+
+/* --- net.c --- */
+
+void world_cut (world_t *world, const char *a, const char *b);
+void world_heal (world_t *world);
+
+/* True if nothing passes between the two places; "platform" is one too. */
+bool world_is_cut (const world_t *world, const char *a, const char *b);
+void world_net_ports (ca_ports_t *ports);
+
+/* --- table.c --- */
+
+void world_table_ports (ca_ports_t *ports);
+void world_table_finish (world_t *world);
+
+/* --- fleet.c --- */
+
+int world_add_endpoint (world_t *world, const char *name, const char *zone,
+                        const char *pool, bool service);
+int world_find_endpoint (const world_t *world, const char *name);
+int world_endpoint_of (const world_t *world, const ca_address_t *address);
+
+/* Announces the reclaim and takes the endpoint away after the notice. */
+void world_reclaim (world_t *world, int endpoint, uint64_t notice_us);
+void world_crash (world_t *world, int endpoint);
+
+/* A new life at the same address. */
+void world_restart (world_t *world, int endpoint);
+
+/* Connections to the endpoint that are open now carry nothing any more. */
+void world_silence (world_t *world, int endpoint);
+void world_fleet_ports (ca_ports_t *ports);
+void world_fleet_poll (world_t *world, int entry);
+void world_fleet_finish (world_t *world);
+
+/* Text of a token. */
+void world_token (uint64_t seed, uint32_t index, char text[16]);
+uint64_t world_seed_of (const char *prompt, size_t bytes, const char *version);
+
+/* --- callers.c --- */
+
+world_request_t *world_request (world_t *world, const char *name, int entry,
+                                const char *workspace, const char *class_name,
+                                const char *key, const char *prompt,
+                                uint32_t max_tokens, bool stream);
+world_request_t *world_find_request (const world_t *world, const char *name);
+void world_caller_ports (ca_ports_t *ports);
+world_ledger_t *world_ledger (world_t *world, const char *key);
+
+/* Requests of an entry that died without a word. */
+void world_lose_requests (world_t *world, int entry);
+
+/* Checks what must hold of every request at the end. */
+void world_check (world_t *world);
+void world_callers_finish (world_t *world);
+
+/* --- Operators --- */
+
+/* Plans and confirms an intent through an entry; true once confirmed. */
+bool world_configure (world_t *world, int entry, const char *intent);
+
+#endif
