Do not send a caller away whose answer has just ended

Ruled out: a second reader at the adopter, lost messages. Change: an acknowledgement for a request whose end the caller has had is dropped. Before: tests/scripts/end-during-handover.script breaks one promise; after: none.

--- a/packages/core/handover.c
+++ b/packages/core/handover.c
@@ -92,6 +92,9 @@
 
   if (request == NULL || request->handed_to != envelope->from)
     return;
+  /* Its end came while the peer's word was under way: the caller has it. */
+  if (request->phase == CA_PHASE_ENDED && request->detached_us == 0)
+    return;
   ca_counters_add (&core->counters, CA_COUNT_MOVED, 1);
   ca_trace (core, CA_EVENT_REQUEST_MOVED, request, request->leg.endpoint,
             "token %u", request->tokens.count);
--- a/tests/world/callers.c
+++ b/tests/world/callers.c
@@ -81,6 +81,10 @@
   request->idempotent = row == NULL || row->idempotent;
   request->at_us = world->now_us;
   HASH_ADD (hh, world->requests, id, sizeof request->id, request);
+  if (world->trace != NULL)
+    fprintf (world->trace, "%.6f %s sends %016llx as %s\n",
+             (double)world->now_us / 1e6, world->entries[entry].name,
+             (unsigned long long)request->id, name);
   spec.id = request->id;
   spec.workspace = workspace;
   spec.class_name = class_name;
