--- a/packages/adapters/callers.h
+++ b/packages/adapters/callers.h
@@ -22,33 +22,25 @@
 } ca_callers_t;
 
 /* Listens; false and an error if the address cannot be had. */
-bool
-ca_callers_init (ca_callers_t *callers, ca_core_t *core,
-                 ca_observer_t *observer, struct event_base *base,
-                 const ca_address_t *listen, size_t max_body_bytes,
-                 ca_error_t *error);
-void
-ca_callers_finish (ca_callers_t *callers);
+bool ca_callers_init (ca_callers_t *callers, ca_core_t *core,
+                      ca_observer_t *observer, struct event_base *base,
+                      const ca_address_t *listen, size_t max_body_bytes,
+                      ca_error_t *error);
+void ca_callers_finish (ca_callers_t *callers);
 
 /* Takes no new connections; those that are open are served to their end. */
-void
-ca_callers_stop_listening (ca_callers_t *callers);
+void ca_callers_stop_listening (ca_callers_t *callers);
 
 /* Connections that still have an answer to come. */
-size_t
-ca_callers_open (const ca_callers_t *callers);
+size_t ca_callers_open (const ca_callers_t *callers);
 
 /* Ports of the core. */
-void
-ca_callers_token (ca_callers_t *callers, uint64_t request, uint32_t index,
-                  const char *text, size_t bytes);
-void
-ca_callers_end (ca_callers_t *callers, uint64_t request,
-                const ca_answer_t *answer);
-void
-ca_callers_error (ca_callers_t *callers, uint64_t request,
-                  const ca_refusal_t *refusal);
-void
-ca_callers_moved (ca_callers_t *callers, uint64_t request);
+void ca_callers_token (ca_callers_t *callers, uint64_t request, uint32_t index,
+                       const char *text, size_t bytes);
+void ca_callers_end (ca_callers_t *callers, uint64_t request,
+                     const ca_answer_t *answer);
+void ca_callers_error (ca_callers_t *callers, uint64_t request,
+                       const ca_refusal_t *refusal);
+void ca_callers_moved (ca_callers_t *callers, uint64_t request);
 
 #endif
--- a/packages/adapters/clock_source.h
+++ b/packages/adapters/clock_source.h
@@ -5,11 +5,9 @@
 #include <stdint.h>
 
 /* Monotonic microseconds since an arbitrary start. */
-uint64_t
-ca_clock_now_us (void);
+uint64_t ca_clock_now_us (void);
 
 /* Wall-clock microseconds since 1970. */
-uint64_t
-ca_clock_wall_us (void);
+uint64_t ca_clock_wall_us (void);
 
 #endif
--- a/packages/adapters/http_client.h
+++ b/packages/adapters/http_client.h
@@ -61,19 +61,16 @@
 
 typedef struct ca_http_call ca_http_call_t;
 
-void
-ca_http_client_init (ca_http_client_t *client, struct event_base *base);
+void ca_http_client_init (ca_http_client_t *client, struct event_base *base);
 
 /* Drops every call without telling its callbacks. */
-void
-ca_http_client_finish (ca_http_client_t *client);
+void ca_http_client_finish (ca_http_client_t *client);
 
 /* Starts a call.  The handle is valid until `on_done` or a cancel. */
-ca_http_call_t *
-ca_http_call_start (ca_http_client_t *client, const ca_http_request_t *request);
+ca_http_call_t *ca_http_call_start (ca_http_client_t *client,
+                                    const ca_http_request_t *request);
 
 /* Closes the call's connection; its callbacks are not run any more. */
-void
-ca_http_call_cancel (ca_http_call_t *call);
+void ca_http_call_cancel (ca_http_call_t *call);
 
 #endif
--- a/packages/adapters/observer.h
+++ b/packages/adapters/observer.h
@@ -12,16 +12,13 @@
   ca_core_t *core; /* not owned; its clock stamps the events */
 } ca_observer_t;
 
-void
-ca_observer_init (ca_observer_t *observer, ca_core_t *core, const char *entry,
-                  ca_level_t level);
-void
-ca_observer_finish (ca_observer_t *observer);
+void ca_observer_init (ca_observer_t *observer, ca_core_t *core,
+                       const char *entry, ca_level_t level);
+void ca_observer_finish (ca_observer_t *observer);
 
 /* Records one event. */
-void
-ca_observer_trace (ca_observer_t *observer, ca_event_number_t number,
-                   uint64_t request, uint64_t endpoint, const char *workspace,
-                   const char *detail);
+void ca_observer_trace (ca_observer_t *observer, ca_event_number_t number,
+                        uint64_t request, uint64_t endpoint,
+                        const char *workspace, const char *detail);
 
 #endif
--- a/packages/adapters/operators.h
+++ b/packages/adapters/operators.h
@@ -17,19 +17,15 @@
   uint64_t next_call;
 } ca_operators_t;
 
-void
-ca_operators_init (ca_operators_t *operators, ca_core_t *core,
-                   ca_observer_t *observer);
-void
-ca_operators_finish (ca_operators_t *operators);
+void ca_operators_init (ca_operators_t *operators, ca_core_t *core,
+                        ca_observer_t *observer);
+void ca_operators_finish (ca_operators_t *operators);
 
 /* Serves the request if its path is an operator's; false if it is not. */
-bool
-ca_operators_serve (ca_operators_t *operators, struct evhttp_request *in);
+bool ca_operators_serve (ca_operators_t *operators, struct evhttp_request *in);
 
 /* Port of the core: the answer of a plan or a confirm. */
-void
-ca_operators_reply (ca_operators_t *operators, uint64_t call,
-                    const ca_operator_reply_t *reply);
+void ca_operators_reply (ca_operators_t *operators, uint64_t call,
+                         const ca_operator_reply_t *reply);
 
 #endif
--- a/packages/adapters/peers.h
+++ b/packages/adapters/peers.h
@@ -19,16 +19,13 @@
 } ca_peers_t;
 
 /* Listens; false and an error if the address cannot be had. */
-bool
-ca_peers_init (ca_peers_t *peers, ca_core_t *core, struct event_base *base,
-               const ca_address_t *listen, ca_error_t *error);
-void
-ca_peers_finish (ca_peers_t *peers);
+bool ca_peers_init (ca_peers_t *peers, ca_core_t *core, struct event_base *base,
+                    const ca_address_t *listen, ca_error_t *error);
+void ca_peers_finish (ca_peers_t *peers);
 
 /* Sends over the link to `address`, which is opened if there is none.  A
  * message that finds the link's queue full is dropped, as the network may. */
-void
-ca_peers_send (ca_peers_t *peers, const ca_address_t *address,
-               const Camphor__Envelope *envelope);
+void ca_peers_send (ca_peers_t *peers, const ca_address_t *address,
+                    const Camphor__Envelope *envelope);
 
 #endif
--- a/packages/adapters/platform.h
+++ b/packages/adapters/platform.h
@@ -19,20 +19,16 @@
 } ca_platform_t;
 
 /* Begins to poll the list and the notices. */
-void
-ca_platform_init (ca_platform_t *platform, ca_core_t *core,
-                  ca_http_client_t *http, const ca_address_t *address,
-                  uint32_t timeout_ms, uint32_t poll_ms);
-void
-ca_platform_finish (ca_platform_t *platform);
+void ca_platform_init (ca_platform_t *platform, ca_core_t *core,
+                       ca_http_client_t *http, const ca_address_t *address,
+                       uint32_t timeout_ms, uint32_t poll_ms);
+void ca_platform_finish (ca_platform_t *platform);
 
 /* Table calls; answered by ca_core_table_result with the same number. */
-void
-ca_platform_read (ca_platform_t *platform, uint64_t call, const char *key);
-void
-ca_platform_scan (ca_platform_t *platform, uint64_t call, const char *prefix);
-void
-ca_platform_write (ca_platform_t *platform, uint64_t call,
-                   const ca_table_op_t *ops, size_t count);
+void ca_platform_read (ca_platform_t *platform, uint64_t call, const char *key);
+void ca_platform_scan (ca_platform_t *platform, uint64_t call,
+                       const char *prefix);
+void ca_platform_write (ca_platform_t *platform, uint64_t call,
+                        const ca_table_op_t *ops, size_t count);
 
 #endif
--- a/packages/base/clock.h
+++ b/packages/base/clock.h
@@ -19,19 +19,15 @@
 
 #define CA_HLC_COUNTER_BITS 12
 
-void
-ca_hlc_init (ca_hlc_t *hlc);
+void ca_hlc_init (ca_hlc_t *hlc);
 
 /* Stamps a local event at wall time `wall_us`. */
-uint64_t
-ca_hlc_now (ca_hlc_t *hlc, uint64_t wall_us);
+uint64_t ca_hlc_now (ca_hlc_t *hlc, uint64_t wall_us);
 
 /* Moves past a stamp received from another process. */
-void
-ca_hlc_observe (ca_hlc_t *hlc, uint64_t stamp, uint64_t wall_us);
+void ca_hlc_observe (ca_hlc_t *hlc, uint64_t stamp, uint64_t wall_us);
 
 /* Wall microseconds of a stamp. */
-uint64_t
-ca_hlc_wall_us (uint64_t stamp);
+uint64_t ca_hlc_wall_us (uint64_t stamp);
 
 #endif
--- a/packages/base/counters.h
+++ b/packages/base/counters.h
@@ -58,16 +58,13 @@
   ca_histogram_t latencies[CA_LATENCY_KINDS];
 } ca_counters_t;
 
-void
-ca_counters_init (ca_counters_t *counters);
-void
-ca_counters_add (ca_counters_t *counters, ca_count_t which, uint64_t amount);
-void
-ca_counters_observe (ca_counters_t *counters, ca_latency_t which,
-                     uint64_t latency_us);
+void ca_counters_init (ca_counters_t *counters);
+void ca_counters_add (ca_counters_t *counters, ca_count_t which,
+                      uint64_t amount);
+void ca_counters_observe (ca_counters_t *counters, ca_latency_t which,
+                          uint64_t latency_us);
 
 /* Writes all counters in the scrape text form. */
-void
-ca_counters_print (const ca_counters_t *counters, FILE *out);
+void ca_counters_print (const ca_counters_t *counters, FILE *out);
 
 #endif
--- a/packages/base/error.h
+++ b/packages/base/error.h
@@ -54,22 +54,18 @@
 } ca_error_t;
 
 /* Empties the error. */
-void
-ca_error_init (ca_error_t *error);
+void ca_error_init (ca_error_t *error);
 
 /* Records a kind and a printf-style message; keeps the first error set. */
-void
-ca_error_set (ca_error_t *error, ca_error_kind_t kind, const char *format, ...)
-    __attribute__ ((format (printf, 3, 4)));
+void ca_error_set (ca_error_t *error, ca_error_kind_t kind, const char *format,
+                   ...) __attribute__ ((format (printf, 3, 4)));
 
 /* Appends one more line to a bad-setting or bad-intent error, so that one run
  * reports every fault.  Sets the kind when none is set. */
-void
-ca_error_add (ca_error_t *error, ca_error_kind_t kind, const char *format, ...)
-    __attribute__ ((format (printf, 3, 4)));
+void ca_error_add (ca_error_t *error, ca_error_kind_t kind, const char *format,
+                   ...) __attribute__ ((format (printf, 3, 4)));
 
 /* Facts of a kind; never NULL. */
-const ca_error_info_t *
-ca_error_info (ca_error_kind_t kind);
+const ca_error_info_t *ca_error_info (ca_error_kind_t kind);
 
 #endif
--- a/packages/base/events.h
+++ b/packages/base/events.h
@@ -73,19 +73,15 @@
 } ca_event_info_t;
 
 /* Facts of one event, or NULL for a number that the catalogue lacks. */
-const ca_event_info_t *
-ca_event_info (ca_event_number_t number);
+const ca_event_info_t *ca_event_info (ca_event_number_t number);
 
 /* Word for a level. */
-const char *
-ca_level_name (ca_level_t level);
+const char *ca_level_name (ca_level_t level);
 
 /* Prints the catalogue as the page docs/events.md. */
-void
-ca_events_print (FILE *out);
+void ca_events_print (FILE *out);
 
 /* Prints the error kinds as the page docs/errors.md. */
-void
-ca_errors_print (FILE *out);
+void ca_errors_print (FILE *out);
 
 #endif
--- a/packages/base/log.h
+++ b/packages/base/log.h
@@ -13,12 +13,11 @@
   ca_level_t level;  /* lowest level written */
 } ca_log_t;
 
-void
-ca_log_init (ca_log_t *log, FILE *out, const char *entry, ca_level_t level);
+void ca_log_init (ca_log_t *log, FILE *out, const char *entry,
+                  ca_level_t level);
 
 /* Writes one record if its level is high enough.  Bodies and keys never
  * reach a record, so none reach the log. */
-void
-ca_log_write (ca_log_t *log, const ca_record_t *record);
+void ca_log_write (ca_log_t *log, const ca_record_t *record);
 
 #endif
--- a/packages/base/settings.h
+++ b/packages/base/settings.h
@@ -74,49 +74,39 @@
 } ca_address_t;
 
 /* The whole table, CA_SETTING_COUNT rows in id order. */
-const ca_setting_info_t *
-ca_settings_table (void);
+const ca_setting_info_t *ca_settings_table (void);
 
 /* Starts from defaults, then the environment. */
-void
-ca_settings_init (ca_settings_t *settings);
+void ca_settings_init (ca_settings_t *settings);
 
 /* Takes the value of one flag. */
-void
-ca_settings_set (ca_settings_t *settings, ca_setting_id_t id, const char *text,
-                 ca_setting_source_t source);
+void ca_settings_set (ca_settings_t *settings, ca_setting_id_t id,
+                      const char *text, ca_setting_source_t source);
 
 /* Checks every setting; adds one line to `error` for each bad one. */
-bool
-ca_settings_check (const ca_settings_t *settings, ca_error_t *error);
+bool ca_settings_check (const ca_settings_t *settings, ca_error_t *error);
 
 /* Value of a checked number. */
-uint64_t
-ca_settings_number (const ca_settings_t *settings, ca_setting_id_t id);
+uint64_t ca_settings_number (const ca_settings_t *settings, ca_setting_id_t id);
 
 /* Value of a checked text. */
-const char *
-ca_settings_text (const ca_settings_t *settings, ca_setting_id_t id);
+const char *ca_settings_text (const ca_settings_t *settings,
+                              ca_setting_id_t id);
 
 /* Parses "IP:PORT"; false if it is not one. */
-bool
-ca_address_parse (const char *text, ca_address_t *address);
+bool ca_address_parse (const char *text, ca_address_t *address);
 
 /* Writes "IP:PORT" into `text`, at least CA_ADDRESS_BYTES long. */
 #define CA_ADDRESS_BYTES 24
-void
-ca_address_print (const ca_address_t *address, char *text);
+void ca_address_print (const ca_address_t *address, char *text);
 
 /* Stable number of an address: the id of the entry or endpoint behind it. */
-uint64_t
-ca_address_id (const ca_address_t *address);
+uint64_t ca_address_id (const ca_address_t *address);
 
 /* Prints each value with its source. */
-void
-ca_settings_print (const ca_settings_t *settings, FILE *out);
+void ca_settings_print (const ca_settings_t *settings, FILE *out);
 
 /* Prints the table as docs/settings.md. */
-void
-ca_settings_print_page (FILE *out);
+void ca_settings_print_page (FILE *out);
 
 #endif
--- a/packages/base/timeline.h
+++ b/packages/base/timeline.h
@@ -28,19 +28,15 @@
 } ca_timeline_t;
 
 /* The timeline allocates its ring; finish frees it. */
-void
-ca_timeline_init (ca_timeline_t *timeline);
-void
-ca_timeline_finish (ca_timeline_t *timeline);
+void ca_timeline_init (ca_timeline_t *timeline);
+void ca_timeline_finish (ca_timeline_t *timeline);
 
 /* Copies the record in, over the oldest one when full. */
-void
-ca_timeline_add (ca_timeline_t *timeline, const ca_record_t *record);
+void ca_timeline_add (ca_timeline_t *timeline, const ca_record_t *record);
 
 /* New JSON array of the records with a stamp above `after`, oldest first; the
  * caller owns the reference.  `entry` names this process in each record. */
-json_t *
-ca_timeline_to_json (const ca_timeline_t *timeline, const char *entry,
-                     uint64_t after);
+json_t *ca_timeline_to_json (const ca_timeline_t *timeline, const char *entry,
+                             uint64_t after);
 
 #endif
--- a/packages/core/claim.c
+++ b/packages/core/claim.c
@@ -217,8 +217,7 @@
 
 /* --- Taking the claim --- */
 
-static void
-claim_write (ca_core_t *core, ca_request_t *request);
+static void claim_write (ca_core_t *core, ca_request_t *request);
 
 static void
 claim_take (ca_core_t *core, ca_request_t *request, uint64_t version)
@@ -228,12 +227,6 @@
   request->claim_version = version;
   ca_trace (core, CA_EVENT_REQUEST_CLAIMED, request, 0, "version %llu",
             (unsigned long long)version);
-  if (ca_suspect_level (core, request->fingerprint) >= CA_QUARANTINED)
-    {
-      ca_request_refuse (core, request, CA_ERROR_QUARANTINED, 0,
-                         "this request crashed the endpoints that ran it");
-      return;
-    }
   ca_request_ask (core, request);
 }
 
--- a/packages/core/config.h
+++ b/packages/core/config.h
@@ -76,38 +76,33 @@
 } ca_config_t;
 
 /* An empty configuration at revision 0. */
-void
-ca_config_init (ca_config_t *config);
-void
-ca_config_finish (ca_config_t *config);
+void ca_config_init (ca_config_t *config);
+void ca_config_finish (ca_config_t *config);
 
 /* Checks an intent field by field; adds one line to `error` for each fault.
  * On success copies the team's name into `team`. */
-bool
-ca_config_check_intent (const char *text, char team[CA_NAME_BYTES],
-                        ca_error_t *error);
+bool ca_config_check_intent (const char *text, char team[CA_NAME_BYTES],
+                             ca_error_t *error);
 
 /* Takes a team's intent unless the one held is as new.  The text must have
  * passed the check.  True if the configuration changed. */
-bool
-ca_config_put_intent (ca_config_t *config, const char *team, uint64_t revision,
-                      const char *text, ca_error_t *error);
+bool ca_config_put_intent (ca_config_t *config, const char *team,
+                           uint64_t revision, const char *text,
+                           ca_error_t *error);
 
-const ca_intent_t *
-ca_config_find_intent (const ca_config_t *config, const char *team);
-const ca_pool_t *
-ca_config_find_pool (const ca_config_t *config, const char *name);
-const ca_workspace_t *
-ca_config_find_workspace (const ca_config_t *config, const char *name);
-const ca_class_t *
-ca_config_find_class (const ca_config_t *config, const char *team,
-                      const char *name);
+const ca_intent_t *ca_config_find_intent (const ca_config_t *config,
+                                          const char *team);
+const ca_pool_t *ca_config_find_pool (const ca_config_t *config,
+                                      const char *name);
+const ca_workspace_t *ca_config_find_workspace (const ca_config_t *config,
+                                                const char *name);
+const ca_class_t *ca_config_find_class (const ca_config_t *config,
+                                        const char *team, const char *name);
 
 /* Every effect that the intent would have, as a new JSON array of strings, and
  * every conflict with other teams' intents in `conflicts`.  The caller owns
  * both references.  The intent must have passed the check. */
-json_t *
-ca_config_effects (const ca_config_t *config, const char *text,
-                   json_t **conflicts);
+json_t *ca_config_effects (const ca_config_t *config, const char *text,
+                           json_t **conflicts);
 
 #endif
--- a/packages/core/core.c
+++ b/packages/core/core.c
@@ -264,7 +264,7 @@
                           ? core->last_request_us
                           : core->stop_us;
 
-  if (!core->stopping || core->active > 0)
+  if (!core->stopping || core->active > 0 || core->lookups != NULL)
     return false;
   if (core->now_us < core->stop_us + core->options.lame_duck_us)
     return core->now_us >= core->must_move_us;
--- a/packages/core/core.h
+++ b/packages/core/core.h
@@ -18,24 +18,19 @@
 #define CA_LEAVING_BOUND_US (3 * CA_US_PER_S)
 
 /* Initialises caller-owned memory; `wall_us` is the wall clock at `now_us`. */
-void
-ca_core_init (ca_core_t *core, const ca_core_options_t *options,
-              const ca_ports_t *ports, uint64_t now_us, uint64_t wall_us);
-void
-ca_core_finish (ca_core_t *core);
+void ca_core_init (ca_core_t *core, const ca_core_options_t *options,
+                   const ca_ports_t *ports, uint64_t now_us, uint64_t wall_us);
+void ca_core_finish (ca_core_t *core);
 
 /* Passes time. */
-void
-ca_core_tick (ca_core_t *core, uint64_t now_us);
+void ca_core_tick (ca_core_t *core, uint64_t now_us);
 
 /* --- Peers --- */
 
 /* Adds an address to join through. */
-void
-ca_core_add_seed (ca_core_t *core, const ca_address_t *address);
-void
-ca_core_peer_message (ca_core_t *core, uint64_t now_us,
-                      const Camphor__Envelope *envelope);
+void ca_core_add_seed (ca_core_t *core, const ca_address_t *address);
+void ca_core_peer_message (ca_core_t *core, uint64_t now_us,
+                           const Camphor__Envelope *envelope);
 
 /* --- Platform --- */
 
@@ -59,17 +54,15 @@
   uint64_t notice_us; /* time left until the reclaim; 0 if unknown */
 } ca_vm_t;
 
-void
-ca_core_vm_list (ca_core_t *core, uint64_t now_us, const ca_vm_t *vms,
-                 size_t count);
+void ca_core_vm_list (ca_core_t *core, uint64_t now_us, const ca_vm_t *vms,
+                      size_t count);
 
 /* One reclaim notice, ahead of the list. */
-void
-ca_core_reclaim_notice (ca_core_t *core, uint64_t now_us, const ca_vm_t *vm);
+void ca_core_reclaim_notice (ca_core_t *core, uint64_t now_us,
+                             const ca_vm_t *vm);
 
-void
-ca_core_table_result (ca_core_t *core, uint64_t now_us, uint64_t call,
-                      const ca_table_result_t *result);
+void ca_core_table_result (ca_core_t *core, uint64_t now_us, uint64_t call,
+                           const ca_table_result_t *result);
 
 /* --- Endpoints --- */
 
@@ -87,9 +80,8 @@
 } ca_health_t;
 
 /* Answer to a probe; NULL if there was none. */
-void
-ca_core_endpoint_health (ca_core_t *core, uint64_t now_us, uint64_t endpoint,
-                         const ca_health_t *health);
+void ca_core_endpoint_health (ca_core_t *core, uint64_t now_us,
+                              uint64_t endpoint, const ca_health_t *health);
 
 typedef enum
 {
@@ -101,22 +93,19 @@
   CA_FAILURE_FINAL       /* the endpoint refuses this request for good */
 } ca_failure_t;
 
-void
-ca_core_leg_token (ca_core_t *core, uint64_t now_us, const ca_leg_t *leg,
-                   uint32_t index, const char *text, size_t bytes);
+void ca_core_leg_token (ca_core_t *core, uint64_t now_us, const ca_leg_t *leg,
+                        uint32_t index, const char *text, size_t bytes);
 
 /* A sign of life without a token. */
-void
-ca_core_leg_progress (ca_core_t *core, uint64_t now_us, const ca_leg_t *leg);
+void ca_core_leg_progress (ca_core_t *core, uint64_t now_us,
+                           const ca_leg_t *leg);
 
 /* The endpoint says that the answer has `tokens` tokens in all, and that it
  * computed `recomputed` tokens that had been computed before. */
-void
-ca_core_leg_end (ca_core_t *core, uint64_t now_us, const ca_leg_t *leg,
-                 uint32_t tokens, uint32_t recomputed);
-void
-ca_core_leg_failed (ca_core_t *core, uint64_t now_us, const ca_leg_t *leg,
-                    ca_failure_t failure);
+void ca_core_leg_end (ca_core_t *core, uint64_t now_us, const ca_leg_t *leg,
+                      uint32_t tokens, uint32_t recomputed);
+void ca_core_leg_failed (ca_core_t *core, uint64_t now_us, const ca_leg_t *leg,
+                         ca_failure_t failure);
 
 typedef enum
 {
@@ -136,9 +125,8 @@
   uint64_t kv; /* handle of the exported cache, 0 if none */
 } ca_stopped_t;
 
-void
-ca_core_run_stopped (ca_core_t *core, uint64_t now_us, const ca_leg_t *leg,
-                     const ca_stopped_t *stopped);
+void ca_core_run_stopped (ca_core_t *core, uint64_t now_us, const ca_leg_t *leg,
+                          const ca_stopped_t *stopped);
 
 /* --- Callers --- */
 
@@ -158,54 +146,42 @@
 } ca_request_spec_t;
 
 /* A number no other request has, for ca_request_spec_t. */
-uint64_t
-ca_core_new_request_id (ca_core_t *core);
+uint64_t ca_core_new_request_id (ca_core_t *core);
 
-void
-ca_core_request (ca_core_t *core, uint64_t now_us,
-                 const ca_request_spec_t *spec);
-void
-ca_core_caller_gone (ca_core_t *core, uint64_t now_us, uint64_t request);
+void ca_core_request (ca_core_t *core, uint64_t now_us,
+                      const ca_request_spec_t *spec);
+void ca_core_caller_gone (ca_core_t *core, uint64_t now_us, uint64_t request);
 
 /* A caller comes back for the answer from token `from` on. */
-void
-ca_core_attach (ca_core_t *core, uint64_t now_us, uint64_t request,
-                uint32_t from, bool stream);
+void ca_core_attach (ca_core_t *core, uint64_t now_us, uint64_t request,
+                     uint32_t from, bool stream);
 
 /* Tokens of a request held here, or NULL. */
-const ca_tokens_t *
-ca_core_tokens (const ca_core_t *core, uint64_t request);
+const ca_tokens_t *ca_core_tokens (const ca_core_t *core, uint64_t request);
 
 /* --- Operators --- */
 
 /* Both are answered through reply_operator with the same call number. */
-void
-ca_core_plan (ca_core_t *core, uint64_t now_us, uint64_t call,
-              const char *intent);
-void
-ca_core_confirm (ca_core_t *core, uint64_t now_us, uint64_t call,
-                 const char *plan_id);
+void ca_core_plan (ca_core_t *core, uint64_t now_us, uint64_t call,
+                   const char *intent);
+void ca_core_confirm (ca_core_t *core, uint64_t now_us, uint64_t call,
+                      const char *plan_id);
 
 /* New JSON object; the caller owns the reference. */
-json_t *
-ca_core_status (const ca_core_t *core);
+json_t *ca_core_status (const ca_core_t *core);
 
 /* --- Stop --- */
 
 /* Begins a planned stop. */
-void
-ca_core_stop (ca_core_t *core, uint64_t now_us);
+void ca_core_stop (ca_core_t *core, uint64_t now_us);
 
 /* This entry's VM is taken away in `notice_us`. */
-void
-ca_core_reclaimed (ca_core_t *core, uint64_t now_us, uint64_t notice_us);
+void ca_core_reclaimed (ca_core_t *core, uint64_t now_us, uint64_t notice_us);
 
 /* True once a planned stop has nothing left to do. */
-bool
-ca_core_stopped (const ca_core_t *core);
+bool ca_core_stopped (const ca_core_t *core);
 
 /* True while the balancer should send work here. */
-bool
-ca_core_ready (const ca_core_t *core);
+bool ca_core_ready (const ca_core_t *core);
 
 #endif
--- a/packages/core/prefix.h
+++ b/packages/core/prefix.h
@@ -37,35 +37,27 @@
 
 /* Hashes the blocks of a prompt; returns how many, at most
  * CA_PREFIX_BLOCKS. */
-uint32_t
-ca_prefix_hash (const char *body, size_t bytes,
-                uint64_t hashes[CA_PREFIX_BLOCKS]);
+uint32_t ca_prefix_hash (const char *body, size_t bytes,
+                         uint64_t hashes[CA_PREFIX_BLOCKS]);
 
-void
-ca_prefix_index_init (ca_prefix_index_t *index);
-void
-ca_prefix_index_finish (ca_prefix_index_t *index);
+void ca_prefix_index_init (ca_prefix_index_t *index);
+void ca_prefix_index_finish (ca_prefix_index_t *index);
 
 /* Forgets everything, as a restarted endpoint does. */
-void
-ca_prefix_index_clear (ca_prefix_index_t *index);
+void ca_prefix_index_clear (ca_prefix_index_t *index);
 
 /* Bounds the index to what the endpoint says it can hold. */
-void
-ca_prefix_index_resize (ca_prefix_index_t *index, uint32_t blocks);
+void ca_prefix_index_resize (ca_prefix_index_t *index, uint32_t blocks);
 
 /* Notes that a prompt was sent to the endpoint. */
-void
-ca_prefix_index_add (ca_prefix_index_t *index, const uint64_t *hashes,
-                     uint32_t count);
+void ca_prefix_index_add (ca_prefix_index_t *index, const uint64_t *hashes,
+                          uint32_t count);
 
 /* Takes back one block that the endpoint says it dropped. */
-void
-ca_prefix_index_remove (ca_prefix_index_t *index, uint64_t hash);
+void ca_prefix_index_remove (ca_prefix_index_t *index, uint64_t hash);
 
 /* Leading blocks of the prompt thought to be cached. */
-uint32_t
-ca_prefix_index_match (const ca_prefix_index_t *index, const uint64_t *hashes,
-                       uint32_t count);
+uint32_t ca_prefix_index_match (const ca_prefix_index_t *index,
+                                const uint64_t *hashes, uint32_t count);
 
 #endif
--- a/packages/core/quarantine.c
+++ b/packages/core/quarantine.c
@@ -7,8 +7,6 @@
 
 #include <stdlib.h>
 
-/* Time in which a notice or a second loss may still explain a crash. */
-#define VERDICT_US (1 * CA_US_PER_S)
 #define SUSPECT_KEPT_US (600 * CA_US_PER_S)
 #define QUARANTINE_KEPT_US (3600 * CA_US_PER_S)
 
@@ -140,7 +138,7 @@
   ca_suspect_t *next;
 
   while ((crash = TAILQ_FIRST (&core->crashes)) != NULL
-         && core->now_us - crash->at_us >= VERDICT_US)
+         && core->now_us - crash->at_us >= CA_VERDICT_US)
     {
       if (suspect_is_excused (core, crash))
         suspect_excuse (core, crash);
--- a/packages/core/request.c
+++ b/packages/core/request.c
@@ -218,9 +218,8 @@
 
   if (request_is_begun (request))
     {
-      request->owner = 0;
-      request->asked_us = core->now_us;
       request->excluded_count = 0;
+      ca_request_ask_at (core, request, core->now_us + ASK_AGAIN_US);
       return;
     }
   if (kind == CA_ERROR_NONE)
@@ -275,6 +274,12 @@
       ca_claim_renew (core, request);
       return;
     }
+  if (ca_suspect_level (core, request->fingerprint) >= CA_QUARANTINED)
+    {
+      ca_request_refuse (core, request, CA_ERROR_QUARANTINED, 0,
+                         "this request crashed the endpoints that ran it");
+      return;
+    }
   if (request->phase != CA_PHASE_ASKING)
     ca_request_phase (core, request, CA_PHASE_ASKING);
   request->zones_tried = 0;
@@ -285,6 +290,15 @@
   request_ask_next (core, request);
 }
 
+void
+ca_request_ask_at (ca_core_t *core, ca_request_t *request, uint64_t at_us)
+{
+  if (request->phase != CA_PHASE_ASKING)
+    ca_request_phase (core, request, CA_PHASE_ASKING);
+  request->owner = 0;
+  request->hold_us = at_us;
+}
+
 void
 ca_request_ask_ack (ca_core_t *core, const Camphor__Envelope *envelope)
 {
@@ -388,7 +402,7 @@
 
   if (request->owner == 0)
     {
-      if (asked_us >= ASK_AGAIN_US)
+      if (core->now_us >= request->hold_us)
         ca_request_ask (core, request);
       return;
     }
@@ -650,12 +664,6 @@
   ca_trace (core, CA_EVENT_REQUEST_ACCEPTED, request, 0, "class %s",
             request->class_name);
   request->alone = level > 0;
-  if (request->idempotent && level >= CA_QUARANTINED)
-    {
-      ca_request_refuse (core, request, CA_ERROR_QUARANTINED, 0,
-                         "this request crashed the endpoints that ran it");
-      return;
-    }
   if (request->idempotent)
     ca_request_ask (core, request);
   else
--- a/packages/core/revision.c
+++ b/packages/core/revision.c
@@ -17,6 +17,9 @@
 #define HEAD_PERIOD_US (1 * CA_US_PER_S)
 #define CONFIRM_TRIES 8
 
+/* An entry that is behind asks a peer this often. */
+#define WANT_PERIOD_US (200 * CA_US_PER_MS)
+
 /* Members that an entry passes a new revision on to. */
 #define DELTA_FANOUT 4
 
@@ -51,48 +54,79 @@
 
 /* --- Peers --- */
 
+static int
+revision_compare (const void *a, const void *b)
+{
+  const Camphor__ConfigIntent *left = *(Camphor__ConfigIntent *const *)a;
+  const Camphor__ConfigIntent *right = *(Camphor__ConfigIntent *const *)b;
+
+  return left->revision < right->revision ? -1
+                                          : left->revision > right->revision;
+}
+
+/* Sends every intent newer than `after`, oldest first, in one message. */
 static void
-revision_send_delta (ca_core_t *core, uint64_t to, const ca_intent_t *intent,
-                     uint64_t revision, bool more)
+revision_send_delta (ca_core_t *core, uint64_t to, uint64_t after)
 {
+  size_t count = 0;
+  Camphor__ConfigIntent *rows
+      = calloc (core->config.intent_count + 1, sizeof *rows);
+  Camphor__ConfigIntent **list
+      = calloc (core->config.intent_count + 1, sizeof *list);
   Camphor__Envelope envelope;
   Camphor__ConfigDelta delta = CAMPHOR__CONFIG_DELTA__INIT;
 
-  delta.revision = revision;
-  delta.team = (char *)intent->team;
-  delta.team_revision = intent->revision;
-  delta.intent.data = (uint8_t *)intent->text;
-  delta.intent.len = strlen (intent->text);
-  delta.more = more;
+  for (size_t i = 0; i < core->config.intent_count; i++)
+    {
+      const ca_intent_t *intent = &core->config.intents[i];
+
+      if (intent->revision <= after)
+        continue;
+      camphor__config_intent__init (&rows[count]);
+      rows[count].team = (char *)intent->team;
+      rows[count].revision = intent->revision;
+      rows[count].text.data = (uint8_t *)intent->text;
+      rows[count].text.len = strlen (intent->text);
+      list[count] = &rows[count];
+      count++;
+    }
+  qsort (list, count, sizeof *list, revision_compare);
+  delta.after = after;
+  delta.revision = core->config.revision;
+  delta.n_intents = count;
+  delta.intents = list;
   ca_envelope_init (core, &envelope);
   envelope.body_case = CAMPHOR__ENVELOPE__BODY_CONFIG_DELTA;
   envelope.config_delta = &delta;
   ca_peer_send (core, to, &envelope);
+  free (rows);
+  free (list);
 }
 
-/* Passes the newest intent on to a few members of any zone. */
+/* Passes on what is newer than `after` to a few members of any zone. */
 static void
-revision_spread (ca_core_t *core, const char *team)
+revision_spread (ca_core_t *core, uint64_t after)
 {
-  const ca_intent_t *intent = ca_config_find_intent (&core->config, team);
-
   for (int i = 0; i < DELTA_FANOUT; i++)
     {
       const ca_member_t *member
           = ca_member_random (core, i == 0 ? core->options.zone : NULL);
 
       if (member != NULL && member->config_revision < core->config.revision)
-        revision_send_delta (core, member->id, intent, core->config.revision,
-                             false);
+        revision_send_delta (core, member->id, after);
     }
 }
 
+/* Asks a peer for what is new, not more often than answers can come. */
 static void
 revision_ask_peer (ca_core_t *core, uint64_t to)
 {
   Camphor__Envelope envelope;
   Camphor__ConfigWant want = CAMPHOR__CONFIG_WANT__INIT;
 
+  if (core->now_us < core->want_us)
+    return;
+  core->want_us = core->now_us + WANT_PERIOD_US;
   want.have_revision = core->config.revision;
   ca_envelope_init (core, &envelope);
   envelope.body_case = CAMPHOR__ENVELOPE__BODY_CONFIG_WANT;
@@ -107,36 +141,13 @@
     revision_ask_peer (core, from);
 }
 
-static int
-revision_compare (const void *a, const void *b)
-{
-  const ca_intent_t *left = *(const ca_intent_t *const *)a;
-  const ca_intent_t *right = *(const ca_intent_t *const *)b;
-
-  return left->revision < right->revision ? -1
-                                          : left->revision > right->revision;
-}
-
-/* Answers with every intent newer than the asker's revision, oldest first; the
- * last one carries the revision that they add up to. */
 void
 ca_revision_want (ca_core_t *core, const Camphor__Envelope *envelope)
 {
   uint64_t have = envelope->config_want->have_revision;
-  const ca_intent_t **newer
-      = calloc (core->config.intent_count + 1, sizeof *newer);
-  size_t count = 0;
 
-  for (size_t i = 0; i < core->config.intent_count; i++)
-    {
-      if (core->config.intents[i].revision > have)
-        newer[count++] = &core->config.intents[i];
-    }
-  qsort (newer, count, sizeof *newer, revision_compare);
-  for (size_t i = 0; i < count; i++)
-    revision_send_delta (core, envelope->from, newer[i], core->config.revision,
-                         i + 1 < count);
-  free (newer);
+  if (have < core->config.revision)
+    revision_send_delta (core, envelope->from, have);
 }
 
 void
@@ -144,25 +155,27 @@
 {
   const Camphor__ConfigDelta *delta = envelope->config_delta;
   uint64_t before = core->config.revision;
-  char *text;
-  bool taken;
+  bool whole = true;
 
   if (delta->revision <= before)
     return;
-  text = strndup ((const char *)delta->intent.data, delta->intent.len);
-  taken = revision_take_intent (core, delta->team, delta->team_revision, text);
-  free (text);
-  if (!taken || delta->more)
-    return;
-  /* A single delta is whole only for one who holds the revision before it. */
-  if (delta->team_revision == delta->revision && before + 1 < delta->revision
-      && core->scan_head == 0)
+  if (delta->after > before)
     {
       revision_ask_peer (core, envelope->from);
       return;
     }
+  for (size_t i = 0; i < delta->n_intents; i++)
+    {
+      const Camphor__ConfigIntent *row = delta->intents[i];
+      char *text = strndup ((const char *)row->text.data, row->text.len);
+
+      whole &= revision_take_intent (core, row->team, row->revision, text);
+      free (text);
+    }
+  if (!whole)
+    return;
   revision_reached (core, delta->revision);
-  revision_spread (core, delta->team);
+  revision_spread (core, before);
 }
 
 /* --- The store's head --- */
@@ -436,8 +449,7 @@
 
 /* --- Confirm --- */
 
-static void
-confirm_read_plan (ca_core_t *core, ca_operation_t *operation);
+static void confirm_read_plan (ca_core_t *core, ca_operation_t *operation);
 
 static void
 confirm_reply (ca_core_t *core, ca_operation_t *operation, uint64_t revision)
@@ -516,7 +528,7 @@
                                operation->intent))
     {
       revision_reached (core, revision);
-      revision_spread (core, operation->team);
+      revision_spread (core, revision - 1);
     }
   confirm_reply (core, operation, revision);
 }
--- a/packages/core/run.c
+++ b/packages/core/run.c
@@ -161,7 +161,10 @@
         }
       core->retry_tokens -= 1.0;
     }
-  ca_request_ask (core, request);
+  if (request->hold_us > core->now_us)
+    ca_request_ask_at (core, request, request->hold_us);
+  else
+    ca_request_ask (core, request);
 }
 
 /* The run is lost and there is no proof of what became of it. */
@@ -188,7 +191,12 @@
 {
   request->leg.leg++;
   if (crashed && ca_suspect_note_crash (core, request))
-    request->alone = true;
+    {
+      /* One that was alone already waits for the verdict on it. */
+      if (request->alone)
+        request->hold_us = core->now_us + CA_VERDICT_US + CA_TICK_US;
+      request->alone = true;
+    }
   if (request->idempotent || request->service)
     {
       run_unproved (core, request);
--- a/packages/core/sched.c
+++ b/packages/core/sched.c
@@ -789,54 +789,78 @@
   }
 }
 
-void
-ca_sched_tick (ca_core_t *core)
+static void
+sched_expire_asks (ca_core_t *core, ca_shard_t *shard)
 {
-  ca_shard_t *shard;
   ca_class_queue_t *queue;
   ca_flow_t *flow;
 
-  TAILQ_FOREACH (shard, &core->shards, entries)
+  TAILQ_FOREACH (queue, &shard->queues, entries)
+  TAILQ_FOREACH (flow, &queue->flows, entries)
   {
-    TAILQ_FOREACH (queue, &shard->queues, entries)
-    TAILQ_FOREACH (flow, &queue->flows, entries)
-    {
-      ca_ask_t *ask = TAILQ_FIRST (&flow->asks);
+    ca_ask_t *ask = TAILQ_FIRST (&flow->asks);
 
-      while (ask != NULL)
-        {
-          ca_ask_t *next = TAILQ_NEXT (ask, entries);
+    while (ask != NULL)
+      {
+        ca_ask_t *next = TAILQ_NEXT (ask, entries);
 
-          sched_expire_ask (core, shard, ask);
-          ask = next;
-        }
-    }
-    sched_expire_grants (core, shard);
-    if (shard->queued > 0)
-      sched_pump (core, shard);
+        sched_expire_ask (core, shard, ask);
+        ask = next;
+      }
   }
 }
 
-void
-ca_sched_leave (ca_core_t *core)
+/* Rejects every queued ask with the same word. */
+static void
+sched_reject_all (ca_core_t *core, ca_shard_t *shard, ca_error_kind_t reason)
 {
-  ca_shard_t *shard;
   ca_class_queue_t *queue;
   ca_flow_t *flow;
 
-  if (ca_member_live_count (core, core->options.zone) == 0)
-    return;
-  TAILQ_FOREACH (shard, &core->shards, entries)
   TAILQ_FOREACH (queue, &shard->queues, entries)
   TAILQ_FOREACH (flow, &queue->flows, entries)
   {
     while (!TAILQ_EMPTY (&flow->asks))
       {
         ca_ask_t *ask = TAILQ_FIRST (&flow->asks);
+        uint64_t retry_us = reason == CA_ERROR_NONE
+                                ? 0
+                                : sched_retry_us (core, CA_US_PER_S, 0);
 
-        sched_send_reject (core, ask->front, ask->request, CA_ERROR_NONE, 0);
+        sched_send_reject (core, ask->front, ask->request, reason, retry_us);
         sched_unreserve (core, ask->request);
         sched_free_ask (shard, ask);
       }
   }
 }
+
+void
+ca_sched_tick (ca_core_t *core)
+{
+  ca_shard_t *shard;
+
+  TAILQ_FOREACH (shard, &core->shards, entries)
+  {
+    bool any;
+
+    sched_expire_asks (core, shard);
+    sched_slots (core, shard, &any);
+    /* All its endpoints went: other zones may have some. */
+    if (!any && shard->queued > 0)
+      sched_reject_all (core, shard, CA_ERROR_NO_ENDPOINT);
+    sched_expire_grants (core, shard);
+    if (shard->queued > 0)
+      sched_pump (core, shard);
+  }
+}
+
+void
+ca_sched_leave (ca_core_t *core)
+{
+  ca_shard_t *shard;
+
+  if (ca_member_live_count (core, core->options.zone) == 0)
+    return;
+  TAILQ_FOREACH (shard, &core->shards, entries)
+  sched_reject_all (core, shard, CA_ERROR_NONE);
+}
--- a/packages/core/state.h
+++ b/packages/core/state.h
@@ -217,6 +217,7 @@
   uint32_t owner_rank;
   uint64_t asked_us;
   uint64_t acked_us;
+  uint64_t hold_us;        /* not asked again before this */
   uint64_t retry_after_us; /* longest told by any owner */
   ca_error_kind_t reject_kind;
   uint32_t excluded_count;
@@ -418,6 +419,7 @@
   TAILQ_HEAD (, ca_chore) chores;
   uint64_t head_us;
   bool head_busy;
+  uint64_t want_us; /* when a peer may next be asked for what is new */
   uint64_t scan_head;
   /* Suspects. */
   ca_suspect_t *suspects;
--- a/packages/ctl/client.h
+++ b/packages/ctl/client.h
@@ -13,11 +13,9 @@
 } ca_reply_t;
 
 /* Calls and waits, at most `timeout_ms`. */
-void
-ca_client_call (const ca_address_t *entry, enum evhttp_cmd_type method,
-                const char *path, const char *body, uint32_t timeout_ms,
-                ca_reply_t *reply);
-void
-ca_reply_finish (ca_reply_t *reply);
+void ca_client_call (const ca_address_t *entry, enum evhttp_cmd_type method,
+                     const char *path, const char *body, uint32_t timeout_ms,
+                     ca_reply_t *reply);
+void ca_reply_finish (ca_reply_t *reply);
 
 #endif
--- a/packages/ctl/timeline_view.h
+++ b/packages/ctl/timeline_view.h
@@ -14,12 +14,10 @@
 } ca_timeline_filter_t;
 
 /* Sorts the records by their stamps, in place. */
-void
-ca_timeline_sort (json_t *records);
+void ca_timeline_sort (json_t *records);
 
 /* Prints one line a record that passes the filter; returns how many. */
-size_t
-ca_timeline_print (const json_t *records, const ca_timeline_filter_t *filter,
-                   FILE *out);
+size_t ca_timeline_print (const json_t *records,
+                          const ca_timeline_filter_t *filter, FILE *out);
 
 #endif
--- a/packages/daemon/entry.h
+++ b/packages/daemon/entry.h
@@ -26,14 +26,11 @@
 
 /* Builds an entry from checked settings and listens; false and an error if it
  * cannot. */
-bool
-ca_entry_init (ca_entry_t *entry, const ca_settings_t *settings,
-               ca_error_t *error);
+bool ca_entry_init (ca_entry_t *entry, const ca_settings_t *settings,
+                    ca_error_t *error);
 
 /* Serves until a planned stop has ended. */
-void
-ca_entry_run (ca_entry_t *entry);
-void
-ca_entry_finish (ca_entry_t *entry);
+void ca_entry_run (ca_entry_t *entry);
+void ca_entry_finish (ca_entry_t *entry);
 
 #endif
--- a/packages/wire/frame.h
+++ b/packages/wire/frame.h
@@ -17,20 +17,17 @@
 #define CA_WIRE_VERSION 1
 
 /* Bytes that the framed envelope takes. */
-size_t
-ca_frame_bytes (const Camphor__Envelope *envelope);
+size_t ca_frame_bytes (const Camphor__Envelope *envelope);
 
 /* Writes head and body into `bytes`, which holds ca_frame_bytes(). */
-void
-ca_frame_pack (const Camphor__Envelope *envelope, uint8_t *bytes);
+void ca_frame_pack (const Camphor__Envelope *envelope, uint8_t *bytes);
 
 /* Body length announced by a head; 0 and an error if out of bounds. */
-uint32_t
-ca_frame_body_bytes (const uint8_t *head, ca_error_t *error);
+uint32_t ca_frame_body_bytes (const uint8_t *head, ca_error_t *error);
 
 /* Unpacks a body; NULL and an error if it does not parse or is of a version
  * that this build cannot read.  Free with camphor__envelope__free_unpacked. */
-Camphor__Envelope *
-ca_frame_unpack (const uint8_t *body, size_t bytes, ca_error_t *error);
+Camphor__Envelope *ca_frame_unpack (const uint8_t *body, size_t bytes,
+                                    ca_error_t *error);
 
 #endif
--- a/packages/wire/peer.pb-c.c
+++ b/packages/wire/peer.pb-c.c
@@ -592,6 +592,51 @@
   assert(message->base.descriptor == &camphor__config_want__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   camphor__config_intent__init
+                     (Camphor__ConfigIntent         *message)
+{
+  static const Camphor__ConfigIntent init_value = CAMPHOR__CONFIG_INTENT__INIT;
+  *message = init_value;
+}
+size_t camphor__config_intent__get_packed_size
+                     (const Camphor__ConfigIntent *message)
+{
+  assert(message->base.descriptor == &camphor__config_intent__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t camphor__config_intent__pack
+                     (const Camphor__ConfigIntent *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &camphor__config_intent__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t camphor__config_intent__pack_to_buffer
+                     (const Camphor__ConfigIntent *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &camphor__config_intent__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Camphor__ConfigIntent *
+       camphor__config_intent__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Camphor__ConfigIntent *)
+     protobuf_c_message_unpack (&camphor__config_intent__descriptor,
+                                allocator, len, data);
+}
+void   camphor__config_intent__free_unpacked
+                     (Camphor__ConfigIntent *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &camphor__config_intent__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   camphor__config_delta__init
                      (Camphor__ConfigDelta         *message)
 {
@@ -1818,80 +1863,118 @@
   (ProtobufCMessageInit) camphor__config_want__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor camphor__config_delta__field_descriptors[5] =
+static const ProtobufCFieldDescriptor camphor__config_intent__field_descriptors[3] =
 {
   {
-    "revision",
+    "team",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Camphor__ConfigDelta, revision),
-    NULL,
+    offsetof(Camphor__ConfigIntent, team),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "team",
+    "revision",
     2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Camphor__ConfigDelta, team),
+    offsetof(Camphor__ConfigIntent, revision),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "team_revision",
+    "text",
     3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_BYTES,
     0,   /* quantifier_offset */
-    offsetof(Camphor__ConfigDelta, team_revision),
+    offsetof(Camphor__ConfigIntent, text),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+};
+static const unsigned camphor__config_intent__field_indices_by_name[] = {
+  1,   /* field[1] = revision */
+  0,   /* field[0] = team */
+  2,   /* field[2] = text */
+};
+static const ProtobufCIntRange camphor__config_intent__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor camphor__config_intent__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "camphor.ConfigIntent",
+  "ConfigIntent",
+  "Camphor__ConfigIntent",
+  "camphor",
+  sizeof(Camphor__ConfigIntent),
+  3,
+  camphor__config_intent__field_descriptors,
+  camphor__config_intent__field_indices_by_name,
+  1,  camphor__config_intent__number_ranges,
+  (ProtobufCMessageInit) camphor__config_intent__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor camphor__config_delta__field_descriptors[3] =
+{
   {
-    "intent",
-    4,
+    "after",
+    1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BYTES,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Camphor__ConfigDelta, intent),
+    offsetof(Camphor__ConfigDelta, after),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "more",
-    5,
+    "revision",
+    2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Camphor__ConfigDelta, more),
+    offsetof(Camphor__ConfigDelta, revision),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "intents",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Camphor__ConfigDelta, n_intents),
+    offsetof(Camphor__ConfigDelta, intents),
+    &camphor__config_intent__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned camphor__config_delta__field_indices_by_name[] = {
-  3,   /* field[3] = intent */
-  4,   /* field[4] = more */
-  0,   /* field[0] = revision */
-  1,   /* field[1] = team */
-  2,   /* field[2] = team_revision */
+  0,   /* field[0] = after */
+  2,   /* field[2] = intents */
+  1,   /* field[1] = revision */
 };
 static const ProtobufCIntRange camphor__config_delta__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor camphor__config_delta__descriptor =
 {
@@ -1901,7 +1984,7 @@
   "Camphor__ConfigDelta",
   "camphor",
   sizeof(Camphor__ConfigDelta),
-  5,
+  3,
   camphor__config_delta__field_descriptors,
   camphor__config_delta__field_indices_by_name,
   1,  camphor__config_delta__number_ranges,
--- a/packages/wire/peer.pb-c.h
+++ b/packages/wire/peer.pb-c.h
@@ -28,6 +28,7 @@
 typedef struct Camphor__Release Camphor__Release;
 typedef struct Camphor__Holds Camphor__Holds;
 typedef struct Camphor__ConfigWant Camphor__ConfigWant;
+typedef struct Camphor__ConfigIntent Camphor__ConfigIntent;
 typedef struct Camphor__ConfigDelta Camphor__ConfigDelta;
 typedef struct Camphor__HandOver Camphor__HandOver;
 typedef struct Camphor__HandOverAck Camphor__HandOverAck;
@@ -225,18 +226,32 @@
     , 0 }
 
 
+struct  Camphor__ConfigIntent
+{
+  ProtobufCMessage base;
+  char *team;
+  uint64_t revision;
+  ProtobufCBinaryData text;
+};
+#define CAMPHOR__CONFIG_INTENT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&camphor__config_intent__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, {0,NULL} }
+
+
+/*
+ * Every intent newer than `after`; whoever holds `after` reaches `revision`.
+ */
 struct  Camphor__ConfigDelta
 {
   ProtobufCMessage base;
+  uint64_t after;
   uint64_t revision;
-  char *team;
-  uint64_t team_revision;
-  ProtobufCBinaryData intent;
-  protobuf_c_boolean more;
+  size_t n_intents;
+  Camphor__ConfigIntent **intents;
 };
 #define CAMPHOR__CONFIG_DELTA__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&camphor__config_delta__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, 0, {0,NULL}, 0 }
+    , 0, 0, 0,NULL }
 
 
 /*
@@ -603,6 +618,25 @@
 void   camphor__config_want__free_unpacked
                      (Camphor__ConfigWant *message,
                       ProtobufCAllocator *allocator);
+/* Camphor__ConfigIntent methods */
+void   camphor__config_intent__init
+                     (Camphor__ConfigIntent         *message);
+size_t camphor__config_intent__get_packed_size
+                     (const Camphor__ConfigIntent   *message);
+size_t camphor__config_intent__pack
+                     (const Camphor__ConfigIntent   *message,
+                      uint8_t             *out);
+size_t camphor__config_intent__pack_to_buffer
+                     (const Camphor__ConfigIntent   *message,
+                      ProtobufCBuffer     *buffer);
+Camphor__ConfigIntent *
+       camphor__config_intent__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   camphor__config_intent__free_unpacked
+                     (Camphor__ConfigIntent *message,
+                      ProtobufCAllocator *allocator);
 /* Camphor__ConfigDelta methods */
 void   camphor__config_delta__init
                      (Camphor__ConfigDelta         *message);
@@ -739,6 +773,9 @@
 typedef void (*Camphor__ConfigWant_Closure)
                  (const Camphor__ConfigWant *message,
                   void *closure_data);
+typedef void (*Camphor__ConfigIntent_Closure)
+                 (const Camphor__ConfigIntent *message,
+                  void *closure_data);
 typedef void (*Camphor__ConfigDelta_Closure)
                  (const Camphor__ConfigDelta *message,
                   void *closure_data);
@@ -773,6 +810,7 @@
 extern const ProtobufCMessageDescriptor camphor__release__descriptor;
 extern const ProtobufCMessageDescriptor camphor__holds__descriptor;
 extern const ProtobufCMessageDescriptor camphor__config_want__descriptor;
+extern const ProtobufCMessageDescriptor camphor__config_intent__descriptor;
 extern const ProtobufCMessageDescriptor camphor__config_delta__descriptor;
 extern const ProtobufCMessageDescriptor camphor__hand_over__descriptor;
 extern const ProtobufCMessageDescriptor camphor__hand_over_ack__descriptor;
--- /dev/null
+++ b/tests/run.sh
@@ -0,0 +1,94 @@
+#!/usr/bin/env bash
+# Runs every test of a build folder and prints one line each.
+#
+# Scripts under tests/scripts run in virtual time; their output must equal
+# NAME.expected.  A script with "# sweep T ..." runs once for each value of $T,
+# and its distinct lines are compared.  Scripts under tests/regress run real
+# processes.  Tests named in KNOWN-RED.txt are run and printed, not counted as
+# failures.
+set -u
+cd "$(dirname "$0")/.."
+BUILD=${1:-build}
+export BUILD
+ONLY=${2:-}
+PASSED=0
+FAILED=0
+RED=0
+OUT=$(mktemp -d)
+trap 'rm -rf "$OUT"' EXIT
+
+known_red () { [ -f KNOWN-RED.txt ] && grep -q "^test: $1\$" KNOWN-RED.txt; }
+
+report () { # NAME STATUS
+  if [ "$2" -eq 0 ]; then
+    PASSED=$((PASSED + 1))
+    known_red "$1" && echo "note: $1 passes; take it off KNOWN-RED.txt"
+    return
+  fi
+  if known_red "$1"; then
+    RED=$((RED + 1))
+    echo "known red: $1"
+    return
+  fi
+  FAILED=$((FAILED + 1))
+  echo "FAILED: $1"
+  [ -f "$OUT/out" ] && sed 's/^/    /' "$OUT/out" | tail -n 40
+}
+
+run_script () { # FILE
+  local values value
+  values=$(sed -n 's/^# sweep T //p' "$1")
+  if [ -z "$values" ]; then
+    "$BUILD/tests/world/script" tests/scripts "$1"
+    return
+  fi
+  for value in $(eval echo "$values"); do
+    sed "s/\$T/$value/g" "$1" > "$OUT/sweep.script"
+    "$BUILD/tests/world/script" tests/scripts "$OUT/sweep.script"
+  done | sort -u
+}
+
+wanted () { [ -z "$ONLY" ] || [[ "$1" == *"$ONLY"* ]]; }
+
+for file in tests/scripts/*.script; do
+  name=${file#tests/}
+  wanted "$name" || continue
+  run_script "$file" > "$OUT/actual" 2>&1
+  diff "${file%.script}.expected" "$OUT/actual" > "$OUT/out" 2>&1
+  report "$name" $?
+done
+
+for program in "$BUILD"/tests/unit/test_*; do
+  [ -x "$program" ] && [ -f "$program" ] || continue
+  name=unit/$(basename "$program")
+  wanted "$name" || continue
+  "$program" > "$OUT/out" 2>&1
+  report "$name" $?
+done
+
+for page in events errors settings; do
+  wanted "docs/$page" || continue
+  flag=--print-$page
+  [ "$page" = settings ] && flag=--print-settings-page
+  "$BUILD/packages/daemon/camphorarchd" $flag | diff "docs/$page.md" - \
+    > "$OUT/out" 2>&1
+  report "docs/$page" $?
+done
+
+if wanted soak; then
+  "$BUILD/tests/world/soak" --first 1 --seeds "${SOAK_SEEDS:-3}" \
+    --events "${SOAK_EVENTS:-150000}" > "$OUT/out" 2>&1
+  report soak $?
+fi
+
+for file in tests/regress/test_*.sh; do
+  [ -f "$file" ] || continue
+  name=${file#tests/}
+  wanted "$name" || continue
+  timeout 120 bash "$file" > "$OUT/out" 2>&1
+  report "$name" $?
+done
+
+echo "known red: $RED"
+echo "$PASSED passed, $FAILED failed"
+[ "$FAILED" -eq 0 ]
--- a/tests/world/callers.c
+++ b/tests/world/callers.c
@@ -52,9 +52,9 @@
   const ca_workspace_t *row
       = ca_config_find_workspace (&core->config, workspace);
 
-  return row == NULL ? NULL
-                     : ca_config_find_class (&core->config, row->team,
-                                             class_name);
+  return row == NULL
+             ? NULL
+             : ca_config_find_class (&core->config, row->team, class_name);
 }
 
 world_request_t *
@@ -188,10 +188,9 @@
   if (request == NULL || !callers_is_open (world, entry, request))
     return;
   callers_check_text (world, request, answer);
-  if (request->stream && !answer->replayed
-      && request->got != answer->tokens)
-    world_fault (world, "request %s: %u of %u tokens at its end",
-                 request->name, request->got, answer->tokens);
+  if (request->stream && !answer->replayed && request->got != answer->tokens)
+    world_fault (world, "request %s: %u of %u tokens at its end", request->name,
+                 request->got, answer->tokens);
   request->final = WORLD_ANSWERED;
   request->replayed = answer->replayed;
   request->end_us = world->now_us;
@@ -230,6 +229,7 @@
 
   if (request == NULL || request->final != WORLD_WAITING)
     return;
+  request->away = false;
   for (int i = 0; i < world->entry_count; i++)
     {
       int index = (entry + i) % world->entry_count;
@@ -261,6 +261,7 @@
       world_fault (world, "request %s moves without end", request->name);
       return;
     }
+  request->away = true;
   event = world_post (world, COME_BACK_US, callers_come_back, -1);
   event->number = id;
 }
@@ -283,7 +284,7 @@
   HASH_ITER (hh, world->requests, request, next)
   {
     if (request->final == WORLD_WAITING && request->entry == entry
-        && ca_core_tokens (&world->entries[entry].core, request->id) != NULL)
+        && !request->away)
       request->final = WORLD_LOST;
   }
 }
@@ -297,8 +298,9 @@
   HASH_ITER (hh, world->requests, request, next)
   {
     if (request->final == WORLD_WAITING)
-      world_fault (world, "request %s (%s) never got its final word",
-                   request->name, request->class_name);
+      world_fault (world, "request %s %016llx (%s) never got its final word",
+                   request->name, (unsigned long long)request->id,
+                   request->class_name);
   }
 }
 
--- a/tests/world/fleet.c
+++ b/tests/world/fleet.c
@@ -207,12 +207,16 @@
                            message->answered ? &health : NULL);
 }
 
+static bool fleet_service_died (world_t *world, const world_event_t *event);
+
 static void
 fleet_deliver (world_t *world, world_event_t *event)
 {
   fleet_message_t *message = event->data;
   ca_core_t *core = &world->entries[event->entry].core;
 
+  if (fleet_service_died (world, event))
+    return;
   switch (message->kind)
     {
     case FLEET_TOKEN:
@@ -227,8 +231,7 @@
                        message->index);
       break;
     case FLEET_FAILED:
-      ca_core_leg_failed (core, world->now_us, &message->leg,
-                          message->failure);
+      ca_core_leg_failed (core, world->now_us, &message->leg, message->failure);
       break;
     case FLEET_STOPPED:
       fleet_deliver_stopped (world, core, message);
@@ -239,6 +242,25 @@
     }
 }
 
+/* A service's answers die with it, and its callers see the cut. */
+static bool
+fleet_service_died (world_t *world, const world_event_t *event)
+{
+  const fleet_message_t *message = event->data;
+  const world_endpoint_t *endpoint;
+  int index = world_endpoint_of (world, &message->leg.address);
+
+  if (index < 0 || !world->endpoints[index].service
+      || message->kind > FLEET_END)
+    return false;
+  endpoint = &world->endpoints[index];
+  if (endpoint->alive && endpoint->boot == message->boot)
+    return false;
+  ca_core_leg_failed (&world->entries[event->entry].core, world->now_us,
+                      &message->leg, CA_FAILURE_CUT);
+  return true;
+}
+
 /* Sends to an entry's life, unless the place between is cut. */
 static void
 fleet_tell (world_t *world, const world_endpoint_t *endpoint, int entry,
@@ -442,8 +464,7 @@
 
   if (row == NULL || row->state >= WORLD_RUN_STOPPED)
     {
-      fleet_fail (world, endpoint, entry, life, &order->leg,
-                  CA_FAILURE_NO_RUN);
+      fleet_fail (world, endpoint, entry, life, &order->leg, CA_FAILURE_NO_RUN);
       return;
     }
   fleet_attach (row, entry, life, order);
@@ -521,16 +542,19 @@
   memset (&message, 0, sizeof message);
   message.kind = FLEET_TOKEN;
   message.leg = order->leg;
+  message.boot = endpoint->boot;
   world_token (order->seed, 0, message.text);
-  fleet_tell (world, endpoint, entry, life, &message, LEG_DELAY_US);
+  fleet_tell (world, endpoint, entry, life, &message,
+              LEG_DELAY_US + endpoint->step_us);
   message.kind = FLEET_END;
   message.total = 1;
-  fleet_tell (world, endpoint, entry, life, &message, LEG_DELAY_US + 1);
+  fleet_tell (world, endpoint, entry, life, &message,
+              LEG_DELAY_US + endpoint->step_us + 1);
 }
 
 static void
-fleet_unreachable (world_t *world, const world_endpoint_t *endpoint,
-                   int entry, uint32_t life, const fleet_order_t *order)
+fleet_unreachable (world_t *world, const world_endpoint_t *endpoint, int entry,
+                   uint32_t life, const fleet_order_t *order)
 {
   fleet_message_t message;
 
@@ -538,8 +562,7 @@
   if (world_is_cut (world, endpoint->zone, world->entries[entry].zone))
     return;
   if (order->kind == FLEET_START || order->kind == FLEET_REATTACH)
-    fleet_fail (world, endpoint, entry, life, &order->leg,
-                CA_FAILURE_NOT_SENT);
+    fleet_fail (world, endpoint, entry, life, &order->leg, CA_FAILURE_NOT_SENT);
   if (order->kind != FLEET_PROBE)
     return;
   memset (&message, 0, sizeof message);
@@ -618,7 +641,7 @@
 {
   int source = kv->handle == 0 ? -1 : world_endpoint_of (world, &kv->address);
 
-  return source >= 0 && world->endpoints[source].alive;
+  return source >= 0 && !world->kv_broken && world->endpoints[source].alive;
 }
 
 static void
@@ -634,13 +657,13 @@
   order.idempotent = dispatch->idempotent;
   order.from = dispatch->tokens->count;
   order.max_tokens = dispatch->max_tokens;
-  order.seed = world_seed_of (dispatch->body, dispatch->body_bytes,
-                              dispatch->version);
+  order.seed
+      = world_seed_of (dispatch->body, dispatch->body_bytes, dispatch->version);
   order.poison = strstr (dispatch->body, POISON_WORD) != NULL;
   order.prompt_tokens
       = (uint32_t)(dispatch->body_bytes / CA_BYTES_PER_TOKEN) + 1;
-  order.prefix_count = ca_prefix_hash (dispatch->body, dispatch->body_bytes,
-                                       order.prefix);
+  order.prefix_count
+      = ca_prefix_hash (dispatch->body, dispatch->body_bytes, order.prefix);
   order.import = fleet_kv_is_there (entry->world, &dispatch->kv);
   HASH_FIND (hh, entry->core.requests, &dispatch->leg.request,
              sizeof dispatch->leg.request, request);
@@ -660,8 +683,7 @@
   if (index < 0)
     return;
   row = fleet_find_run (&entry->world->endpoints[index], leg);
-  if (row != NULL && row->reader == entry->index
-      && row->leg.leg == leg->leg)
+  if (row != NULL && row->reader == entry->index && row->leg.leg == leg->leg)
     row->reader = -1;
 }
 
@@ -727,8 +749,7 @@
   ca_vm_t vms[WORLD_ENDPOINTS];
   size_t count = 0;
 
-  if (world->platform_down
-      || world_is_cut (world, entry->zone, "platform"))
+  if (world->platform_down || world_is_cut (world, entry->zone, "platform"))
     return;
   for (int i = 0; i < world->endpoint_count; i++)
     {
@@ -742,7 +763,7 @@
       if (world->list_lag_us > 0)
         vms[count].leaving = false;
       count++;
-      if (notice.leaving)
+      if (notice.leaving && !world->notices_lost)
         ca_core_reclaim_notice (&entry->core, world->now_us, &notice);
     }
   ca_core_vm_list (&entry->core, world->now_us, vms, count);
@@ -751,8 +772,7 @@
 static void
 fleet_take_away (world_t *world, world_event_t *event)
 {
-  world_endpoint_t *endpoint
-      = &world->endpoints[event->number & 0xffffffffu];
+  world_endpoint_t *endpoint = &world->endpoints[event->number & 0xffffffffu];
 
   if (endpoint->boot != event->number >> 32)
     return;
--- a/tests/world/net.c
+++ b/tests/world/net.c
@@ -81,8 +81,7 @@
   (void)to;
   from->sent_messages++;
   from->sent_bytes += bytes + CA_FRAME_HEAD_BYTES;
-  if (index < 0 || index >= world->entry_count
-      || !world->entries[index].alive
+  if (index < 0 || index >= world->entry_count || !world->entries[index].alive
       || world_is_cut (world, from->zone, world->entries[index].zone)
       || (world->loss_share > 0 && world_random (world) < world->loss_share))
     return;
@@ -90,8 +89,7 @@
   packet->count = bytes;
   packet->bytes = malloc (packet->count + 1);
   camphor__envelope__pack (envelope, packet->bytes);
-  event = world_post (world,
-                      NET_DELAY_US + world_below (world, NET_JITTER_US),
+  event = world_post (world, NET_DELAY_US + world_below (world, NET_JITTER_US),
                       net_deliver, index);
   event->data = packet;
   event->free_data = net_free;
--- a/tests/world/script.c
+++ b/tests/world/script.c
@@ -85,16 +85,15 @@
 static void
 run_engine (script_t *script, char **words, int count)
 {
-  int index = world_add_endpoint (&script->world, words[0], words[1],
-                                  words[2], false);
+  int index = world_add_endpoint (&script->world, words[0], words[1], words[2],
+                                  false);
   const char *step = script_option (words, count, "step_us");
   const char *batch = script_option (words, count, "batch");
 
   if (step != NULL)
     script->world.endpoints[index].step_us = strtoull (step, NULL, 10);
   if (batch != NULL)
-    script->world.endpoints[index].batch
-        = (uint32_t)strtoul (batch, NULL, 10);
+    script->world.endpoints[index].batch = (uint32_t)strtoul (batch, NULL, 10);
 }
 
 static void
@@ -171,8 +170,7 @@
   script_wait_operator (script, call);
   reply = json_loads (world->last_reply, 0, NULL);
   plan = json_string_value (json_object_get (reply, "plan"));
-  strlcpy (script->plan_id, plan == NULL ? "" : plan,
-           sizeof script->plan_id);
+  strlcpy (script->plan_id, plan == NULL ? "" : plan, sizeof script->plan_id);
   json_decref (reply);
   script_print_status (script, "plan");
 }
@@ -196,8 +194,7 @@
 run_run (script_t *script, char **words, int count)
 {
   (void)count;
-  world_run_until (&script->world,
-                   script->world.now_us + script_ms (words[0]));
+  world_run_until (&script->world, script->world.now_us + script_ms (words[0]));
 }
 
 static void
@@ -232,9 +229,8 @@
 run_stop (script_t *script, char **words, int count)
 {
   (void)count;
-  ca_core_stop (
-      &script->world.entries[script_entry (script, words[0])].core,
-      script->world.now_us);
+  ca_core_stop (&script->world.entries[script_entry (script, words[0])].core,
+                script->world.now_us);
 }
 
 static void
@@ -312,6 +308,8 @@
   const char *lag = script_option (words, count, "list_lag_ms");
 
   script->world.platform_down = strcmp (words[0], "down") == 0;
+  script->world.kv_broken = strcmp (words[0], "no-kv") == 0;
+  script->world.notices_lost = strcmp (words[0], "no-notices") == 0;
   if (lag != NULL)
     script->world.list_lag_us = script_ms (lag);
 }
@@ -422,8 +420,7 @@
 
   (void)count;
   printf ("%s got new work in the last %s ms: %s\n", words[0], words[1],
-          endpoint->last_start_us + script_ms (words[1])
-                  > script->world.now_us
+          endpoint->last_start_us + script_ms (words[1]) > script->world.now_us
               ? "yes"
               : "no");
 }
@@ -453,12 +450,11 @@
   json_t *zone;
 
   (void)count;
-  json_array_foreach (json_object_get (status, "zones"), index, zone)
-  printf ("%s says %s: %s\n", words[0],
-          json_string_value (json_object_get (zone, "zone")),
-          json_is_true (json_object_get (zone, "in_force"))
-              ? "in force"
-              : "not yet in force");
+  json_array_foreach (json_object_get (status, "zones"), index, zone) printf (
+      "%s says %s: %s\n", words[0],
+      json_string_value (json_object_get (zone, "zone")),
+      json_is_true (json_object_get (zone, "in_force")) ? "in force"
+                                                        : "not yet in force");
   json_decref (status);
 }
 
@@ -519,8 +515,7 @@
   (void)count;
   world_check (&script->world);
   printf ("broken promises: %llu %s\n",
-          (unsigned long long)script->world.faults,
-          script->world.first_fault);
+          (unsigned long long)script->world.faults, script->world.first_fault);
 }
 
 static const script_command_t script_commands[] = {
@@ -544,7 +539,7 @@
   { "cut", 2, "PLACE PLACE", run_cut },
   { "heal", 0, "", run_heal },
   { "store", 1, "up|down|frozen [lose=N] [latency_ms=N]", run_store },
-  { "platform", 1, "up|down [list_lag_ms=N]", run_platform },
+  { "platform", 1, "up|down|no-kv|no-notices [list_lag_ms=N]", run_platform },
   { "request", 4, "NAME ENTRY WORKSPACE CLASS [key= tokens= prompt= stream=]",
     run_request },
   { "caller-gone", 1, "REQUEST", run_caller_gone },
--- a/tests/world/soak.c
+++ b/tests/world/soak.c
@@ -49,8 +49,7 @@
 static int
 soak_any_endpoint (soak_t *soak)
 {
-  return (int)world_below (&soak->world,
-                           (uint64_t)soak->world.endpoint_count);
+  return (int)world_below (&soak->world, (uint64_t)soak->world.endpoint_count);
 }
 
 /* --- Later undoing of faults --- */
@@ -298,12 +297,12 @@
   if (soak->faults & (1u << which))
     {
       if (world->trace != NULL)
-        fprintf (world->trace, "%.6f fault: %s\n",
-                 (double)world->now_us / 1e6, soak_faults[which].name);
+        fprintf (world->trace, "%.6f fault: %s\n", (double)world->now_us / 1e6,
+                 soak_faults[which].name);
       soak_faults[which].run (soak);
     }
-  world_post (world, world_below (world, 2 * FAULT_PERIOD_US),
-              soak_post_fault, -1)
+  world_post (world, world_below (world, 2 * FAULT_PERIOD_US), soak_post_fault,
+              -1)
       ->data
       = soak;
 }
@@ -317,8 +316,8 @@
   uint64_t number;
 
   if (soak->keys > 0 && world_below (&soak->world, 3) == 0)
-    number = soak->keys - world_below (&soak->world,
-                                       soak->keys < 20 ? soak->keys : 20);
+    number = soak->keys
+             - world_below (&soak->world, soak->keys < 20 ? soak->keys : 20);
   else
     number = ++soak->keys;
   snprintf (key, CA_NAME_BYTES, "k%llu", (unsigned long long)number);
@@ -334,8 +333,8 @@
   char name[WORLD_NAME_BYTES];
   char key[CA_NAME_BYTES];
   char prompt[64];
-  bool keyed = strcmp (class_name, "review") == 0
-               || strcmp (class_name, "order") == 0;
+  bool keyed
+      = strcmp (class_name, "review") == 0 || strcmp (class_name, "order") == 0;
   uint64_t number;
   uint32_t tokens = 4 + (uint32_t)world_below (world, 60);
 
@@ -391,8 +390,7 @@
       for (int i = 0; i < ENGINES_A_ZONE; i++)
         {
           snprintf (name, sizeof name, "e%d-%d", z, i);
-          world_add_endpoint (&soak->world, name, soak_zones[z], "chat",
-                              false);
+          world_add_endpoint (&soak->world, name, soak_zones[z], "chat", false);
         }
       snprintf (name, sizeof name, "s%d", z);
       world_add_endpoint (&soak->world, name, soak_zones[z], "orders", true);
@@ -446,8 +444,8 @@
 }
 
 static void
-soak_run_seed (uint32_t seed, const soak_options_t *options,
-               const char *intent, soak_result_t *result)
+soak_run_seed (uint32_t seed, const soak_options_t *options, const char *intent,
+               soak_result_t *result)
 {
   soak_t *soak = calloc (1, sizeof *soak);
 
@@ -501,6 +499,8 @@
   uint32_t kinds;
 
   printf ("seed %u FAILED: %s\n", seed, result->first_fault);
+  if (options->trace)
+    return;
   kinds = soak_shrink (seed, options, intent);
   printf ("  faults needed (--faults %u):", kinds);
   for (size_t i = 0; i < FAULT_KINDS; i++)
@@ -566,8 +566,12 @@
 int
 main (int argc, char **argv)
 {
-  struct argp parser = { soak_argp_options, soak_parse, NULL,
-                         "Randomised runs with invariants on.", NULL, NULL,
+  struct argp parser = { soak_argp_options,
+                         soak_parse,
+                         NULL,
+                         "Randomised runs with invariants on.",
+                         NULL,
+                         NULL,
                          NULL };
   soak_options_t options = { 1, 1, EVENTS_DEFAULT, UINT32_MAX, false };
   char *intent = soak_read_intent ();
--- a/tests/world/table.c
+++ b/tests/world/table.c
@@ -97,8 +97,7 @@
     {
       row = calloc (1, sizeof *row);
       row->key = strdup (key);
-      HASH_ADD_KEYPTR (hh, world->table.rows, row->key, strlen (row->key),
-                       row);
+      HASH_ADD_KEYPTR (hh, world->table.rows, row->key, strlen (row->key), row);
     }
   free (row->value);
   row->value = strdup (value);
@@ -274,8 +273,7 @@
     {
       call->ops[i] = ops[i];
       call->ops[i].key = strdup (ops[i].key);
-      call->ops[i].value
-          = ops[i].value == NULL ? NULL : strdup (ops[i].value);
+      call->ops[i].value = ops[i].value == NULL ? NULL : strdup (ops[i].value);
     }
   table_send (context, call);
 }
--- a/tests/world/world.c
+++ b/tests/world/world.c
@@ -77,8 +77,8 @@
     snprintf (world->first_fault, sizeof world->first_fault,
               "at %.6f s: %.200s", (double)world->now_us / 1e6, text);
   if (world->trace != NULL)
-    fprintf (world->trace, "FAULT at %.6f s: %s\n",
-             (double)world->now_us / 1e6, text);
+    fprintf (world->trace, "FAULT at %.6f s: %s\n", (double)world->now_us / 1e6,
+             text);
 }
 
 /* --- Queue: a binary heap by time, then by order of posting --- */
@@ -110,8 +110,7 @@
                                    sizeof *world->queue);
     }
   world->queue[world->queued++] = event;
-  while (i > 0
-         && world_is_before (world->queue[i], world->queue[(i - 1) / 2]))
+  while (i > 0 && world_is_before (world->queue[i], world->queue[(i - 1) / 2]))
     {
       world_swap (world, i, (i - 1) / 2);
       i = (i - 1) / 2;
--- a/tests/world/world.h
+++ b/tests/world/world.h
@@ -100,9 +100,9 @@
   bool stepping;
   world_run_row_t *runs;
   ca_prefix_index_t cache;
-  uint64_t started;        /* runs begun */
+  uint64_t started; /* runs begun */
   uint64_t last_start_us;
-  uint64_t computed;       /* prompt tokens processed */
+  uint64_t computed; /* prompt tokens processed */
 } world_endpoint_t;
 
 typedef struct world_row
@@ -124,7 +124,7 @@
   double lose_share; /* of answers, at random */
   uint64_t reads;
   uint64_t writes;
-  uint64_t second;        /* current second, for the peaks */
+  uint64_t second; /* current second, for the peaks */
   uint64_t second_reads;
   uint64_t second_writes;
   uint64_t peak_reads;
@@ -159,6 +159,7 @@
   uint64_t end_us;
   uint32_t got;
   uint32_t moves;
+  bool away; /* told to come back, and not back yet */
   bool replayed;
   world_final_t final;
   ca_error_kind_t kind;
@@ -202,11 +203,13 @@
   double loss_share; /* of peer messages, at random */
   uint64_t list_lag_us;
   bool platform_down; /* VM list and notices */
+  bool kv_broken;     /* no cache can be imported */
+  bool notices_lost;  /* notices are not told, only the list and health */
   world_request_t *requests;
   world_ledger_t *ledgers;
-  uint64_t faults;         /* broken promises seen */
+  uint64_t faults; /* broken promises seen */
   char first_fault[256];
-  FILE *trace;             /* events of the cores, NULL for none */
+  FILE *trace; /* events of the cores, NULL for none */
   /* Operators' calls. */
   uint64_t next_call;
   uint64_t last_call;
