Add the fleet's controller: lease, cheapest mix, refused starts, surplus

Change: one entry at a time holds a lease in the table service with a rising fencing number, counts it by its own clock from before the write that won it, and looks at it before each order (an invariant). Placement is the cheapest mix over zones and classes that keeps the need after any zone's reclaim. Refused starts rest a zone and class with jittered back-off. Seen failing first: scripts/fleet-refused ended with 12 VMs where 7 were wanted, because each change of the offers began a new mix; now only what is missing is started, and a mix is exchanged one VM at a time when it lasts.

--- a/packages/adapters/platform.c
+++ b/packages/adapters/platform.c
@@ -263,6 +263,83 @@
   ca_http_call_start (platform->http, &request);
 }
 
+/* --- Prices and orders --- */
+
+static void
+platform_prices_done (void *context, const ca_http_result_t *result)
+{
+  ca_platform_t *platform = context;
+  json_t *body = platform_parse_list (result);
+  size_t index;
+  json_t *item;
+
+  platform->pricing = false;
+  json_array_foreach (json_object_get (body, "prices"), index, item)
+  {
+    const char *zone = json_string_value (json_object_get (item, "zone"));
+    const json_t *reclaimable = json_object_get (item, "reclaimable");
+    const json_t *on_demand = json_object_get (item, "on_demand");
+
+    if (zone != NULL && json_is_number (reclaimable)
+        && json_is_number (on_demand))
+      ca_core_price (platform->core, ca_clock_now_us (), zone,
+                     json_number_value (reclaimable),
+                     json_number_value (on_demand));
+  }
+  json_decref (body);
+}
+
+static void
+platform_order_done (void *context, const ca_http_result_t *result)
+{
+  ca_platform_call_t *call = context;
+  ca_order_status_t status = CA_ORDER_UNKNOWN;
+
+  if (result->end == CA_HTTP_ANSWERED && result->status == 200)
+    status = CA_ORDER_DONE;
+  else if (result->end == CA_HTTP_NOT_SENT
+           || (result->end == CA_HTTP_ANSWERED && result->status >= 400))
+    status = CA_ORDER_REFUSED;
+  if (call->call != 0)
+    ca_core_order_result (call->platform->core, ca_clock_now_us (), call->call,
+                          status);
+  free (call);
+}
+
+void
+ca_platform_order (ca_platform_t *platform, uint64_t number, uint64_t fence,
+                   bool start, const char *zone, const char *pool,
+                   bool reclaimable, const ca_address_t *address, uint64_t boot)
+{
+  ca_platform_call_t *call = calloc (1, sizeof *call);
+  char at[CA_ADDRESS_BYTES];
+  ca_http_request_t request;
+  json_t *body;
+  char *text;
+
+  ca_address_print (address, at);
+  body = json_pack ("{s:s, s:I, s:I, s:s, s:s, s:b, s:s, s:I}", "order",
+                    start ? "start" : "stop", "number", (json_int_t)number,
+                    "fence", (json_int_t)fence, "zone", zone, "pool", pool,
+                    "reclaimable", reclaimable, "address", at, "boot",
+                    (json_int_t)boot);
+  text = json_dumps (body, JSON_COMPACT);
+  call->platform = platform;
+  call->call = number;
+  memset (&request, 0, sizeof request);
+  request.address = platform->address;
+  request.method = EVHTTP_REQ_POST;
+  request.path = "/v1/vms";
+  request.body = text;
+  request.body_bytes = strlen (text);
+  request.timeout_ms = platform->timeout_ms;
+  request.on_done = platform_order_done;
+  request.context = call;
+  ca_http_call_start (platform->http, &request);
+  free (text);
+  json_decref (body);
+}
+
 static void
 platform_poll (evutil_socket_t fd, short what, void *context)
 {
@@ -280,6 +357,11 @@
       platform->noticing = true;
       platform_get (platform, "/v1/notices", platform_notices_done);
     }
+  if (!platform->pricing)
+    {
+      platform->pricing = true;
+      platform_get (platform, "/v1/prices", platform_prices_done);
+    }
 }
 
 void
--- a/packages/adapters/platform.h
+++ b/packages/adapters/platform.h
@@ -16,6 +16,7 @@
   struct event *poll;
   bool listing;  /* a read of the list is out */
   bool noticing; /* a read of the notices is out */
+  bool pricing;  /* a read of the prices is out */
 } ca_platform_t;
 
 /* Begins to poll the list and the notices. */
@@ -31,4 +32,11 @@
 void ca_platform_write (ca_platform_t *platform, uint64_t call,
                         const ca_table_op_t *ops, size_t count);
 
+/* Orders the cloud API to start a VM, answered by ca_core_order_result, or to
+ * stop one life of an address. */
+void ca_platform_order (ca_platform_t *platform, uint64_t number,
+                        uint64_t fence, bool start, const char *zone,
+                        const char *pool, bool reclaimable,
+                        const ca_address_t *address, uint64_t boot);
+
 #endif
--- a/packages/base/events.c
+++ b/packages/base/events.c
@@ -96,6 +96,16 @@
   { CA_EVENT_ANSWER_NOT_STORED, CA_LEVEL_WARNING, "answer_not_stored",
     "an answer was delivered before its row could be written; writing goes on",
     "keep the entry running until the store is back" },
+  { CA_EVENT_FLEET_LEADER, CA_LEVEL_INFO, "fleet_leader",
+    "this entry holds the fleet lease", NOTHING },
+  { CA_EVENT_FLEET_START, CA_LEVEL_INFO, "fleet_start",
+    "a VM start was ordered", NOTHING },
+  { CA_EVENT_FLEET_REFUSED, CA_LEVEL_WARNING, "fleet_refused",
+    "the cloud refused a start; the zone and class rest for a while",
+    "raise the quota if one zone and class repeats for hours" },
+  { CA_EVENT_FLEET_STOP, CA_LEVEL_INFO, "fleet_stop",
+    "the stop of a surplus VM was ordered, its work having been moved",
+    NOTHING },
 };
 
 static const char *const level_names[]
--- a/packages/core/core.c
+++ b/packages/core/core.c
@@ -34,6 +34,7 @@
   TAILQ_INIT (&core->shards);
   TAILQ_INIT (&core->chores);
   TAILQ_INIT (&core->crashes);
+  TAILQ_INIT (&core->fleet.orders);
   ca_hlc_init (&core->hlc);
   ca_counters_init (&core->counters);
   ca_config_init (&core->config);
@@ -58,6 +59,7 @@
   ca_chore_finish (core);
   ca_store_finish (core);
   ca_suspect_finish (core);
+  ca_fleet_finish (core);
   ca_revision_finish (core);
   ca_member_finish (core);
   ca_config_finish (&core->config);
@@ -191,6 +193,7 @@
   ca_chore_tick (core);
   ca_revision_tick (core);
   ca_handover_tick (core);
+  ca_fleet_tick (core);
   ca_core_end (core);
 }
 
--- a/packages/core/core.h
+++ b/packages/core/core.h
@@ -64,6 +64,21 @@
 void ca_core_table_result (ca_core_t *core, uint64_t now_us, uint64_t call_id,
                            const ca_table_result_t *result);
 
+/* Price of one VM in a zone, in any one unit for all zones. */
+void ca_core_price (ca_core_t *core, uint64_t now_us, const char *zone,
+                    double reclaimable, double on_demand);
+
+typedef enum
+{
+  CA_ORDER_DONE,
+  CA_ORDER_REFUSED, /* nothing was started */
+  CA_ORDER_UNKNOWN  /* no answer; it may have been carried out */
+} ca_order_status_t;
+
+/* Answer to a start ordered through the port. */
+void ca_core_order_result (ca_core_t *core, uint64_t now_us, uint64_t number,
+                           ca_order_status_t status);
+
 /* --- Endpoints --- */
 
 typedef struct
--- a/packages/core/endpoint.c
+++ b/packages/core/endpoint.c
@@ -84,6 +84,7 @@
   endpoint->in_flight = 0;
   endpoint->alone = 0;
   endpoint->sends_left = 0;
+  endpoint->retired = false;
   ca_prefix_index_clear (&endpoint->prefixes);
 }
 
@@ -127,6 +128,13 @@
   ca_gossip_push (core);
 }
 
+void
+ca_endpoint_retire (ca_core_t *core, ca_endpoint_t *endpoint,
+                    uint64_t notice_us)
+{
+  endpoint_set_state (core, endpoint, CA_ENDPOINT_LEAVING, notice_us);
+}
+
 /* Takes word of the life `boot`.  False if it is of an earlier life. */
 static bool
 endpoint_see_boot (ca_core_t *core, ca_endpoint_t *endpoint, uint64_t boot)
@@ -147,7 +155,13 @@
   if (endpoint == NULL && !add)
     return;
   if (endpoint == NULL)
-    endpoint = endpoint_add (core, vm);
+    {
+      endpoint = endpoint_add (core, vm);
+      endpoint->reclaimable = vm->reclaimable;
+      ca_fleet_vm_listed (core, endpoint);
+    }
+  else if (vm->boot > endpoint->boot)
+    ca_fleet_vm_listed (core, endpoint);
   if (!endpoint_see_boot (core, endpoint, vm->boot))
     return;
   endpoint->listed_us = core->now_us;
--- /dev/null
+++ b/packages/core/fleet.c
@@ -0,0 +1,571 @@
+/* Controller of the fleet: one entry at a time, under a lease in the table
+ * service with a rising fencing number.
+ *
+ * The holder counts its lease by its own monotonic clock from before the write
+ * that won it, and looks at that clock before each order; the others take the
+ * lease over only when its row has not changed for longer than that by theirs.
+ * A start that comes late makes a VM too many, which is counted and let go; a
+ * stop names one life of one address, and only after its work was moved. */
+#include "core/placement.h"
+#include "core/private.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define LEASE_KEY "fleet/lease"
+#define LEASE_US (10 * CA_US_PER_S)
+#define LEASE_TAKE_OVER_US (14 * CA_US_PER_S)
+#define LEASE_PERIOD_US (3 * CA_US_PER_S)
+
+/* Time that must be left on the lease when an order goes out. */
+#define LEASE_MARGIN_US (2 * CA_US_PER_S)
+#define PLAN_PERIOD_US (2 * CA_US_PER_S)
+
+/* A start counts as a VM to come for this long, or until it is listed. */
+#define START_PENDING_US (60 * CA_US_PER_S)
+#define BACKOFF_MIN_US (5 * CA_US_PER_S)
+#define BACKOFF_MAX_US (120 * CA_US_PER_S)
+
+/* Orders that one round may send for a pool. */
+#define ORDERS_A_ROUND 4
+
+/* A surplus, or a mix that could be cheaper, must last this long before it is
+ * acted on. */
+#define LASTING_US (30 * CA_US_PER_S)
+
+/* The work of a VM that is let go is moved within the notice; the stop comes
+ * after it. */
+#define RETIRE_NOTICE_US (20 * CA_US_PER_S)
+#define RETIRE_STOP_US (40 * CA_US_PER_S)
+
+/* --- Lease --- */
+
+static bool
+fleet_holds_lease (const ca_core_t *core)
+{
+  return core->fleet.held
+         && core->now_us + LEASE_MARGIN_US < core->fleet.until_us;
+}
+
+static void
+fleet_lose_lease (ca_core_t *core)
+{
+  core->fleet.held = false;
+}
+
+static bool
+fleet_parse_lease (const ca_row_t *row, uint64_t *fence)
+{
+  json_t *value = json_loads (row->value, 0, NULL);
+  const json_t *number = json_object_get (value, "fence");
+  bool parsed = json_is_integer (number);
+
+  *fence = (uint64_t)json_integer_value (number);
+  json_decref (value);
+  return parsed;
+}
+
+static void
+fleet_lease_written (ca_core_t *core, uint64_t subject,
+                     const ca_table_result_t *result)
+{
+  ca_fleet_t *fleet = &core->fleet;
+
+  (void)subject;
+  fleet->busy = false;
+  if (result->status == CA_TABLE_CONFLICT)
+    fleet_lose_lease (core);
+  if (result->status != CA_TABLE_OK)
+    return;
+  if (!fleet->held)
+    ca_trace (core, CA_EVENT_FLEET_LEADER, NULL, 0, "fence %llu",
+              (unsigned long long)fleet->fence);
+  fleet->held = true;
+  fleet->version = result->version;
+  fleet->until_us = fleet->written_us + LEASE_US;
+}
+
+/* Wins or renews the lease on the condition that its row is as it was seen. */
+static void
+fleet_write_lease (ca_core_t *core, uint64_t version, uint64_t fence)
+{
+  ca_fleet_t *fleet = &core->fleet;
+  char value[128];
+  ca_table_op_t op = { LEASE_KEY, version, value };
+
+  snprintf (value, sizeof value, "{\"holder\":\"%s\",\"fence\":%llu}",
+            core->options.name, (unsigned long long)fence);
+  fleet->fence = fence;
+  fleet->written_us = core->now_us;
+  fleet->busy = ca_store_write (core, 0, &op, 1, fleet_lease_written);
+}
+
+static void
+fleet_lease_read (ca_core_t *core, uint64_t subject,
+                  const ca_table_result_t *result)
+{
+  ca_fleet_t *fleet = &core->fleet;
+  uint64_t fence = 0;
+
+  (void)subject;
+  fleet->busy = false;
+  if (result->status != CA_TABLE_OK)
+    return;
+  if (result->row_count == 0)
+    {
+      fleet_write_lease (core, CA_ROW_ABSENT, 1);
+      return;
+    }
+  if (!fleet_parse_lease (&result->rows[0], &fence))
+    {
+      ca_trace (core, CA_EVENT_STORE_BAD_ROW, NULL, 0, LEASE_KEY);
+      return;
+    }
+  if (result->rows[0].version != fleet->seen_version)
+    {
+      fleet->seen_version = result->rows[0].version;
+      fleet->seen_us = core->now_us;
+      return;
+    }
+  if (core->now_us - fleet->seen_us >= LEASE_TAKE_OVER_US)
+    fleet_write_lease (core, fleet->seen_version, fence + 1);
+}
+
+/* Only the live entry with the highest hash looks for the lease. */
+static bool
+fleet_is_candidate (const ca_core_t *core)
+{
+  const ca_member_t *best = ca_member_first (core, "fleet");
+
+  return best != NULL && best->id == core->id;
+}
+
+static void
+fleet_lease_tick (ca_core_t *core)
+{
+  ca_fleet_t *fleet = &core->fleet;
+
+  if (fleet->held && core->now_us >= fleet->until_us)
+    fleet_lose_lease (core);
+  if (fleet->busy || core->now_us < fleet->lease_us)
+    return;
+  fleet->lease_us = core->now_us + LEASE_PERIOD_US;
+  if (fleet->held && !core->stopping)
+    fleet_write_lease (core, fleet->version, fleet->fence);
+  else if (!fleet->held && !core->stopping && fleet_is_candidate (core))
+    fleet->busy = ca_store_read (core, 0, LEASE_KEY, fleet_lease_read);
+}
+
+/* --- Prices --- */
+
+static ca_price_t *
+fleet_find_price (ca_core_t *core, const char *zone)
+{
+  for (size_t i = 0; i < core->fleet.price_count; i++)
+    {
+      if (strcmp (core->fleet.prices[i].zone, zone) == 0)
+        return &core->fleet.prices[i];
+    }
+  return NULL;
+}
+
+void
+ca_core_price (ca_core_t *core, uint64_t now_us, const char *zone,
+               double reclaimable, double on_demand)
+{
+  ca_price_t *price = fleet_find_price (core, zone);
+
+  ca_core_begin (core, now_us);
+  if (price == NULL && core->fleet.price_count < CA_PLACEMENT_ZONES)
+    {
+      price = &core->fleet.prices[core->fleet.price_count++];
+      strlcpy (price->zone, zone, sizeof price->zone);
+    }
+  if (price != NULL)
+    {
+      price->reclaimable = reclaimable;
+      price->on_demand = on_demand;
+    }
+  ca_core_end (core);
+}
+
+/* --- Orders --- */
+
+static void
+fleet_order_free (ca_core_t *core, ca_order_t *order)
+{
+  TAILQ_REMOVE (&core->fleet.orders, order, entries);
+  free (order);
+}
+
+static void
+fleet_start_vm (ca_core_t *core, const char *zone, const char *pool,
+                bool reclaimable)
+{
+  ca_order_t *order = calloc (1, sizeof *order);
+  const ca_address_t none = { 0, 0 };
+
+  CA_INVARIANT (core, fleet_holds_lease (core),
+                "an order goes out only under the lease");
+  order->number = ca_core_new_request_id (core);
+  order->sent_us = core->now_us;
+  order->reclaimable = reclaimable;
+  strlcpy (order->zone, zone, sizeof order->zone);
+  strlcpy (order->pool, pool, sizeof order->pool);
+  TAILQ_INSERT_TAIL (&core->fleet.orders, order, entries);
+  ca_trace (core, CA_EVENT_FLEET_START, NULL, 0, "%s zone %s %s", pool, zone,
+            reclaimable ? "reclaimable" : "on demand");
+  core->ports.order_vm (core->ports.context, order->number, core->fleet.fence,
+                        true, zone, pool, reclaimable, &none, 0);
+}
+
+static void
+fleet_stop_vm (ca_core_t *core, const ca_endpoint_t *endpoint)
+{
+  CA_INVARIANT (core, fleet_holds_lease (core),
+                "an order goes out only under the lease");
+  CA_INVARIANT (core, endpoint->state != CA_ENDPOINT_UP,
+                "only what gets no work is stopped");
+  ca_trace (core, CA_EVENT_FLEET_STOP, NULL, endpoint->id, "%s zone %s",
+            endpoint->pool, endpoint->zone);
+  core->ports.order_vm (core->ports.context, 0, core->fleet.fence, false,
+                        endpoint->zone, endpoint->pool, endpoint->reclaimable,
+                        &endpoint->address, endpoint->boot);
+}
+
+/* A refused start blocks its zone and class for a while, longer each time. */
+static void
+fleet_back_off (ca_core_t *core, const ca_order_t *order)
+{
+  ca_price_t *price = fleet_find_price (core, order->zone);
+  int which = order->reclaimable ? 1 : 0;
+
+  if (price == NULL)
+    return;
+  if (price->backoff_us[which] < BACKOFF_MIN_US)
+    price->backoff_us[which] = BACKOFF_MIN_US;
+  else
+    price->backoff_us[which] *= 2;
+  if (price->backoff_us[which] > BACKOFF_MAX_US)
+    price->backoff_us[which] = BACKOFF_MAX_US;
+  price->blocked_until_us[which]
+      = core->now_us + price->backoff_us[which] / 2
+        + ca_random_below (core, price->backoff_us[which]);
+  ca_trace (core, CA_EVENT_FLEET_REFUSED, NULL, 0, "%s zone %s %s", order->pool,
+            order->zone, order->reclaimable ? "reclaimable" : "on demand");
+}
+
+void
+ca_core_order_result (ca_core_t *core, uint64_t now_us, uint64_t number,
+                      ca_order_status_t status)
+{
+  ca_order_t *order;
+
+  ca_core_begin (core, now_us);
+  TAILQ_FOREACH (order, &core->fleet.orders, entries)
+  {
+    if (order->number != number)
+      continue;
+    if (status == CA_ORDER_DONE)
+      {
+        ca_price_t *price = fleet_find_price (core, order->zone);
+
+        if (price != NULL)
+          price->backoff_us[order->reclaimable ? 1 : 0] = 0;
+      }
+    /* One that may have been carried out counts until its time is up. */
+    if (status == CA_ORDER_REFUSED)
+      {
+        fleet_back_off (core, order);
+        fleet_order_free (core, order);
+      }
+    break;
+  }
+  ca_core_end (core);
+}
+
+/* A start is over when its VM is listed, or has not come in time. */
+static void
+fleet_settle_orders (ca_core_t *core)
+{
+  ca_order_t *order = TAILQ_FIRST (&core->fleet.orders);
+
+  while (order != NULL)
+    {
+      ca_order_t *next = TAILQ_NEXT (order, entries);
+
+      if (core->now_us - order->sent_us >= START_PENDING_US)
+        fleet_order_free (core, order);
+      order = next;
+    }
+}
+
+void
+ca_fleet_vm_listed (ca_core_t *core, const ca_endpoint_t *endpoint)
+{
+  ca_order_t *order;
+
+  TAILQ_FOREACH (order, &core->fleet.orders, entries)
+  {
+    if (order->reclaimable == endpoint->reclaimable
+        && strcmp (order->zone, endpoint->zone) == 0
+        && strcmp (order->pool, endpoint->pool) == 0)
+      {
+        fleet_order_free (core, order);
+        return;
+      }
+  }
+}
+
+/* --- Rounds --- */
+
+/* VMs of the pool in the zone and class: in service, and ordered. */
+static uint32_t
+fleet_count (const ca_core_t *core, const char *pool, const char *zone,
+             bool reclaimable)
+{
+  const ca_order_t *order;
+  uint32_t count = 0;
+  ca_endpoint_t *endpoint;
+  ca_endpoint_t *next;
+
+  HASH_ITER (hh, core->endpoints, endpoint, next)
+  {
+    if (endpoint->state == CA_ENDPOINT_UP
+        && endpoint->reclaimable == reclaimable
+        && strcmp (endpoint->pool, pool) == 0
+        && strcmp (endpoint->zone, zone) == 0)
+      count++;
+  }
+  TAILQ_FOREACH (order, &core->fleet.orders, entries)
+  {
+    if (order->reclaimable == reclaimable && strcmp (order->pool, pool) == 0
+        && strcmp (order->zone, zone) == 0)
+      count++;
+  }
+  return count;
+}
+
+static void
+fleet_fill_offers (ca_core_t *core, const ca_pool_t *pool, ca_offer_t *offers)
+{
+  for (uint32_t i = 0; i < pool->zone_count; i++)
+    {
+      const ca_price_t *price = fleet_find_price (core, pool->zones[i].zone);
+
+      memset (&offers[i], 0, sizeof offers[i]);
+      if (price == NULL)
+        continue;
+      offers[i].reclaimable_price = price->reclaimable;
+      offers[i].on_demand_price = price->on_demand;
+      offers[i].reclaimable_offered
+          = core->now_us >= price->blocked_until_us[1];
+      offers[i].on_demand_offered = core->now_us >= price->blocked_until_us[0];
+    }
+}
+
+static uint32_t
+fleet_needed (const ca_pool_t *pool)
+{
+  uint32_t needed = 0;
+
+  for (uint32_t i = 0; i < pool->zone_count; i++)
+    needed += pool->zones[i].replicas;
+  return needed;
+}
+
+/* Lets one VM of a lasting surplus go. */
+static void
+fleet_retire_one (ca_core_t *core, const char *pool, const char *zone,
+                  bool reclaimable)
+{
+  ca_endpoint_t *endpoint;
+  ca_endpoint_t *next;
+
+  HASH_ITER (hh, core->endpoints, endpoint, next)
+  {
+    if (endpoint->state != CA_ENDPOINT_UP
+        || endpoint->reclaimable != reclaimable
+        || strcmp (endpoint->pool, pool) != 0
+        || strcmp (endpoint->zone, zone) != 0)
+      continue;
+    endpoint->retired = true;
+    ca_endpoint_retire (core, endpoint, RETIRE_NOTICE_US);
+    return;
+  }
+}
+
+static uint32_t
+fleet_count_all (const ca_core_t *core, const ca_pool_t *pool)
+{
+  uint32_t count = 0;
+
+  for (uint32_t i = 0; i < pool->zone_count; i++)
+    count += fleet_count (core, pool->name, pool->zones[i].zone, true)
+             + fleet_count (core, pool->name, pool->zones[i].zone, false);
+  return count;
+}
+
+/* Starts at most `most` VMs of what the mix has more of. */
+static void
+fleet_start_missing (ca_core_t *core, const ca_pool_t *pool,
+                     const ca_mix_t *mix, uint32_t most)
+{
+  uint32_t sent = 0;
+
+  for (uint32_t i = 0; i < pool->zone_count; i++)
+    for (int reclaimable = 0; reclaimable < 2; reclaimable++)
+      {
+        const char *zone = pool->zones[i].zone;
+        uint32_t wanted = reclaimable ? mix[i].reclaimable : mix[i].on_demand;
+        uint32_t have = fleet_count (core, pool->name, zone, reclaimable);
+
+        for (; have < wanted && sent < most; have++, sent++)
+          fleet_start_vm (core, zone, pool->name, reclaimable);
+      }
+}
+
+/* Lets one VM go of what the mix has less of. */
+static void
+fleet_drop_surplus (ca_core_t *core, const ca_pool_t *pool, const ca_mix_t *mix)
+{
+  for (uint32_t i = 0; i < pool->zone_count; i++)
+    for (int reclaimable = 0; reclaimable < 2; reclaimable++)
+      {
+        uint32_t wanted = reclaimable ? mix[i].reclaimable : mix[i].on_demand;
+
+        if (fleet_count (core, pool->name, pool->zones[i].zone, reclaimable)
+            <= wanted)
+          continue;
+        fleet_retire_one (core, pool->name, pool->zones[i].zone, reclaimable);
+        return;
+      }
+}
+
+static bool
+fleet_mix_is_there (const ca_core_t *core, const ca_pool_t *pool,
+                    const ca_mix_t *mix)
+{
+  for (uint32_t i = 0; i < pool->zone_count; i++)
+    {
+      const char *zone = pool->zones[i].zone;
+
+      if (fleet_count (core, pool->name, zone, true) != mix[i].reclaimable
+          || fleet_count (core, pool->name, zone, false) != mix[i].on_demand)
+        return false;
+    }
+  return true;
+}
+
+static ca_fleet_pool_t *
+fleet_pool_state (ca_core_t *core, const char *name)
+{
+  ca_fleet_pool_t *state = NULL;
+
+  HASH_FIND_STR (core->fleet.pools, name, state);
+  if (state != NULL)
+    return state;
+  state = calloc (1, sizeof *state);
+  strlcpy (state->name, name, sizeof state->name);
+  state->surplus_us = core->now_us;
+  state->rebalance_us = core->now_us;
+  HASH_ADD_STR (core->fleet.pools, name, state);
+  return state;
+}
+
+/* Fills up at once; lets a surplus go, and exchanges one VM for one that the
+ * mix would rather have, only when the state lasts. */
+static void
+fleet_approach (ca_core_t *core, const ca_pool_t *pool, const ca_mix_t *mix,
+                uint32_t wanted)
+{
+  ca_fleet_pool_t *state = fleet_pool_state (core, pool->name);
+  uint32_t have = fleet_count_all (core, pool);
+
+  if (have <= wanted)
+    state->surplus_us = core->now_us;
+  if (have != wanted || fleet_mix_is_there (core, pool, mix))
+    state->rebalance_us = core->now_us;
+  if (have < wanted)
+    {
+      uint32_t missing = wanted - have;
+
+      fleet_start_missing (core, pool, mix,
+                           missing < ORDERS_A_ROUND ? missing : ORDERS_A_ROUND);
+    }
+  else if (core->now_us - state->surplus_us >= LASTING_US)
+    {
+      state->surplus_us = core->now_us;
+      fleet_drop_surplus (core, pool, mix);
+    }
+  else if (core->now_us - state->rebalance_us >= LASTING_US)
+    {
+      state->rebalance_us = core->now_us;
+      fleet_start_missing (core, pool, mix, 1);
+    }
+}
+
+static void
+fleet_plan_pool (ca_core_t *core, const ca_pool_t *pool)
+{
+  ca_offer_t offers[CA_PLACEMENT_ZONES];
+  ca_mix_t mix[CA_PLACEMENT_ZONES];
+  uint32_t wanted_all = 0;
+
+  fleet_fill_offers (core, pool, offers);
+  if (ca_placement_choose (offers, pool->zone_count, fleet_needed (pool),
+                           pool->reclaimable_percent, mix)
+      < 0)
+    return;
+  for (uint32_t i = 0; i < pool->zone_count; i++)
+    wanted_all += mix[i].reclaimable + mix[i].on_demand;
+  fleet_approach (core, pool, mix, wanted_all);
+}
+
+/* Stops what was retired, once its work has had time to move. */
+static void
+fleet_stop_retired (ca_core_t *core)
+{
+  ca_endpoint_t *endpoint;
+  ca_endpoint_t *next;
+
+  HASH_ITER (hh, core->endpoints, endpoint, next)
+  {
+    if (!endpoint->retired || endpoint->state == CA_ENDPOINT_UP
+        || core->now_us - endpoint->state_since_us < RETIRE_STOP_US)
+      continue;
+    endpoint->retired = false;
+    fleet_stop_vm (core, endpoint);
+  }
+}
+
+void
+ca_fleet_tick (ca_core_t *core)
+{
+  fleet_lease_tick (core);
+  fleet_settle_orders (core);
+  if (!fleet_holds_lease (core) || core->now_us < core->fleet.plan_us)
+    return;
+  core->fleet.plan_us = core->now_us + PLAN_PERIOD_US;
+  /* A pool without a price for its zones is left as it is. */
+  if (core->fleet.price_count == 0)
+    return;
+  for (size_t i = 0; i < core->config.pool_count; i++)
+    fleet_plan_pool (core, &core->config.pools[i]);
+  fleet_stop_retired (core);
+}
+
+void
+ca_fleet_finish (ca_core_t *core)
+{
+  ca_fleet_pool_t *state;
+  ca_fleet_pool_t *next;
+
+  while (!TAILQ_EMPTY (&core->fleet.orders))
+    fleet_order_free (core, TAILQ_FIRST (&core->fleet.orders));
+  HASH_ITER (hh, core->fleet.pools, state, next)
+  {
+    HASH_DEL (core->fleet.pools, state);
+    free (state);
+  }
+}
--- a/packages/core/gossip.c
+++ b/packages/core/gossip.c
@@ -57,11 +57,11 @@
 }
 
 static bool
-gossip_carries (const Camphor__Envelope *envelope, uint64_t id)
+gossip_carries (const ca_gossip_room_t *room, size_t count, uint64_t id)
 {
-  for (size_t i = 0; i < envelope->n_members; i++)
+  for (size_t i = 0; i < count; i++)
     {
-      if (envelope->members[i]->id == id)
+      if (room->members[i].id == id)
         return true;
     }
   return false;
@@ -69,8 +69,8 @@
 
 /* The latest change that is still to be passed on. */
 static ca_member_t *
-gossip_newest (const ca_core_t *core, const Camphor__Envelope *envelope,
-               const ca_member_t *target)
+gossip_newest (const ca_core_t *core, const ca_gossip_room_t *room,
+               size_t count, const ca_member_t *target)
 {
   ca_member_t *best = NULL;
   ca_member_t *member;
@@ -79,7 +79,7 @@
   HASH_ITER (hh, core->members, member, next)
   {
     if (member->sends_left == 0 || member == target
-        || gossip_carries (envelope, member->id))
+        || gossip_carries (room, count, member->id))
       continue;
     if (best == NULL || member->since_us > best->since_us
         || (member->since_us == best->since_us
@@ -108,7 +108,7 @@
     gossip_add_member (room, envelope, target);
   while (envelope->n_members < GOSSIP_MEMBERS)
     {
-      member = gossip_newest (core, envelope, target);
+      member = gossip_newest (core, room, envelope->n_members, target);
       if (member == NULL)
         return;
       member->sends_left--;
--- a/packages/core/member.c
+++ b/packages/core/member.c
@@ -573,6 +573,27 @@
   return best;
 }
 
+ca_member_t *
+ca_member_first (const ca_core_t *core, const char *name)
+{
+  uint64_t best_hash = 0;
+  ca_member_t *best = NULL;
+  ca_member_t *member;
+  ca_member_t *next;
+
+  HASH_ITER (hh, core->members, member, next)
+  {
+    uint64_t hash = member_rank_hash (member->id, "", name, 0);
+
+    if (member->state == CA_MEMBER_ALIVE && hash >= best_hash)
+      {
+        best = member;
+        best_hash = hash;
+      }
+  }
+  return best;
+}
+
 ca_member_t *
 ca_member_adopter (const ca_core_t *core, uint64_t request, uint32_t rank)
 {
--- a/packages/core/private.h
+++ b/packages/core/private.h
@@ -65,6 +65,9 @@
 ca_member_t *ca_member_owner (const ca_core_t *core, const char *zone,
                               const char *pool, uint32_t shard, uint32_t rank);
 
+/* The live member, of any zone, with the highest hash for `name`. */
+ca_member_t *ca_member_first (const ca_core_t *core, const char *name);
+
 /* A live member other than this entry to hold a request. */
 ca_member_t *ca_member_adopter (const ca_core_t *core, uint64_t request,
                                 uint32_t rank);
@@ -90,6 +93,10 @@
                            const char *pool, uint32_t shard);
 uint32_t ca_endpoint_shard (const ca_core_t *core,
                             const ca_endpoint_t *endpoint);
+
+/* Announces that the present life will be stopped in `notice_us`. */
+void ca_endpoint_retire (ca_core_t *core, ca_endpoint_t *endpoint,
+                         uint64_t notice_us);
 void ca_endpoint_failed (ca_core_t *core, ca_endpoint_t *endpoint);
 
 /* --- flow.c --- */
@@ -237,6 +244,14 @@
 void ca_revision_want (ca_core_t *core, const Camphor__Envelope *envelope);
 void ca_revision_delta (ca_core_t *core, const Camphor__Envelope *envelope);
 
+/* --- fleet.c --- */
+void ca_fleet_tick (ca_core_t *core);
+void ca_fleet_finish (ca_core_t *core);
+
+/* A VM is in the list for the first time: a start that waits for one such is
+ * over. */
+void ca_fleet_vm_listed (ca_core_t *core, const ca_endpoint_t *endpoint);
+
 /* --- handover.c --- */
 void ca_handover_tick (ca_core_t *core);
 void ca_handover_send (ca_core_t *core, ca_request_t *request, uint64_t to);
--- a/packages/core/state.h
+++ b/packages/core/state.h
@@ -96,6 +96,7 @@
   uint64_t limit_changed_us;
   ca_prefix_index_t prefixes;
   uint32_t sends_left;
+  bool retired; /* let go by this entry as controller of the fleet */
   UT_hash_handle hh;
 } ca_endpoint_t;
 
@@ -357,6 +358,56 @@
   UT_hash_handle hh;
 } ca_operation_t;
 
+/* --- Fleet ------------------------------------------------------------ */
+
+/* Prices of a zone; index 0 of the arrays is on demand, 1 reclaimable. */
+typedef struct
+{
+  char zone[CA_NAME_BYTES];
+  double reclaimable;
+  double on_demand;
+  uint64_t blocked_until_us[2];
+  uint64_t backoff_us[2];
+} ca_price_t;
+
+/* A start that was ordered and is not yet seen in the VM list. */
+typedef struct ca_order
+{
+  uint64_t number;
+  uint64_t sent_us;
+  bool reclaimable;
+  char zone[CA_NAME_BYTES];
+  char pool[CA_NAME_BYTES];
+  TAILQ_ENTRY (ca_order) entries;
+} ca_order_t;
+
+/* What the controller remembers of a pool from round to round. */
+typedef struct ca_fleet_pool
+{
+  char name[CA_NAME_BYTES];
+  uint64_t surplus_us;   /* since when there is no surplus */
+  uint64_t rebalance_us; /* since when the mix is as wanted */
+  UT_hash_handle hh;
+} ca_fleet_pool_t;
+
+typedef struct
+{
+  bool held;
+  bool busy; /* a call about the lease is out */
+  uint64_t version;
+  uint64_t fence;
+  uint64_t written_us; /* when the write that is out was sent */
+  uint64_t until_us;
+  uint64_t lease_us; /* next look at the lease */
+  uint64_t seen_version;
+  uint64_t seen_us;
+  uint64_t plan_us;
+  struct ca_fleet_pool *pools;
+  ca_price_t prices[CA_POOL_ZONES];
+  size_t price_count;
+  TAILQ_HEAD (, ca_order) orders;
+} ca_fleet_t;
+
 /* --- The instance ----------------------------------------------------------
  */
 
@@ -434,6 +485,7 @@
   /* Suspects. */
   ca_suspect_t *suspects;
   TAILQ_HEAD (, ca_crash) crashes;
+  ca_fleet_t fleet;
   /* Operators. */
   ca_operation_t *operations;
   /* Planned stop. */
--- a/packages/daemon/entry.c
+++ b/packages/daemon/entry.c
@@ -96,6 +96,15 @@
   ca_operators_reply (&((ca_entry_t *)context)->callers.operators, call, reply);
 }
 
+static void
+entry_order_vm (void *context, uint64_t number, uint64_t fence, bool start,
+                const char *zone, const char *pool, bool reclaimable,
+                const ca_address_t *address, uint64_t boot)
+{
+  ca_platform_order (&((ca_entry_t *)context)->platform, number, fence, start,
+                     zone, pool, reclaimable, address, boot);
+}
+
 static void
 entry_trace (void *context, ca_event_number_t number, uint64_t request,
              uint64_t endpoint, const char *workspace, const char *detail)
@@ -118,6 +127,7 @@
   .reply_error = entry_reply_error,
   .reply_moved = entry_reply_moved,
   .reply_operator = entry_reply_operator,
+  .order_vm = entry_order_vm,
   .trace = entry_trace,
 };
 
--- a/packages/ports/ports.h
+++ b/packages/ports/ports.h
@@ -167,6 +167,12 @@
   void (*reply_operator) (void *context, uint64_t call,
                           const ca_operator_reply_t *reply);
 
+  /* Fleet orders to the cloud; a start is answered by ca_core_order_result.
+   * A stop names one life, `boot`, of an address. */
+  void (*order_vm) (void *context, uint64_t number, uint64_t fence, bool start,
+                    const char *zone, const char *pool, bool reclaimable,
+                    const ca_address_t *address, uint64_t boot);
+
   /* Observability. */
   void (*trace) (void *context, ca_event_number_t number, uint64_t request,
                  uint64_t endpoint, const char *workspace, const char *detail);
--- a/tests/bench/bench.c
+++ b/tests/bench/bench.c
@@ -16,7 +16,7 @@
   { "membership", bench_membership }, { "spread", bench_spread },
   { "routing", bench_routing },       { "overload", bench_overload },
   { "fairness", bench_fairness },     { "retries", bench_retries },
-  { "waves", bench_waves },
+  { "waves", bench_waves },           { "cost", bench_cost },
 };
 
 void
--- a/tests/bench/bench.h
+++ b/tests/bench/bench.h
@@ -37,5 +37,6 @@
 void bench_retries (void);
 void bench_waves (void);
 void bench_spread (void);
+void bench_cost (void);
 
 #endif
--- /dev/null
+++ b/tests/bench/cost.c
@@ -0,0 +1,113 @@
+/* Cost at the latency target under a trace of prices and reclaims. */
+#include "bench.h"
+
+#include "core/placement.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define COST_ZONES 3
+#define COST_HOURS 720
+#define COST_SEED 11
+
+/* Chance in an hour that a zone loses all its reclaimable VMs. */
+#define COST_RECLAIM_CHANCE 0.04
+
+typedef enum
+{
+  COST_MINE,
+  COST_ON_DEMAND,
+  COST_CHEAPEST_FIRST /* all in the cheapest zone, reclaimable */
+} cost_policy_t;
+
+typedef struct
+{
+  double price;       /* mean for an hour */
+  double short_hours; /* share of hours with fewer than needed at some time */
+} cost_result_t;
+
+static void
+cost_choose (cost_policy_t policy, const ca_offer_t *offers, uint32_t needed,
+             uint32_t percent, ca_mix_t *mix)
+{
+  size_t best = 0;
+
+  memset (mix, 0, COST_ZONES * sizeof *mix);
+  if (policy == COST_MINE)
+    {
+      ca_placement_choose (offers, COST_ZONES, needed, percent, mix);
+      return;
+    }
+  for (size_t i = 1; i < COST_ZONES; i++)
+    {
+      double here = policy == COST_ON_DEMAND ? offers[i].on_demand_price
+                                             : offers[i].reclaimable_price;
+      double there = policy == COST_ON_DEMAND ? offers[best].on_demand_price
+                                              : offers[best].reclaimable_price;
+
+      if (here < there)
+        best = i;
+    }
+  if (policy == COST_ON_DEMAND)
+    mix[best].on_demand = needed;
+  else
+    mix[best].reclaimable = needed;
+}
+
+static cost_result_t
+cost_run (cost_policy_t policy, uint32_t needed, uint32_t percent)
+{
+  unsigned short rng[3] = { COST_SEED, 0, 0 };
+  cost_result_t result = { 0, 0 };
+
+  for (int hour = 0; hour < COST_HOURS; hour++)
+    {
+      ca_offer_t offers[COST_ZONES];
+      ca_mix_t mix[COST_ZONES];
+      uint32_t left = 0;
+
+      for (int i = 0; i < COST_ZONES; i++)
+        {
+          offers[i].on_demand_price = 10 + erand48 (rng);
+          offers[i].reclaimable_price = 2.5 + 3 * erand48 (rng);
+          offers[i].reclaimable_offered = true;
+          offers[i].on_demand_offered = true;
+        }
+      cost_choose (policy, offers, needed, percent, mix);
+      for (int i = 0; i < COST_ZONES; i++)
+        {
+          result.price += mix[i].reclaimable * offers[i].reclaimable_price
+                          + mix[i].on_demand * offers[i].on_demand_price;
+          left += mix[i].on_demand;
+          if (erand48 (rng) >= COST_RECLAIM_CHANCE)
+            left += mix[i].reclaimable;
+        }
+      result.short_hours += left < needed;
+    }
+  result.price /= COST_HOURS;
+  result.short_hours /= COST_HOURS;
+  return result;
+}
+
+static void
+cost_rows (const char *deployment, uint32_t needed, uint32_t percent)
+{
+  cost_result_t mine = cost_run (COST_MINE, needed, percent);
+  cost_result_t sure = cost_run (COST_ON_DEMAND, needed, percent);
+  cost_result_t cheap = cost_run (COST_CHEAPEST_FIRST, needed, percent);
+  char variant[64];
+
+  snprintf (variant, sizeof variant, "%s, on demand", deployment);
+  bench_row ("price an hour", variant, "units", mine.price, sure.price);
+  snprintf (variant, sizeof variant, "%s, cheapest", deployment);
+  bench_row ("price an hour", variant, "units", mine.price, cheap.price);
+  bench_row ("hours below the need", variant, "share", mine.short_hours,
+             cheap.short_hours);
+}
+
+void
+bench_cost (void)
+{
+  cost_rows ("sizing 12", 12, 60);
+  cost_rows ("credit 9", 9, 50);
+}
--- a/tests/standins/platform.c
+++ b/tests/standins/platform.c
@@ -20,6 +20,9 @@
   uint64_t version;
   uint64_t reads;
   uint64_t writes;
+  uint64_t starts;
+  uint64_t stops;
+  json_t *prices;           /* [{zone, reclaimable, on_demand}] */
   uint64_t weights_free_us; /* when the weight store takes the next load */
   uint64_t weights_us;      /* time that one load takes */
 } platform_t;
@@ -166,16 +169,41 @@
                  json_pack ("{s:o}", "notices", list));
 }
 
-/* A start: refused, or given an order number; no VM is really made. */
+/* A start is refused, or counted; no VM is really made.  A stop takes the
+ * named life off the list. */
 static void
-platform_start_vm (struct evhttp_request *in)
+platform_order_vm (struct evhttp_request *in, const json_t *body)
 {
+  const char *order = json_string_value (json_object_get (body, "order"));
+  const char *address = json_string_value (json_object_get (body, "address"));
+
+  if (order != NULL && strcmp (order, "stop") == 0)
+    {
+      const json_t *row = json_object_get (platform.vms, address);
+
+      if (json_integer_value (json_object_get (row, "boot"))
+          == json_integer_value (json_object_get (body, "boot")))
+        json_object_del (platform.vms, address);
+      platform.stops++;
+      standin_reply_effect (&platform.standin, in, 200, json_object ());
+      return;
+    }
   if (platform.standin.faults.refuse_starts)
     standin_reply (&platform.standin, in, 503,
                    json_pack ("{s:s}", "error", "no capacity"));
   else
-    standin_reply_effect (&platform.standin, in, 200,
-                          json_pack ("{s:b}", "started", 1));
+    {
+      platform.starts++;
+      standin_reply_effect (&platform.standin, in, 200,
+                            json_pack ("{s:b}", "started", 1));
+    }
+}
+
+static void
+platform_prices (struct evhttp_request *in)
+{
+  standin_reply (&platform.standin, in, 200,
+                 json_pack ("{s:O}", "prices", platform.prices));
 }
 
 /* A load of weights waits for those before it. */
@@ -246,11 +274,17 @@
           json_integer ((json_int_t)standin_now_us () + notice_ms * 1000));
       json_object_set_new (platform.notices, reclaim, notice);
     }
+  if (json_is_array (json_object_get (body, "prices")))
+    {
+      json_decref (platform.prices);
+      platform.prices = json_incref (json_object_get (body, "prices"));
+    }
   if (lag != NULL)
     platform.lag_us = (uint64_t)json_integer_value (lag) * 1000;
-  evbuffer_add_printf (out, "{\"reads\":%llu,\"writes\":%llu}\n",
-                       (unsigned long long)platform.reads,
-                       (unsigned long long)platform.writes);
+  evbuffer_add_printf (
+      out, "{\"reads\":%llu,\"writes\":%llu,\"starts\":%llu,\"stops\":%llu}\n",
+      (unsigned long long)platform.reads, (unsigned long long)platform.writes,
+      (unsigned long long)platform.starts, (unsigned long long)platform.stops);
   evhttp_send_reply (in, 200, NULL, out);
   evbuffer_free (out);
 }
@@ -275,9 +309,11 @@
     platform_write (in, body);
   else if (strcmp (path, "/v1/vms") == 0
            && evhttp_request_get_command (in) == EVHTTP_REQ_POST)
-    platform_start_vm (in);
+    platform_order_vm (in, body);
   else if (strcmp (path, "/v1/vms") == 0)
     platform_list (in);
+  else if (strcmp (path, "/v1/prices") == 0)
+    platform_prices (in);
   else if (strcmp (path, "/v1/notices") == 0)
     platform_notices (in);
   else if (strcmp (path, "/v1/weights") == 0)
@@ -299,6 +335,7 @@
   platform.objects = json_object ();
   platform.vms = json_object ();
   platform.notices = json_object ();
+  platform.prices = json_array ();
   platform.lag_us
       = strtoull (standin_flag (argc, argv, "lag-ms", "0"), NULL, 10) * 1000;
   platform.weights_us
@@ -310,5 +347,6 @@
   json_decref (platform.vms);
   json_decref (platform.listed);
   json_decref (platform.notices);
+  json_decref (platform.prices);
   return 0;
 }
--- a/tests/world/fleet.c
+++ b/tests/world/fleet.c
@@ -11,6 +11,9 @@
 #define ALIVE_PERIOD_US (500 * CA_US_PER_MS)
 #define CACHE_BLOCKS 512
 
+/* Time from an accepted start to a VM that serves. */
+#define VM_START_US (5 * CA_US_PER_S)
+
 /* Prompts with this word crash the engine that runs them. */
 #define POISON_WORD "poison"
 #define POISON_TOKENS 2
@@ -96,6 +99,7 @@
   endpoint->address.ip = 0x0b000000u + (uint32_t)index + 1;
   endpoint->address.port = 9000;
   endpoint->service = service;
+  endpoint->reclaimable = true;
   endpoint->alive = true;
   endpoint->listed = true;
   endpoint->boot = 1;
@@ -716,13 +720,98 @@
   fleet_send (context, &order);
 }
 
-void
-world_fleet_ports (ca_ports_t *ports)
+/* --- Fleet orders --- */
+
+/* The VM that a start made is there. */
+static void
+fleet_vm_made (world_t *world, world_event_t *event)
 {
-  ports->dispatch = fleet_port_dispatch;
-  ports->abandon = fleet_port_abandon;
-  ports->stop_run = fleet_port_stop;
-  ports->probe = fleet_port_probe;
+  world_restart (world, (int)event->number);
+}
+
+/* A place for a new VM: one whose last VM is gone, or a new one. */
+static int
+fleet_place (world_t *world, const char *zone, const char *pool)
+{
+  char name[WORLD_NAME_BYTES];
+
+  for (int i = 0; i < world->endpoint_count; i++)
+    {
+      world_endpoint_t *endpoint = &world->endpoints[i];
+
+      if (!endpoint->alive && !endpoint->ordered
+          && strcmp (endpoint->zone, zone) == 0
+          && strcmp (endpoint->pool, pool) == 0)
+        return i;
+    }
+  if (world->endpoint_count == WORLD_ENDPOINTS)
+    return -1;
+  snprintf (name, sizeof name, "vm%d", world->endpoint_count);
+  return world_add_endpoint (world, name, zone, pool,
+                             strcmp (pool, "orders") == 0);
+}
+
+typedef struct
+{
+  uint64_t number;
+  ca_order_status_t status;
+} fleet_order_answer_t;
+
+static void
+fleet_order_answered (world_t *world, world_event_t *event)
+{
+  const fleet_order_answer_t *answer = event->data;
+
+  ca_core_order_result (&world->entries[event->entry].core, world->now_us,
+                        answer->number, answer->status);
+}
+
+static void
+fleet_answer_order (world_entry_t *entry, uint64_t number,
+                    ca_order_status_t status)
+{
+  fleet_order_answer_t *answer = malloc (sizeof *answer);
+  world_event_t *event = world_post (entry->world, 50 * CA_US_PER_MS,
+                                     fleet_order_answered, entry->index);
+
+  answer->number = number;
+  answer->status = status;
+  event->data = answer;
+  event->free_data = free;
+}
+
+static void
+fleet_port_order (void *context, uint64_t number, uint64_t fence, bool start,
+                  const char *zone, const char *pool, bool reclaimable,
+                  const ca_address_t *address, uint64_t boot)
+{
+  world_entry_t *entry = context;
+  world_t *world = entry->world;
+  int index;
+
+  (void)fence;
+  if (!start)
+    {
+      index = world_endpoint_of (world, address);
+      world->stops_ordered++;
+      if (index >= 0 && world->endpoints[index].boot == boot)
+        {
+          world_crash (world, index);
+          world->endpoints[index].listed = false;
+        }
+      return;
+    }
+  world->starts_ordered++;
+  index = world->starts_refused ? -1 : fleet_place (world, zone, pool);
+  fleet_answer_order (entry, number,
+                      index < 0 ? CA_ORDER_REFUSED : CA_ORDER_DONE);
+  if (index < 0)
+    return;
+  world->endpoints[index].alive = false;
+  world->endpoints[index].listed = false;
+  world->endpoints[index].ordered = true;
+  world->endpoints[index].reclaimable = reclaimable;
+  world_post (world, VM_START_US, fleet_vm_made, -1)->number = (uint64_t)index;
 }
 
 /* --- Platform's word --- */
@@ -737,12 +826,26 @@
   vm->zone = endpoint->zone;
   vm->pool = endpoint->pool;
   vm->boot = endpoint->boot;
-  vm->reclaimable = true;
+  vm->reclaimable = endpoint->reclaimable;
   vm->leaving = endpoint->leaving;
   if (endpoint->leaving && endpoint->leave_at_us > world->now_us)
     vm->notice_us = endpoint->leave_at_us - world->now_us;
 }
 
+static void
+fleet_tell_prices (world_t *world, world_entry_t *entry)
+{
+  for (int i = 0; i < WORLD_ZONES; i++)
+    {
+      char zone[16];
+
+      snprintf (zone, sizeof zone, "z%d", i + 1);
+      if (world->prices[i][0] > 0)
+        ca_core_price (&entry->core, world->now_us, zone, world->prices[i][1],
+                       world->prices[i][0]);
+    }
+}
+
 void
 world_fleet_poll (world_t *world, int index)
 {
@@ -768,6 +871,7 @@
         ca_core_reclaim_notice (&entry->core, world->now_us, &notice);
     }
   ca_core_vm_list (&entry->core, world->now_us, vms, count);
+  fleet_tell_prices (world, entry);
 }
 
 static void
@@ -778,6 +882,7 @@
   if (endpoint->boot != event->number >> 32)
     return;
   world_crash (world, (int)(event->number & 0xffffffffu));
+  endpoint->listed = false;
 }
 
 void
@@ -822,6 +927,7 @@
   if (endpoint->alive)
     return;
   endpoint->alive = true;
+  endpoint->ordered = false;
   endpoint->leaving = false;
   endpoint->leave_at_us = 0;
   endpoint->listed = true;
@@ -849,3 +955,13 @@
       ca_prefix_index_finish (&world->endpoints[i].cache);
     }
 }
+
+void
+world_fleet_ports (ca_ports_t *ports)
+{
+  ports->dispatch = fleet_port_dispatch;
+  ports->abandon = fleet_port_abandon;
+  ports->stop_run = fleet_port_stop;
+  ports->probe = fleet_port_probe;
+  ports->order_vm = fleet_port_order;
+}
--- a/tests/world/script.c
+++ b/tests/world/script.c
@@ -314,6 +314,75 @@
     script->world.list_lag_us = script_ms (lag);
 }
 
+static void
+run_prices (script_t *script, char **words, int count)
+{
+  unsigned long zone = strtoul (words[0] + 1, NULL, 10) - 1;
+
+  (void)count;
+  script->world.prices[zone % WORLD_ZONES][0] = strtod (words[1], NULL);
+  script->world.prices[zone % WORLD_ZONES][1] = strtod (words[2], NULL);
+}
+
+static void
+run_cloud (script_t *script, char **words, int count)
+{
+  (void)count;
+  script->world.starts_refused = strcmp (words[0], "refuses") == 0;
+}
+
+/* VMs of a pool that serve, by zone and class. */
+static void
+run_vms (script_t *script, char **words, int count)
+{
+  (void)count;
+  for (int zone = 1; zone <= 3; zone++)
+    {
+      unsigned counts[2] = { 0, 0 };
+      char name[16];
+
+      snprintf (name, sizeof name, "z%d", zone);
+      for (int i = 0; i < script->world.endpoint_count; i++)
+        {
+          const world_endpoint_t *row = &script->world.endpoints[i];
+
+          if (row->alive && !row->leaving && strcmp (row->zone, name) == 0
+              && strcmp (row->pool, words[0]) == 0)
+            counts[row->reclaimable]++;
+        }
+      printf ("%s %s: %u on demand, %u reclaimable\n", words[0], name,
+              counts[0], counts[1]);
+    }
+}
+
+static void
+run_orders (script_t *script, char **words, int count)
+{
+  (void)words;
+  (void)count;
+  printf ("%llu starts and %llu stops ordered\n",
+          (unsigned long long)script->world.starts_ordered,
+          (unsigned long long)script->world.stops_ordered);
+}
+
+/* Entries that hold the fleet lease by their own clock. */
+static void
+run_leaders (script_t *script, char **words, int count)
+{
+  unsigned leaders = 0;
+
+  (void)words;
+  (void)count;
+  for (int i = 0; i < script->world.entry_count; i++)
+    {
+      const world_entry_t *entry = &script->world.entries[i];
+
+      leaders += entry->alive && !entry->paused && entry->core.fleet.held
+                 && script->world.now_us < entry->core.fleet.until_us;
+    }
+  printf ("%u hold the fleet lease\n", leaders);
+}
+
 /* --- Requests --- */
 
 static void
@@ -579,6 +648,11 @@
   { "heal", 0, "", run_heal },
   { "store", 1, "up|down|frozen [lose=N] [latency_ms=N]", run_store },
   { "platform", 1, "up|down|no-kv|no-notices [list_lag_ms=N]", run_platform },
+  { "prices", 3, "ZONE ON_DEMAND RECLAIMABLE", run_prices },
+  { "cloud", 1, "refuses|grants", run_cloud },
+  { "vms", 1, "POOL", run_vms },
+  { "orders", 0, "", run_orders },
+  { "leaders", 0, "", run_leaders },
   { "request", 4, "NAME ENTRY WORKSPACE CLASS [key= tokens= prompt= stream=]",
     run_request },
   { "flood", 5, "PREFIX NUMBER ENTRY WORKSPACE CLASS", run_flood },
--- a/tests/world/world.h
+++ b/tests/world/world.h
@@ -89,9 +89,11 @@
   char pool[CA_NAME_BYTES];
   ca_address_t address;
   bool service;
+  bool reclaimable;
   bool alive;
   bool leaving;
   bool listed;
+  bool ordered; /* a start is on its way */
   uint64_t boot;
   uint64_t leave_at_us;
   uint64_t step_us;
@@ -202,9 +204,13 @@
   int cut_count;
   double loss_share; /* of peer messages, at random */
   uint64_t list_lag_us;
-  bool platform_down; /* VM list and notices */
-  bool kv_broken;     /* no cache can be imported */
-  bool notices_lost;  /* notices are not told, only the list and health */
+  bool platform_down;  /* VM list and notices */
+  bool kv_broken;      /* no cache can be imported */
+  bool starts_refused; /* the cloud has no VM to give */
+  uint64_t starts_ordered;
+  uint64_t stops_ordered;
+  double prices[WORLD_ZONES][2]; /* of z1, z2, ...: on demand, reclaimable */
+  bool notices_lost; /* notices are not told, only the list and health */
   world_request_t *requests;
   world_ledger_t *ledgers;
   uint64_t faults; /* broken promises seen */
