Bound the cost of probing and of finding out who probes

Cause: each tick worked out the owner of every endpoint of the zone, and an owner probed each of its endpoints twice a second whatever their number; at 13 endpoints a daemon with a stand-by that is 52 probes a second. Change: an endpoint's rank is looked up once a second; an owner spends 12 probes a second, never more rarely than a third of the leaving bound; the next in rank probes five times more rarely.

--- a/packages/base/counters.c
+++ b/packages/base/counters.c
@@ -12,7 +12,7 @@
   "adopted",      "tokens",         "recomputed_tokens", "prefix_hit_tokens",
   "late_answers", "grants",         "rejects",           "store_reads",
   "store_writes", "store_failures", "peer_messages",     "peer_bytes",
-  "quarantined",
+  "quarantined",  "probes",
 };
 
 static const char *const latency_names[CA_LATENCY_KINDS]
--- a/packages/core/endpoint.c
+++ b/packages/core/endpoint.c
@@ -9,7 +9,16 @@
 #include <string.h>
 #include <xxhash.h>
 
+/* An owner probes each of its endpoints this often, or as often as its share
+ * of probes a second allows; the next in rank does so more rarely. */
 #define PROBE_PERIOD_US (500 * CA_US_PER_MS)
+#define PROBES_A_SECOND 12
+#define PROBE_PERIOD_MAX_US (CA_LEAVING_BOUND_US / 3)
+#define PROBE_STANDBY_FACTOR 5
+#define PROBE_RANKS 2
+
+/* How often an instance looks whether an endpoint is its own to probe. */
+#define RANK_PERIOD_US (1 * CA_US_PER_S)
 #define EJECT_FAILURES 3
 #define EJECT_MIN_US (1 * CA_US_PER_S)
 #define EJECT_MAX_US (30 * CA_US_PER_S)
@@ -77,6 +86,7 @@
   endpoint->healthy = false;
   endpoint->failures = 0;
   endpoint->probed_us = 0;
+  endpoint->rank_us = 0;
   endpoint->ejected_until_us = 0;
   endpoint->eject_us = EJECT_MIN_US;
   endpoint->cache_seq = 0;
@@ -300,53 +310,77 @@
   ca_core_end (core);
 }
 
-/* The owner of an endpoint's shard probes it, and the next in rank, which is
- * asked when the owner does not answer. */
-static bool
-endpoint_is_mine_to_probe (const ca_core_t *core, const ca_endpoint_t *endpoint)
+/* Rank of this instance for the endpoint: 0 the owner, 1 the next, which is
+ * asked when the owner does not answer, PROBE_RANKS anyone else. */
+static uint32_t
+endpoint_rank (const ca_core_t *core, const ca_endpoint_t *endpoint)
 {
-  uint32_t shard;
+  uint32_t shard = ca_endpoint_shard (core, endpoint);
 
   if (strcmp (endpoint->zone, core->options.zone) != 0)
-    return false;
-  shard = ca_endpoint_shard (core, endpoint);
-  if (ca_sched_is_asked (core, endpoint->pool, shard))
-    return true;
-  for (uint32_t rank = 0; rank < 2; rank++)
+    return PROBE_RANKS;
+  for (uint32_t rank = 0; rank < PROBE_RANKS; rank++)
     {
       const ca_member_t *owner
           = ca_member_owner (core, endpoint->zone, endpoint->pool, shard, rank);
 
       if (owner != NULL && owner->id == core->id)
-        return true;
+        return rank;
     }
-  return false;
+  if (ca_sched_is_asked (core, endpoint->pool, shard))
+    return 0;
+  return PROBE_RANKS;
+}
+
+static void
+endpoint_probe (ca_core_t *core, ca_endpoint_t *endpoint, uint64_t period_us)
+{
+  endpoint->probing = true;
+  endpoint->probed_us
+      = core->now_us
+        + (endpoint->rank == 0 ? period_us : period_us * PROBE_STANDBY_FACTOR);
+  ca_counters_add (&core->counters, CA_COUNT_PROBES, 1);
+  core->ports.probe (core->ports.context, endpoint->id, &endpoint->address,
+                     endpoint->service, endpoint->cache_seq);
+}
+
+static void
+endpoint_free (ca_core_t *core, ca_endpoint_t *endpoint)
+{
+  HASH_DEL (core->endpoints, endpoint);
+  ca_prefix_index_finish (&endpoint->prefixes);
+  free (endpoint);
 }
 
 void
 ca_endpoint_tick (ca_core_t *core)
 {
+  uint64_t period_us = core->owned * CA_US_PER_S / PROBES_A_SECOND;
   ca_endpoint_t *endpoint;
   ca_endpoint_t *next;
 
+  if (period_us < PROBE_PERIOD_US)
+    period_us = PROBE_PERIOD_US;
+  if (period_us > PROBE_PERIOD_MAX_US)
+    period_us = PROBE_PERIOD_MAX_US;
+  core->owned = 0;
   HASH_ITER (hh, core->endpoints, endpoint, next)
   {
     if (endpoint->state == CA_ENDPOINT_GONE)
       {
-        if (core->now_us - endpoint->state_since_us < GONE_KEPT_US)
-          continue;
-        HASH_DEL (core->endpoints, endpoint);
-        ca_prefix_index_finish (&endpoint->prefixes);
-        free (endpoint);
+        if (core->now_us - endpoint->state_since_us >= GONE_KEPT_US)
+          endpoint_free (core, endpoint);
         continue;
       }
-    if (endpoint->probing || core->now_us < endpoint->probed_us
-        || !endpoint_is_mine_to_probe (core, endpoint))
-      continue;
-    endpoint->probing = true;
-    endpoint->probed_us = core->now_us + PROBE_PERIOD_US;
-    core->ports.probe (core->ports.context, endpoint->id, &endpoint->address,
-                       endpoint->service, endpoint->cache_seq);
+    if (core->now_us >= endpoint->rank_us)
+      {
+        endpoint->rank = endpoint_rank (core, endpoint);
+        endpoint->rank_us = core->now_us + RANK_PERIOD_US;
+      }
+    core->owned += endpoint->rank == 0;
+    if (endpoint->rank < PROBE_RANKS && !endpoint->probing
+        && core->now_us >= endpoint->probed_us)
+      endpoint_probe (core, endpoint, period_us);
   }
 }
 
@@ -357,9 +391,5 @@
   ca_endpoint_t *next;
 
   HASH_ITER (hh, core->endpoints, endpoint, next)
-  {
-    HASH_DEL (core->endpoints, endpoint);
-    ca_prefix_index_finish (&endpoint->prefixes);
-    free (endpoint);
-  }
+  endpoint_free (core, endpoint);
 }
--- a/packages/core/state.h
+++ b/packages/core/state.h
@@ -84,7 +84,9 @@
   bool probing;
   bool healthy;
   uint32_t failures;
-  uint64_t probed_us;
+  uint64_t probed_us; /* next probe not before this */
+  uint64_t rank_us;   /* when `rank` is to be worked out again */
+  uint32_t rank;      /* of this instance for its shard; 2: none */
   uint64_t ejected_until_us;
   uint64_t eject_us;
   uint32_t max_batch;
@@ -468,6 +470,7 @@
   uint64_t join_us;
   /* Endpoints, shards. */
   ca_endpoint_t *endpoints;
+  uint64_t owned; /* endpoints that this instance owned at the last tick */
   TAILQ_HEAD (, ca_shard) shards;
   uint64_t holds_us;
   /* Requests. */
--- a/tests/bench/bench.c
+++ b/tests/bench/bench.c
@@ -17,6 +17,7 @@
   { "routing", bench_routing },       { "overload", bench_overload },
   { "fairness", bench_fairness },     { "retries", bench_retries },
   { "waves", bench_waves },           { "cost", bench_cost },
+  { "probing", bench_probing },
 };
 
 void
--- a/tests/bench/bench.h
+++ b/tests/bench/bench.h
@@ -38,5 +38,6 @@
 void bench_waves (void);
 void bench_spread (void);
 void bench_cost (void);
+void bench_probing (void);
 
 #endif
--- a/tests/bench/measures.c
+++ b/tests/bench/measures.c
@@ -75,6 +75,47 @@
   measure_membership (760, &first_bytes);
 }
 
+/* --- Probing: cost of the endpoints of a zone --- */
+
+static void
+measure_probing (int endpoints)
+{
+  const uint64_t seconds = 20;
+  char *intent = bench_intent (0);
+  bench_fleet_t fleet = { 1, 8, endpoints, SEED, intent, NULL, NULL };
+  world_t *world = bench_fleet_new (&fleet);
+  uint64_t core_ns = 0;
+  double probes = 0;
+  char variant[32];
+
+  world->clocked = true;
+  for (int i = 0; i < world->entry_count; i++)
+    {
+      world->entries[i].core_ns = 0;
+      world->entries[i].core.counters.counts[CA_COUNT_PROBES] = 0;
+    }
+  world_run_until (world, world->now_us + seconds * CA_US_PER_S);
+  for (int i = 0; i < world->entry_count; i++)
+    {
+      core_ns += world->entries[i].core_ns;
+      probes += (double)world->entries[i].core.counters.counts[CA_COUNT_PROBES];
+    }
+  snprintf (variant, sizeof variant, "8 daemons, %d endpoints", endpoints);
+  bench_row ("probes", variant, "/s/daemon", probes / 8 / (double)seconds, 0);
+  bench_row ("probing processor", variant, "% of a core",
+             (double)core_ns / 8 / (double)seconds / 1e7, 0);
+  bench_fleet_free (world);
+  free (intent);
+}
+
+void
+bench_probing (void)
+{
+  measure_probing (8);
+  measure_probing (64);
+  measure_probing (250);
+}
+
 /* --- Spread: a death, a planned leave, and a revision in a large group --- */
 
 static uint64_t
