--- a/Makefile
+++ b/Makefile
@@ -52,6 +52,7 @@
 
 bench: build
 	@$(BUILD)/tests/bench/bench
+	@tools/path.sh
 
 report: bench
 	@tools/report.sh
--- a/tests/bench/measures.c
+++ b/tests/bench/measures.c
@@ -7,6 +7,7 @@
 #include <malloc.h>
 #include <stdlib.h>
 #include <string.h>
+#include <time.h>
 
 #define SEED 7
 
@@ -20,6 +21,20 @@
   return (double)info.uordblks + (double)info.hblkhd;
 }
 
+/* Finding who owns a shard, as is done for each ask and, once a second, for
+ * each endpoint of the zone. */
+static void
+measure_owner_lookup (const ca_core_t *core, const char *variant)
+{
+  const uint32_t lookups = 2000;
+  clock_t start = clock ();
+
+  for (uint32_t i = 0; i < lookups; i++)
+    ca_member_owner (core, core->options.zone, "chat", i, 1);
+  bench_row ("owner lookup, two ranks", variant, "us",
+             (double)(clock () - start) * 1e6 / CLOCKS_PER_SEC / lookups, 0);
+}
+
 static void
 measure_membership (int entries, double *first_bytes)
 {
