--- a/tests/bench/measures.c
+++ b/tests/bench/measures.c
@@ -77,6 +77,7 @@
              (double)core_ns / daemons / (double)seconds / 1e7, 0);
   bench_row ("membership memory", variant, "KB/daemon", heap / daemons / 1024,
              0);
+  measure_owner_lookup (&world->entries[0].core, variant);
   bench_fleet_free (world);
 }
 
