Free the contexts of calls that are under way when an entry ends

Cause: at the end of a planned stop the HTTP client dropped calls still under way without telling anyone, and the contexts of probes, stop orders and table calls were lost; regress/test_rollout under the leak checker ended with status 1 when a probe was out at that moment (48 bytes in 3 objects). Ruled out: requests or streams left over (the core had none). Change: a call has on_drop, which frees its context.

--- a/packages/adapters/engine.c
+++ b/packages/adapters/engine.c
@@ -451,6 +451,7 @@
   request.timeout_ms = STOP_TIMEOUT_MS;
   request.fresh = true;
   request.on_done = engine_stop_done;
+  request.on_drop = free;
   request.context = stop;
   ca_http_call_start (engine->http, &request);
 }
@@ -533,6 +534,7 @@
   request.path = path;
   request.timeout_ms = PROBE_TIMEOUT_MS;
   request.on_done = engine_probe_done;
+  request.on_drop = free;
   request.context = probe;
   ca_http_call_start (engine->http, &request);
 }
--- a/packages/adapters/http_client.c
+++ b/packages/adapters/http_client.c
@@ -392,6 +392,8 @@
   if (call->out != NULL)
     evhttp_cancel_request (call->out);
   call->out = NULL;
+  if (call->request.on_drop != NULL)
+    call->request.on_drop (call->request.context);
   http_drop_connection (call);
   http_call_free (call);
 }
--- a/packages/adapters/http_client.h
+++ b/packages/adapters/http_client.h
@@ -56,6 +56,8 @@
   const char *const *headers; /* name, value, ..., NULL; may be NULL */
   ca_http_chunk_t on_chunk;   /* NULL: the body is collected */
   ca_http_done_t on_done;
+  void (*on_drop) (void *context); /* of a call that gets no `on_done`; frees
+                                      its context; may be NULL */
   void *context;
 } ca_http_request_t;
 
@@ -63,14 +65,14 @@
 
 void ca_http_client_init (ca_http_client_t *client, struct event_base *base);
 
-/* Drops every call without telling its callbacks. */
+/* Drops every call; of their callbacks only `on_drop` is run. */
 void ca_http_client_finish (ca_http_client_t *client);
 
 /* Starts a call.  The handle is valid until `on_done` or a cancel. */
 ca_http_call_t *ca_http_call_start (ca_http_client_t *client,
                                     const ca_http_request_t *request);
 
-/* Closes the call's connection; its callbacks are not run any more. */
+/* Closes the call's connection; of its callbacks only `on_drop` is run. */
 void ca_http_call_cancel (ca_http_call_t *call);
 
 #endif
--- a/packages/adapters/platform.c
+++ b/packages/adapters/platform.c
@@ -103,6 +103,7 @@
   request.body_bytes = strlen (text);
   request.timeout_ms = platform->timeout_ms;
   request.on_done = platform_table_done;
+  request.on_drop = free;
   request.context = call;
   ca_http_call_start (platform->http, &request);
   free (text);
@@ -334,6 +335,7 @@
   request.body_bytes = strlen (text);
   request.timeout_ms = platform->timeout_ms;
   request.on_done = platform_order_done;
+  request.on_drop = free;
   request.context = call;
   ca_http_call_start (platform->http, &request);
   free (text);
