--- /dev/null
+++ b/packages/core/choose.c
@@ -0,0 +1,159 @@
+/* Which endpoint of a shard serves an ask: cached prefix against load, and an
+ * endpoint kept free for a request that must run alone. */
+#include "core/private.h"
+
+#include <xxhash.h>
+
+/* Tokens' worth of delay that a full endpoint adds, against which a cached
+ * prefix is weighed. */
+#define LOAD_TOKENS 512.0
+
+/* Tokens' worth that the endpoint a prompt's head hashes to is preferred. */
+#define HOME_TOKENS 512.0
+
+static bool
+choose_is_excluded (const ca_ask_t *ask, uint64_t endpoint)
+{
+  for (uint32_t i = 0; i < ask->excluded_count; i++)
+    {
+      if (ask->excluded[i] == endpoint)
+        return true;
+    }
+  return false;
+}
+
+static bool
+choose_has_slot (const ca_endpoint_t *endpoint, const ca_ask_t *ask)
+{
+  if (endpoint->alone != 0)
+    return endpoint->alone == ask->request && endpoint->in_flight == 0;
+  if (ask->alone)
+    return endpoint->in_flight == 0;
+  return endpoint->in_flight + 1 <= endpoint->limit;
+}
+
+/* Spreads prompts that no endpoint holds by their head, so that each head
+ * keeps coming to the same few. */
+static bool
+choose_is_home (const ca_endpoint_t *endpoint, const ca_ask_t *ask)
+{
+  return ask->home == endpoint->id;
+}
+
+/* Lower is better: tokens to be computed before the first new one, and the
+ * delay of sharing the endpoint with others in tokens' worth. */
+static double
+choose_score (const ca_core_t *core, const ca_endpoint_t *endpoint,
+              const ca_ask_t *ask, uint64_t *cached_tokens)
+{
+  const ca_core_options_t *options = &core->options;
+  uint32_t blocks = ca_prefix_index_match (&endpoint->prefixes, ask->prefix,
+                                           ask->prefix_count);
+  double load = (double)endpoint->in_flight / endpoint->limit;
+  uint64_t missing;
+
+  *cached_tokens = (uint64_t)blocks * CA_PREFIX_BLOCK_TOKENS;
+  missing = ask->prompt_tokens - *cached_tokens;
+  if (options->score != NULL)
+    return options->score (options->score_context, endpoint->id, load, missing);
+  return (double)missing + LOAD_TOKENS * load
+         - (choose_is_home (endpoint, ask) ? HOME_TOKENS : 0);
+}
+
+/* The usable endpoint with the highest hash for the prompt's head. */
+static uint64_t
+choose_home (const ca_core_t *core, const ca_shard_t *shard,
+             const ca_ask_t *ask)
+{
+  uint64_t best = 0;
+  uint64_t best_hash = 0;
+  ca_endpoint_t *endpoint;
+  ca_endpoint_t *next;
+
+  if (ask->prefix_count == 0)
+    return 0;
+  HASH_ITER (hh, core->endpoints, endpoint, next)
+  {
+    uint64_t hash;
+
+    if (!ca_endpoint_in_shard (core, endpoint, shard->pool, shard->number)
+        || !ca_endpoint_usable (core, endpoint))
+      continue;
+    hash = XXH64 (&ask->prefix[0], sizeof ask->prefix[0], endpoint->id);
+    if (hash >= best_hash)
+      {
+        best = endpoint->id;
+        best_hash = hash;
+      }
+  }
+  return best;
+}
+
+ca_endpoint_t *
+ca_choose_endpoint (ca_core_t *core, const ca_shard_t *shard, ca_ask_t *ask,
+                    uint64_t *cached_tokens)
+{
+  ca_endpoint_t *best = NULL;
+  double best_score = 0;
+  ca_endpoint_t *endpoint;
+  ca_endpoint_t *next;
+
+  ask->home = choose_home (core, shard, ask);
+  HASH_ITER (hh, core->endpoints, endpoint, next)
+  {
+    uint64_t cached;
+    double score;
+
+    if (!ca_endpoint_in_shard (core, endpoint, shard->pool, shard->number)
+        || !ca_endpoint_usable (core, endpoint)
+        || choose_is_excluded (ask, endpoint->id)
+        || !choose_has_slot (endpoint, ask))
+      continue;
+    score = choose_score (core, endpoint, ask, &cached);
+    if (best == NULL || score < best_score)
+      {
+        best = endpoint;
+        best_score = score;
+        *cached_tokens = cached;
+      }
+  }
+  return best;
+}
+
+/* Keeps the least loaded endpoint free of new work for one that runs alone. */
+void
+ca_choose_reserve (ca_core_t *core, const ca_shard_t *shard,
+                   const ca_ask_t *ask)
+{
+  ca_endpoint_t *best = NULL;
+  ca_endpoint_t *endpoint;
+  ca_endpoint_t *next;
+
+  HASH_ITER (hh, core->endpoints, endpoint, next)
+  {
+    if (!ca_endpoint_in_shard (core, endpoint, shard->pool, shard->number)
+        || !ca_endpoint_usable (core, endpoint)
+        || choose_is_excluded (ask, endpoint->id))
+      continue;
+    if (endpoint->alone == ask->request)
+      return;
+    if (endpoint->alone == 0
+        && (best == NULL || endpoint->in_flight < best->in_flight))
+      best = endpoint;
+  }
+  if (best != NULL)
+    best->alone = ask->request;
+}
+
+void
+ca_choose_unreserve (ca_core_t *core, uint64_t request)
+{
+  ca_endpoint_t *endpoint;
+  ca_endpoint_t *next;
+
+  HASH_ITER (hh, core->endpoints, endpoint, next)
+  {
+    if (endpoint->alone == request)
+      endpoint->alone = 0;
+  }
+}
--- a/packages/core/private.h
+++ b/packages/core/private.h
@@ -110,6 +110,16 @@
                         size_t skip_count);
 void ca_flow_charge (ca_shard_t *shard, ca_flow_t *flow, double cost);
 
+/* --- choose.c --- */
+
+/* The best endpoint with a slot for the ask, and how many of its prompt's
+ * tokens are thought to be cached there; NULL if none suits now. */
+ca_endpoint_t *ca_choose_endpoint (ca_core_t *core, const ca_shard_t *shard,
+                                   ca_ask_t *ask, uint64_t *cached_tokens);
+void ca_choose_reserve (ca_core_t *core, const ca_shard_t *shard,
+                        const ca_ask_t *ask);
+void ca_choose_unreserve (ca_core_t *core, uint64_t request);
+
 /* --- sched.c --- */
 void ca_sched_finish (ca_core_t *core);
 void ca_sched_tick (ca_core_t *core);
@@ -156,7 +166,9 @@
 void ca_request_grant (ca_core_t *core, const Camphor__Envelope *envelope);
 void ca_request_ask_ack (ca_core_t *core, const Camphor__Envelope *envelope);
 void ca_request_reject (ca_core_t *core, const Camphor__Envelope *envelope);
-void ca_request_send_holds (ca_core_t *core);
+
+/* --- holds.c --- */
+void ca_holds_send (ca_core_t *core);
 
 /* --- refusal.c --- */
 
--- a/packages/core/sched.c
+++ b/packages/core/sched.c
@@ -9,7 +9,6 @@
 
 #include <stdlib.h>
 #include <string.h>
-#include <xxhash.h>
 
 /* A front repeats its ask every second; one silent for this long is gone. */
 #define ASK_SILENT_US (4 * CA_US_PER_S)
@@ -28,13 +27,6 @@
 #define LIMIT_LOWER 0.8
 #define LIMIT_PERIOD_US (1 * CA_US_PER_S)
 
-/* Tokens' worth of delay that a full endpoint adds, against which a cached
- * prefix is weighed. */
-#define LOAD_TOKENS 512.0
-
-/* Tokens' worth that the endpoint a prompt's head hashes to is preferred. */
-#define HOME_TOKENS 512.0
-
 /* Asks that may be passed over because no endpoint suits them yet. */
 #define SCHED_SKIPS 8
 
@@ -174,153 +166,6 @@
   ca_peer_send (core, grant->front, &envelope);
 }
 
-/* --- Choice of an endpoint --- */
-
-static bool
-sched_is_excluded (const ca_ask_t *ask, uint64_t endpoint)
-{
-  for (uint32_t i = 0; i < ask->excluded_count; i++)
-    {
-      if (ask->excluded[i] == endpoint)
-        return true;
-    }
-  return false;
-}
-
-static bool
-sched_has_slot (const ca_endpoint_t *endpoint, const ca_ask_t *ask)
-{
-  if (endpoint->alone != 0)
-    return endpoint->alone == ask->request && endpoint->in_flight == 0;
-  if (ask->alone)
-    return endpoint->in_flight == 0;
-  return endpoint->in_flight + 1 <= endpoint->limit;
-}
-
-/* Spreads prompts that no endpoint holds by their head, so that each head
- * keeps coming to the same few. */
-static bool
-sched_is_home (const ca_endpoint_t *endpoint, const ca_ask_t *ask)
-{
-  return ask->home == endpoint->id;
-}
-
-/* Lower is better: tokens to be computed before the first new one, and the
- * delay of sharing the endpoint with others in tokens' worth. */
-static double
-sched_score (const ca_core_t *core, const ca_endpoint_t *endpoint,
-             const ca_ask_t *ask, uint64_t *cached_tokens)
-{
-  const ca_core_options_t *options = &core->options;
-  uint32_t blocks = ca_prefix_index_match (&endpoint->prefixes, ask->prefix,
-                                           ask->prefix_count);
-  double load = (double)endpoint->in_flight / endpoint->limit;
-  uint64_t missing;
-
-  *cached_tokens = (uint64_t)blocks * CA_PREFIX_BLOCK_TOKENS;
-  missing = ask->prompt_tokens - *cached_tokens;
-  if (options->score != NULL)
-    return options->score (options->score_context, endpoint->id, load, missing);
-  return (double)missing + LOAD_TOKENS * load
-         - (sched_is_home (endpoint, ask) ? HOME_TOKENS : 0);
-}
-
-/* The usable endpoint with the highest hash for the prompt's head. */
-static uint64_t
-sched_home (const ca_core_t *core, const ca_shard_t *shard, const ca_ask_t *ask)
-{
-  uint64_t best = 0;
-  uint64_t best_hash = 0;
-  ca_endpoint_t *endpoint;
-  ca_endpoint_t *next;
-
-  if (ask->prefix_count == 0)
-    return 0;
-  HASH_ITER (hh, core->endpoints, endpoint, next)
-  {
-    uint64_t hash;
-
-    if (!ca_endpoint_in_shard (core, endpoint, shard->pool, shard->number)
-        || !ca_endpoint_usable (core, endpoint))
-      continue;
-    hash = XXH64 (&ask->prefix[0], sizeof ask->prefix[0], endpoint->id);
-    if (hash >= best_hash)
-      {
-        best = endpoint->id;
-        best_hash = hash;
-      }
-  }
-  return best;
-}
-
-static ca_endpoint_t *
-sched_choose (ca_core_t *core, const ca_shard_t *shard, ca_ask_t *ask,
-              uint64_t *cached_tokens)
-{
-  ca_endpoint_t *best = NULL;
-  double best_score = 0;
-  ca_endpoint_t *endpoint;
-  ca_endpoint_t *next;
-
-  ask->home = sched_home (core, shard, ask);
-  HASH_ITER (hh, core->endpoints, endpoint, next)
-  {
-    uint64_t cached;
-    double score;
-
-    if (!ca_endpoint_in_shard (core, endpoint, shard->pool, shard->number)
-        || !ca_endpoint_usable (core, endpoint)
-        || sched_is_excluded (ask, endpoint->id)
-        || !sched_has_slot (endpoint, ask))
-      continue;
-    score = sched_score (core, endpoint, ask, &cached);
-    if (best == NULL || score < best_score)
-      {
-        best = endpoint;
-        best_score = score;
-        *cached_tokens = cached;
-      }
-  }
-  return best;
-}
-
-/* Keeps the least loaded endpoint free of new work for one that runs alone. */
-static void
-sched_reserve (ca_core_t *core, const ca_shard_t *shard, const ca_ask_t *ask)
-{
-  ca_endpoint_t *best = NULL;
-  ca_endpoint_t *endpoint;
-  ca_endpoint_t *next;
-
-  HASH_ITER (hh, core->endpoints, endpoint, next)
-  {
-    if (!ca_endpoint_in_shard (core, endpoint, shard->pool, shard->number)
-        || !ca_endpoint_usable (core, endpoint)
-        || sched_is_excluded (ask, endpoint->id))
-      continue;
-    if (endpoint->alone == ask->request)
-      return;
-    if (endpoint->alone == 0
-        && (best == NULL || endpoint->in_flight < best->in_flight))
-      best = endpoint;
-  }
-  if (best != NULL)
-    best->alone = ask->request;
-}
-
-static void
-sched_unreserve (ca_core_t *core, uint64_t request)
-{
-  ca_endpoint_t *endpoint;
-  ca_endpoint_t *next;
-
-  HASH_ITER (hh, core->endpoints, endpoint, next)
-  {
-    if (endpoint->alone == request)
-      endpoint->alone = 0;
-  }
-}
-
 /* --- Estimates --- */
 
 /* Slots of the shard's endpoints; what is known to be leaving has none. */
@@ -473,7 +318,7 @@
            sizeof grant->class_name);
   if (ask->alone)
     {
-      sched_unreserve (core, ask->request);
+      ca_choose_unreserve (core, ask->request);
       endpoint->alone = ask->request;
     }
   CA_INVARIANT (core, endpoint->state == CA_ENDPOINT_UP,
@@ -505,14 +350,14 @@
 
       if (ask == NULL)
         return;
-      endpoint = sched_choose (core, shard, ask, &cached_tokens);
+      endpoint = ca_choose_endpoint (core, shard, ask, &cached_tokens);
       if (endpoint != NULL)
         {
           sched_grant (core, shard, ask, endpoint, cached_tokens);
           continue;
         }
       if (ask->alone)
-        sched_reserve (core, shard, ask);
+        ca_choose_reserve (core, shard, ask);
       else if (ask->excluded_count == 0)
         return;
       skip[skipped++] = ask;
@@ -591,7 +436,7 @@
   ask->heard_us = core->now_us;
   if (ask->alone && !message->alone)
     {
-      sched_unreserve (core, ask->request);
+      ca_choose_unreserve (core, ask->request);
       ask->alone = false;
     }
   sched_send_ack (core, front, ask->request,
@@ -688,7 +533,7 @@
 
   if (ask == NULL)
     return;
-  sched_unreserve (core, request);
+  ca_choose_unreserve (core, request);
   sched_free_ask (shard, ask);
 }
 
@@ -777,7 +622,7 @@
 
         if (ask->front == front)
           {
-            sched_unreserve (core, ask->request);
+            ca_choose_unreserve (core, ask->request);
             sched_free_ask (shard, ask);
           }
         ask = next;
@@ -811,7 +656,7 @@
 
   if (!silent && !late)
     return;
-  sched_unreserve (core, ask->request);
+  ca_choose_unreserve (core, ask->request);
   if (!silent)
     sched_send_reject (
         core, ask->front, ask->request, CA_ERROR_OVERLOADED,
@@ -871,7 +716,7 @@
                                 : sched_retry_us (core, CA_US_PER_S, 0);
 
         sched_send_reject (core, ask->front, ask->request, reason, retry_us);
-        sched_unreserve (core, ask->request);
+        ca_choose_unreserve (core, ask->request);
         sched_free_ask (shard, ask);
       }
   }
--- a/tests/world/callers.c
+++ b/tests/world/callers.c
@@ -4,10 +4,25 @@
 
 #include <stdlib.h>
 #include <string.h>
+#include <xxhash.h>
 
 #define COME_BACK_US (100 * CA_US_PER_MS)
 #define MOVES_MAX 20
 
+void
+world_token (uint64_t seed, uint32_t index, char text[16])
+{
+  uint64_t hash = XXH64 (&index, sizeof index, seed);
+
+  snprintf (text, 16, " %05x", (unsigned)(hash & 0xfffff));
+}
+
+uint64_t
+world_seed_of (const char *prompt, size_t bytes, const char *version)
+{
+  return XXH64 (prompt, bytes, XXH64 (version, strlen (version), 0));
+}
+
 world_ledger_t *
 world_ledger (world_t *world, const char *key)
 {
--- a/tests/world/world.c
+++ b/tests/world/world.c
@@ -257,6 +257,7 @@
   world_net_ports (ports);
   world_table_ports (ports);
   world_fleet_ports (ports);
+  world_cloud_ports (ports);
   world_caller_ports (ports);
 }
 
@@ -292,7 +293,7 @@
 static void
 world_poll (world_t *world, world_event_t *event)
 {
-  world_fleet_poll (world, event->entry);
+  world_cloud_poll (world, event->entry);
   world_post (world, 500 * CA_US_PER_MS, world_poll, event->entry);
 }
 
--- a/tests/world/world.h
+++ b/tests/world/world.h
@@ -280,15 +280,21 @@
 /* Connections to the endpoint that are open now carry nothing any more. */
 void world_silence (world_t *world, int index);
 void world_fleet_ports (ca_ports_t *ports);
-void world_fleet_poll (world_t *world, int index);
 void world_fleet_finish (world_t *world);
 
+/* --- cloud.c --- */
+
+void world_cloud_ports (ca_ports_t *ports);
+
+/* Tells an entry the list, the notices and the prices. */
+void world_cloud_poll (world_t *world, int index);
+
+/* --- callers.c --- */
+
 /* Text of a token. */
 void world_token (uint64_t seed, uint32_t index, char text[16]);
 uint64_t world_seed_of (const char *prompt, size_t bytes, const char *version);
 
-/* --- callers.c --- */
-
 world_request_t *world_request (world_t *world, const char *name, int entry,
                                 const char *workspace, const char *class_name,
                                 const char *key, const char *prompt,
