Prove whole answers against cut, crossed and early-ended streams

The stand-in engine can now write a line of another run and an end that counts wrong. Seen failing by mutation: with the adapter's check of the run's name taken out the crossed stream is torn, with the core's count of the end taken out the early end is delivered. As they stand: the whole answer, one run each. One constant stood in two files; it stands once.

--- a/packages/core/core.c
+++ b/packages/core/core.c
@@ -9,9 +9,6 @@
 #include <string.h>
 #include <xxhash.h>
 
-/* New requests add this much to the retry budget, up to its cap. */
-#define RETRY_BUDGET_CAP 20.0
-
 void
 ca_core_init (ca_core_t *core, const ca_core_options_t *options,
               const ca_ports_t *ports, uint64_t now_us, uint64_t wall_us)
@@ -26,7 +23,7 @@
   core->rng[2] = (unsigned short)options->peers.port;
   core->id = ca_address_id (&options->peers);
   core->incarnation = options->incarnation;
-  core->retry_tokens = RETRY_BUDGET_CAP;
+  core->retry_tokens = CA_RETRY_BUDGET_CAP;
   core->store.write_tokens = options->store_writes_per_s;
   core->store.refill_us = now_us;
   TAILQ_INIT (&core->local);
--- a/packages/core/private.h
+++ b/packages/core/private.h
@@ -137,6 +137,10 @@
 void ca_sched_leave (ca_core_t *core);
 
 /* --- request.c --- */
+
+/* Most runs after failures that may be saved up. */
+#define CA_RETRY_BUDGET_CAP 20.0
+
 void ca_request_finish_all (ca_core_t *core);
 void ca_request_tick (ca_core_t *core);
 ca_request_t *ca_request_find (const ca_core_t *core, uint64_t id);
--- a/packages/core/request.c
+++ b/packages/core/request.c
@@ -27,7 +27,6 @@
 /* A non-idempotent run is left to end, for its key, this long beyond the
  * caller's deadline. */
 #define OVERTIME_US (600 * CA_US_PER_S)
-#define RETRY_BUDGET_CAP 20.0
 #define RETRY_BUDGET_SHARE 0.1
 /* Part of the first-token target that may pass in the queue; the rest is for
  * the prompt and the way. */
@@ -596,7 +595,7 @@
   ca_core_begin (core, now_us);
   core->last_request_us = now_us;
   ca_counters_add (&core->counters, CA_COUNT_REQUESTS, 1);
-  if (core->retry_tokens < RETRY_BUDGET_CAP)
+  if (core->retry_tokens < CA_RETRY_BUDGET_CAP)
     core->retry_tokens += RETRY_BUDGET_SHARE;
   if (request_check (core, spec, &workspace, &class_row))
     {
--- a/packages/core/sched.c
+++ b/packages/core/sched.c
@@ -13,8 +13,8 @@
 /* A front repeats its ask every second; one silent for this long is gone. */
 #define ASK_SILENT_US (4 * CA_US_PER_S)
 
-/* A grant not named by its front for this long is dropped.  Fronts name all
- * they hold every HOLDS period (request.c). */
+/* A grant not named by its front for this long is dropped; fronts name all
+ * that they hold more often (holds.c). */
 #define GRANT_UNNAMED_US (10 * CA_US_PER_S)
 
 #define SERVICE_FIRST_US (100 * CA_US_PER_MS)
--- a/tests/standins/engine.c
+++ b/tests/standins/engine.c
@@ -583,6 +583,17 @@
   {
     if (json_is_true (json_object_get (body, "mute_streams")))
       run->muted = true;
+    if (json_is_true (json_object_get (body, "cross_streams"))
+        && run->out != NULL)
+      run_write (run, "{\"run\":\"another-1\",\"i\":%u,\"t\":\" zzzzz\"}\n",
+                 run->sent);
+    if (json_is_true (json_object_get (body, "end_streams_early"))
+        && run->out != NULL && run->state == RUN_RUNNING)
+      {
+        run_write (run, "{\"run\":\"%s\",\"done\":true,\"tokens\":%u}\n",
+                   run->name, run->made + 7);
+        run_end_stream (run);
+      }
     if (json_is_true (json_object_get (body, "cut_streams"))
         && run->out != NULL)
       {
