Halve the pushes of a revision; name held grants when the group changes

Cause: docs/CAPACITY.md reckoned 21 KB/s of control against 10: 9.6 for grants named every 3 s and 6.0 for intents pushed to four members. Change: grants are named every 10 s, and 2 s after a change of the group, which may have made a new owner; a revision is pushed to two members, the rest ask when they hear a peer that is ahead. A zone with a suspect entry is no longer said to be in force.

--- a/packages/core/holds.c
+++ b/packages/core/holds.c
@@ -4,6 +4,11 @@
 
 #include <stdlib.h>
 
+/* All that is held is named this often, and sooner after a change of the group,
+ * which may have made a new owner. */
+#define HOLDS_PERIOD_US (10 * CA_US_PER_S)
+#define HOLDS_CHANGED_US (2 * CA_US_PER_S)
+
 typedef struct
 {
   uint64_t owner;
@@ -60,8 +65,8 @@
   return owner == NULL ? request->owner : owner->id;
 }
 
-void
-ca_holds_send (ca_core_t *core)
+static void
+holds_send (ca_core_t *core)
 {
   ca_hold_t *holds = calloc (core->active + 1, sizeof *holds);
   ca_request_t *request;
@@ -89,3 +94,16 @@
     }
   free (holds);
 }
+
+void
+ca_holds_tick (ca_core_t *core)
+{
+  uint64_t period_us
+      = core->holds_epoch == core->epoch ? HOLDS_PERIOD_US : HOLDS_CHANGED_US;
+
+  if (core->now_us < core->holds_us + period_us)
+    return;
+  core->holds_us = core->now_us;
+  core->holds_epoch = core->epoch;
+  holds_send (core);
+}
--- a/packages/core/private.h
+++ b/packages/core/private.h
@@ -172,7 +172,7 @@
 void ca_request_reject (ca_core_t *core, const Camphor__Envelope *envelope);
 
 /* --- holds.c --- */
-void ca_holds_send (ca_core_t *core);
+void ca_holds_tick (ca_core_t *core);
 
 /* --- refusal.c --- */
 
--- a/packages/core/request.c
+++ b/packages/core/request.c
@@ -17,7 +17,6 @@
 
 /* An accepted request that no zone takes asks again after this. */
 #define ASK_AGAIN_US (200 * CA_US_PER_MS)
-#define HOLDS_PERIOD_US (3 * CA_US_PER_S)
 
 /* A caller that went away may come back this long for an idempotent
  * answer. */
@@ -708,9 +707,5 @@
 
   HASH_ITER (hh, core->requests, request, next)
   request_tick_one (core, request);
-  if (core->now_us >= core->holds_us)
-    {
-      core->holds_us = core->now_us + HOLDS_PERIOD_US;
-      ca_holds_send (core);
-    }
+  ca_holds_tick (core);
 }
--- a/packages/core/revision.c
+++ b/packages/core/revision.c
@@ -21,7 +21,7 @@
 #define WANT_PERIOD_US (200 * CA_US_PER_MS)
 
 /* Members that an entry passes a new revision on to. */
-#define DELTA_FANOUT 4
+#define DELTA_FANOUT 2
 
 /* --- Applying --- */
 
--- a/packages/core/sched.c
+++ b/packages/core/sched.c
@@ -15,7 +15,7 @@
 
 /* A grant not named by its front for this long is dropped; fronts name all
  * that they hold more often (holds.c). */
-#define GRANT_UNNAMED_US (10 * CA_US_PER_S)
+#define GRANT_UNNAMED_US (30 * CA_US_PER_S)
 
 #define SERVICE_FIRST_US (100 * CA_US_PER_MS)
 #define SERVICE_SMOOTHING 0.1
--- a/packages/core/state.h
+++ b/packages/core/state.h
@@ -472,7 +472,8 @@
   ca_endpoint_t *endpoints;
   uint64_t owned; /* endpoints that this instance owned at the last tick */
   TAILQ_HEAD (, ca_shard) shards;
-  uint64_t holds_us;
+  uint64_t holds_us;    /* when the grants held were named last */
+  uint64_t holds_epoch; /* of the group when they were named last */
   /* Requests. */
   ca_request_t *requests;
   uint32_t active;
--- a/packages/core/status.c
+++ b/packages/core/status.c
@@ -3,12 +3,14 @@
 
 #include <string.h>
 
+/* A zone with an entry that may live and is not heard is not in force yet. */
 static json_t *
 status_zone (const ca_core_t *core, const char *zone)
 {
   uint64_t lowest = UINT64_MAX;
   int live = 0;
   int unreachable = 0;
+  bool doubtful = false;
   ca_member_t *member;
   ca_member_t *next;
 
@@ -22,6 +24,7 @@
     if (member->state == CA_MEMBER_DEAD || member->state == CA_MEMBER_SUSPECT)
       {
         unreachable++;
+        doubtful |= member->state == CA_MEMBER_SUSPECT;
         continue;
       }
     live++;
@@ -33,7 +36,7 @@
                       "unreachable", unreachable, "in_force", 0);
   return json_pack ("{s:s, s:i, s:i, s:I, s:b}", "zone", zone, "entries", live,
                     "unreachable", unreachable, "revision", (json_int_t)lowest,
-                    "in_force", lowest >= core->config.revision);
+                    "in_force", !doubtful && lowest >= core->config.revision);
 }
 
 static void
