--- a/packages/core/member.c
+++ b/packages/core/member.c
@@ -601,7 +601,8 @@
   uint32_t low = (uint32_t)request;
   uint32_t skipped = 0;
 
-  if (ca_member_live_count (core, zone) <= 1)
+  /* An entry that leaves is not counted among the live ones itself. */
+  if (ca_member_live_count (core, zone) <= (core->leaving ? 0 : 1))
     {
       ca_member_t *member;
       ca_member_t *next;
