Keep commas out of the bench's labels; keys below the plots

Cause: labels with commas shifted the columns of bench.csv, so the report had no plot of the waves and a wrong one of the cost. Seen: each row has five fields, all plots have their bars.

--- a/tests/bench/cost.c
+++ b/tests/bench/cost.c
@@ -97,9 +97,9 @@
   cost_result_t cheap = cost_run (COST_CHEAPEST_FIRST, needed, percent);
   char variant[64];
 
-  snprintf (variant, sizeof variant, "%s, on demand", deployment);
+  snprintf (variant, sizeof variant, "%s to on demand", deployment);
   bench_row ("price an hour", variant, "units", mine.price, sure.price);
-  snprintf (variant, sizeof variant, "%s, cheapest", deployment);
+  snprintf (variant, sizeof variant, "%s to cheapest", deployment);
   bench_row ("price an hour", variant, "units", mine.price, cheap.price);
   bench_row ("hours below the need", variant, "share", mine.short_hours,
              cheap.short_hours);
--- a/tests/bench/measures.c
+++ b/tests/bench/measures.c
@@ -31,7 +31,7 @@
 
   for (uint32_t i = 0; i < lookups; i++)
     ca_member_owner (core, core->options.zone, "chat", i, 1);
-  bench_row ("owner lookup, two ranks", variant, "us",
+  bench_row ("owner lookup of two ranks", variant, "us",
              (double)(clock () - start) * 1e6 / CLOCKS_PER_SEC / lookups, 0);
 }
 
@@ -116,7 +116,7 @@
       core_ns += world->entries[i].core_ns;
       probes += (double)world->entries[i].core.counters.counts[CA_COUNT_PROBES];
     }
-  snprintf (variant, sizeof variant, "8 daemons, %d endpoints", endpoints);
+  snprintf (variant, sizeof variant, "8 daemons %d endpoints", endpoints);
   bench_row ("probes", variant, "/s/daemon", probes / 8 / (double)seconds, 0);
   bench_row ("probing processor", variant, "% of a core",
              (double)core_ns / 8 / (double)seconds / 1e7, 0);
@@ -522,7 +522,7 @@
   measure_fairness (patient, &patient_share, &patient_worst);
   bench_row ("flooding workspace's share", "its due is 0.5", "of tokens", share,
              0.8);
-  bench_row ("flooding workspace's share", "patient callers, due 0.5",
+  bench_row ("flooding workspace's share", "patient callers (due 0.5)",
              "of tokens", patient_share, 0.8);
   bench_row ("p99 first token under flood", "targets against none", "ms", worst,
              patient_worst);
@@ -636,14 +636,14 @@
   double migrated = measure_wave (WAVE_MIGRATE, &answered[1], &torn[1]);
   double recomputed = measure_wave (WAVE_RECOMPUTE, &answered[2], &torn[2]);
 
-  bench_row ("recomputed tokens, zone reclaimed", "moved with KV", "tokens",
-             migrated, none);
-  bench_row ("recomputed tokens, zone reclaimed", "moved without KV", "tokens",
+  bench_row ("recomputed tokens in a wave", "moved with KV", "tokens", migrated,
+             none);
+  bench_row ("recomputed tokens in a wave", "moved without KV", "tokens",
              recomputed, none);
-  bench_row ("answered, zone reclaimed", "moved with KV", "share", answered[1],
+  bench_row ("answered in a wave", "moved with KV", "share", answered[1],
              answered[0]);
-  bench_row ("streams torn, zone reclaimed", "moved with KV", "requests",
-             torn[1], torn[0]);
-  bench_row ("streams torn, zone reclaimed", "moved without KV", "requests",
-             torn[2], torn[0]);
+  bench_row ("streams torn in a wave", "moved with KV", "requests", torn[1],
+             torn[0]);
+  bench_row ("streams torn in a wave", "moved without KV", "requests", torn[2],
+             torn[0]);
 }
--- a/tools/report.sh
+++ b/tools/report.sh
@@ -9,7 +9,7 @@
   rows "$2" > "out/$1.tsv"
   [ -s "out/$1.tsv" ] || return 0
   gnuplot << G
-set terminal svg size 560,320 font "sans,11"
+set terminal svg size 560,360 font "sans,11"
 set output "out/$1.svg"
 set title "$2"
 set ylabel "$3"
@@ -17,6 +17,7 @@
 set style fill solid 0.8 border -1
 set boxwidth 0.8
 set grid ytics
+set key outside bottom center horizontal
 set yrange [0:*]
 set xtics rotate by -18
 plot "out/$1.tsv" using 2:xtic(1) title "this version" lc rgb "#2a6f97", \
@@ -26,7 +27,7 @@
 plot goodput "goodput of the possible" "share" "no targets"
 plot routing "prompt tokens computed" "tokens a request" "baseline"
 plot bytes "membership bytes" "bytes a second a daemon" "at 8 daemons"
-plot wave "recomputed tokens, zone reclaimed" "tokens" "not moved"
+plot wave "recomputed tokens in a wave" "tokens" "not moved"
 plot cost "price an hour" "units" "baseline"
 plot spread "revision in force everywhere" "s" "none"
 {
