--- a/tools/demo.sh
+++ b/tools/demo.sh
@@ -54,7 +54,9 @@
 show "pre-approval" "$(post 3 dealers pre-approval '' /v1/chat/completions '{"messages":[{"role":"user","content":"tractor, 60 months"}],"max_tokens":10}')"
 show "pre-approval, streamed, by another zone" "$(post 1 dealers pre-approval '' /v1/chat/completions '{"messages":[{"role":"user","content":"tractor, 60 months"}],"max_tokens":10,"stream":true}' | stream_summary)"
 show "dossier review" "$(post 3 banca-lodi dossier-review dossier-9 /v1/completions '{"prompt":"dossier 9","max_tokens":40}')"
+show "dossier review, streamed" "$(post 3 banca-lodi dossier-review dossier-10 /v1/completions '{"prompt":"dossier 10","max_tokens":40,"stream":true}' | stream_summary)"
 show "repayment summary" "$(post 3 banca-cremona repayment-summary '' /v1/completions '{"prompt":"plan 77","max_tokens":10}')"
+show "repayment summary, streamed" "$(post 3 banca-cremona repayment-summary '' /v1/completions '{"prompt":"plan 77","max_tokens":10,"stream":true}' | stream_summary)"
 show "status ping" "$(post 3 banca-mantova status-ping '' /services/loan-service/status '{"loan":7}')"
 show "a refusal" "$(post 3 banca-mantova dossier-review '' /v1/completions '{"prompt":"x"}')"
 
