--- a/packages/adapters/platform.c
+++ b/packages/adapters/platform.c
@@ -10,7 +10,7 @@
 #define ROWS_MAX 4096
 #define VMS_MAX 20000
 
-/* One table call that waits for its answer. */
+/* One call that waits for its answer. */
 typedef struct
 {
   ca_platform_t *platform;
@@ -83,10 +83,10 @@
   free (call);
 }
 
-/* Takes the reference to `body`. */
+/* Posts a call; takes the reference to `body`. */
 static void
-platform_table_call (ca_platform_t *platform, uint64_t number, bool write,
-                     const char *path, json_t *body)
+platform_post (ca_platform_t *platform, uint64_t number, bool write,
+               const char *path, json_t *body, ca_http_done_t done)
 {
   ca_platform_call_t *call = calloc (1, sizeof *call);
   char *text = json_dumps (body, JSON_COMPACT);
@@ -102,7 +102,7 @@
   request.body = text;
   request.body_bytes = strlen (text);
   request.timeout_ms = platform->timeout_ms;
-  request.on_done = platform_table_done;
+  request.on_done = done;
   request.on_drop = free;
   request.context = call;
   ca_http_call_start (platform->http, &request);
@@ -113,15 +113,15 @@
 void
 ca_platform_read (ca_platform_t *platform, uint64_t call, const char *key)
 {
-  platform_table_call (platform, call, false, "/v1/table/read",
-                       json_pack ("{s:s}", "key", key));
+  platform_post (platform, call, false, "/v1/table/read",
+                 json_pack ("{s:s}", "key", key), platform_table_done);
 }
 
 void
 ca_platform_scan (ca_platform_t *platform, uint64_t call, const char *prefix)
 {
-  platform_table_call (platform, call, false, "/v1/table/scan",
-                       json_pack ("{s:s}", "prefix", prefix));
+  platform_post (platform, call, false, "/v1/table/scan",
+                 json_pack ("{s:s}", "prefix", prefix), platform_table_done);
 }
 
 void
@@ -141,8 +141,8 @@
         json_object_set_new (op, "value", json_string (ops[i].value));
       json_array_append_new (list, op);
     }
-  platform_table_call (platform, call, true, "/v1/table/write",
-                       json_pack ("{s:o}", "ops", list));
+  platform_post (platform, call, true, "/v1/table/write",
+                 json_pack ("{s:o}", "ops", list), platform_table_done);
 }
 
 /* --- VM list and notices --- */
@@ -312,34 +312,17 @@
                    bool start, const char *zone, const char *pool,
                    bool reclaimable, const ca_address_t *address, uint64_t boot)
 {
-  ca_platform_call_t *call = calloc (1, sizeof *call);
   char at[CA_ADDRESS_BYTES];
-  ca_http_request_t request;
-  json_t *body;
-  char *text;
 
   ca_address_print (address, at);
-  body = json_pack ("{s:s, s:I, s:I, s:s, s:s, s:b, s:s, s:I}", "order",
-                    start ? "start" : "stop", "number", (json_int_t)number,
-                    "fence", (json_int_t)fence, "zone", zone, "pool", pool,
-                    "reclaimable", reclaimable, "address", at, "boot",
-                    (json_int_t)boot);
-  text = json_dumps (body, JSON_COMPACT);
-  call->platform = platform;
-  call->call = number;
-  memset (&request, 0, sizeof request);
-  request.address = platform->address;
-  request.method = EVHTTP_REQ_POST;
-  request.path = "/v1/vms";
-  request.body = text;
-  request.body_bytes = strlen (text);
-  request.timeout_ms = platform->timeout_ms;
-  request.on_done = platform_order_done;
-  request.on_drop = free;
-  request.context = call;
-  ca_http_call_start (platform->http, &request);
-  free (text);
-  json_decref (body);
+  platform_post (platform, number, true, "/v1/vms",
+                 json_pack ("{s:s, s:I, s:I, s:s, s:s, s:b, s:s, s:I}", "order",
+                            start ? "start" : "stop", "number",
+                            (json_int_t)number, "fence", (json_int_t)fence,
+                            "zone", zone, "pool", pool, "reclaimable",
+                            reclaimable, "address", at, "boot",
+                            (json_int_t)boot),
+                 platform_order_done);
 }
 
 static void
--- a/packages/core/holds.c
+++ b/packages/core/holds.c
@@ -50,9 +50,8 @@
   free (endpoints);
 }
 
-/* The present owner of the shard of the endpoint that runs the request. */
-static uint64_t
-holds_owner (const ca_core_t *core, const ca_request_t *request)
+uint64_t
+ca_holds_owner (const ca_core_t *core, const ca_request_t *request)
 {
   const ca_endpoint_t *endpoint
       = ca_endpoint_find (core, request->leg.endpoint);
@@ -79,7 +78,7 @@
     if (request->phase != CA_PHASE_RUNNING
         && request->phase != CA_PHASE_STOPPING)
       continue;
-    holds[count].owner = holds_owner (core, request);
+    holds[count].owner = ca_holds_owner (core, request);
     holds[count].request = request->id;
     holds[count].endpoint = request->leg.endpoint;
     count++;
--- a/packages/core/private.h
+++ b/packages/core/private.h
@@ -172,6 +172,10 @@
 void ca_request_reject (ca_core_t *core, const Camphor__Envelope *envelope);
 
 /* --- holds.c --- */
+
+/* The present owner of the shard of the endpoint that runs the request; the
+ * one that granted it if that cannot be told. */
+uint64_t ca_holds_owner (const ca_core_t *core, const ca_request_t *request);
 void ca_holds_tick (ca_core_t *core);
 
 /* --- refusal.c --- */
--- a/packages/core/request.c
+++ b/packages/core/request.c
@@ -627,6 +627,16 @@
 
 /* --- Time --- */
 
+/* Takes back what was asked of an owner or begun at an endpoint. */
+static void
+request_withdraw (ca_core_t *core, ca_request_t *request)
+{
+  if (request->phase == CA_PHASE_RUNNING || request->phase == CA_PHASE_STOPPING)
+    ca_run_cancel (core, request);
+  else if (request->phase == CA_PHASE_ASKING && request->owner != 0)
+    request_return_grant (core, request->id, request->owner, 0);
+}
+
 /* The caller's time is up: it is told so at once.  What may not run twice is
  * left to end, so that its key has an answer. */
 static void
@@ -645,10 +655,7 @@
       if (core->now_us < request->deadline_us + OVERTIME_US)
         return;
     }
-  if (request->phase == CA_PHASE_RUNNING || request->phase == CA_PHASE_STOPPING)
-    ca_run_cancel (core, request);
-  else if (request->phase == CA_PHASE_ASKING && request->owner != 0)
-    request_return_grant (core, request->id, request->owner, 0);
+  request_withdraw (core, request);
   ca_request_refuse (core, request, CA_ERROR_DEADLINE, CA_US_PER_S, "%s",
                      ca_error_info (CA_ERROR_DEADLINE)->remedy);
 }
@@ -657,10 +664,7 @@
 static void
 request_abandon (ca_core_t *core, ca_request_t *request)
 {
-  if (request->phase == CA_PHASE_RUNNING || request->phase == CA_PHASE_STOPPING)
-    ca_run_cancel (core, request);
-  else if (request->phase == CA_PHASE_ASKING && request->owner != 0)
-    request_return_grant (core, request->id, request->owner, 0);
+  request_withdraw (core, request);
   ca_request_refuse (core, request, CA_ERROR_DEADLINE, 0,
                      "the caller went away");
 }
--- a/packages/core/run.c
+++ b/packages/core/run.c
@@ -100,6 +100,7 @@
 ca_run_release (ca_core_t *core, ca_request_t *request, bool failed)
 {
   const ca_member_t *owner = ca_member_find (core, request->owner);
+  uint64_t to = request->owner;
   Camphor__Envelope envelope;
   Camphor__Release release = CAMPHOR__RELEASE__INIT;
 
@@ -112,16 +113,10 @@
   ca_envelope_init (core, &envelope);
   envelope.body_case = CAMPHOR__ENVELOPE__BODY_RELEASE;
   envelope.release = &release;
+  /* Its granter may be gone: then whoever owns the shard now. */
   if (owner != NULL && owner->state != CA_MEMBER_ALIVE)
-    {
-      const ca_endpoint_t *endpoint
-          = ca_endpoint_find (core, request->leg.endpoint);
-
-      if (endpoint != NULL)
-        owner = ca_member_owner (core, endpoint->zone, endpoint->pool,
-                                 ca_endpoint_shard (core, endpoint), 0);
-    }
-  ca_peer_send (core, owner == NULL ? request->owner : owner->id, &envelope);
+    to = ca_holds_owner (core, request);
+  ca_peer_send (core, to, &envelope);
 }
 
 void
--- a/packages/core/sched.c
+++ b/packages/core/sched.c
@@ -753,12 +753,13 @@
 
   TAILQ_FOREACH (shard, &core->shards, entries)
   {
-    bool any;
+    bool any = true;
 
     sched_expire_asks (core, shard);
-    sched_slots (core, shard, &any);
+    if (shard->queued > 0)
+      sched_slots (core, shard, &any);
     /* All its endpoints went: other zones may have some. */
-    if (!any && shard->queued > 0)
+    if (!any)
       sched_reject_all (core, shard, CA_ERROR_NO_ENDPOINT);
     sched_expire_grants (core, shard);
     if (shard->queued > 0)
