Add an HTTP server and client that tell failed exchanges apart

Cause: on the users' platform a rule hangs on whether a byte of a request left, whether an answer ended by an orderly close or by a reset, and whose answer came. evhttp reports the last two alike. Ruled out: evhttp for these two sides (docs/design/0012-platform.md). Change: http_parser, a parser library of Debian's, on bufferevents: whole requests in, answers in pieces out; kept connections with the server's own idle time; answers to earlier calls are read past.

--- /dev/null
+++ b/packages/http/reader.c
@@ -0,0 +1,194 @@
+/* Parser callbacks that collect a head and pass the body on. */
+#include "http/reader.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+static void
+reader_append (char **text, size_t *used, const char *bytes, size_t count)
+{
+  *text = realloc (*text, *used + count + 1);
+  memcpy (*text + *used, bytes, count);
+  *used += count;
+  (*text)[*used] = '\0';
+}
+
+/* False once the head is larger than allowed. */
+static bool
+reader_count_head (ca_http_reader_t *reader, size_t count)
+{
+  reader->head_bytes += (uint32_t)count;
+  if (reader->head_bytes <= reader->max_head_bytes)
+    return true;
+  reader->too_large = true;
+  return false;
+}
+
+static int
+reader_on_target (http_parser *parser, const char *bytes, size_t count)
+{
+  ca_http_reader_t *reader = parser->data;
+
+  if (!reader_count_head (reader, count))
+    return 1;
+  reader_append (&reader->head.target, &reader->target_bytes, bytes, count);
+  return 0;
+}
+
+static void
+reader_end_field (ca_http_reader_t *reader)
+{
+  if (reader->name == NULL)
+    return;
+  ca_headers_add (&reader->head.headers, reader->name,
+                  reader->value == NULL ? "" : reader->value);
+  free (reader->name);
+  free (reader->value);
+  reader->name = NULL;
+  reader->value = NULL;
+  reader->name_bytes = 0;
+  reader->value_bytes = 0;
+}
+
+static int
+reader_on_name (http_parser *parser, const char *bytes, size_t count)
+{
+  ca_http_reader_t *reader = parser->data;
+
+  if (!reader_count_head (reader, count))
+    return 1;
+  if (reader->value != NULL)
+    reader_end_field (reader);
+  reader_append (&reader->name, &reader->name_bytes, bytes, count);
+  return 0;
+}
+
+static int
+reader_on_value (http_parser *parser, const char *bytes, size_t count)
+{
+  ca_http_reader_t *reader = parser->data;
+
+  if (!reader_count_head (reader, count))
+    return 1;
+  reader_append (&reader->value, &reader->value_bytes, bytes, count);
+  return 0;
+}
+
+static int
+reader_on_head (http_parser *parser)
+{
+  ca_http_reader_t *reader = parser->data;
+  ca_http_head_t *head = &reader->head;
+
+  reader_end_field (reader);
+  head->method = http_method_str ((enum http_method)parser->method);
+  head->status = parser->status_code;
+  head->keep_alive = http_should_keep_alive (parser) != 0;
+  head->framed = (parser->flags & F_CHUNKED) != 0
+                 || (parser->flags & F_CONTENTLENGTH) != 0;
+  reader->head_done = true;
+  if (reader->on_head != NULL)
+    reader->on_head (reader->context);
+  return reader->to_head ? 1 : 0;
+}
+
+static int
+reader_on_body (http_parser *parser, const char *bytes, size_t count)
+{
+  ca_http_reader_t *reader = parser->data;
+
+  if (reader->on_body != NULL)
+    reader->on_body (reader->context, bytes, count);
+  return 0;
+}
+
+static int
+reader_on_end (http_parser *parser)
+{
+  ca_http_reader_t *reader = parser->data;
+
+  reader->message_done = true;
+  http_parser_pause (parser, 1);
+  return 0;
+}
+
+static const http_parser_settings reader_settings = {
+  .on_url = reader_on_target,
+  .on_header_field = reader_on_name,
+  .on_header_value = reader_on_value,
+  .on_headers_complete = reader_on_head,
+  .on_body = reader_on_body,
+  .on_message_complete = reader_on_end,
+};
+
+static void
+reader_clear (ca_http_reader_t *reader)
+{
+  reader_end_field (reader);
+  free (reader->head.target);
+  ca_headers_finish (&reader->head.headers);
+  memset (&reader->head, 0, sizeof reader->head);
+  reader->target_bytes = 0;
+  reader->head_bytes = 0;
+  reader->to_head = false;
+  reader->begun = false;
+  reader->head_done = false;
+  reader->message_done = false;
+  reader->too_large = false;
+}
+
+void
+ca_http_reader_init (ca_http_reader_t *reader, bool answers,
+                     uint32_t max_head_bytes)
+{
+  memset (reader, 0, sizeof *reader);
+  reader->answers = answers;
+  reader->max_head_bytes = max_head_bytes;
+  ca_http_reader_next (reader);
+}
+
+void
+ca_http_reader_finish (ca_http_reader_t *reader)
+{
+  reader_clear (reader);
+}
+
+void
+ca_http_reader_next (ca_http_reader_t *reader)
+{
+  reader_clear (reader);
+  http_parser_init (&reader->parser,
+                    reader->answers ? HTTP_RESPONSE : HTTP_REQUEST);
+  reader->parser.data = reader;
+}
+
+ca_read_t
+ca_http_reader_feed (ca_http_reader_t *reader, struct evbuffer *input)
+{
+  size_t bytes;
+
+  while ((bytes = evbuffer_get_contiguous_space (input)) > 0)
+    {
+      const char *data = (const char *)evbuffer_pullup (input, (ssize_t)bytes);
+      size_t used = http_parser_execute (&reader->parser, &reader_settings,
+                                         data, bytes);
+
+      reader->begun = true;
+      evbuffer_drain (input, used);
+      if (reader->message_done && !reader->parser.upgrade)
+        return CA_READ_MESSAGE;
+      if (used < bytes || HTTP_PARSER_ERRNO (&reader->parser) != HPE_OK
+          || reader->parser.upgrade)
+        return CA_READ_BROKEN;
+    }
+  return CA_READ_MORE;
+}
+
+bool
+ca_http_reader_eof (ca_http_reader_t *reader)
+{
+  if (!reader->head_done)
+    return false;
+  http_parser_execute (&reader->parser, &reader_settings, NULL, 0);
+  return reader->message_done;
+}
--- /dev/null
+++ b/packages/http/server.h
@@ -0,0 +1,88 @@
+/* HTTP/1.1 server: one request at a time on a connection, read whole, and
+ * answered at once or piece by piece.
+ *
+ * A connection frees itself and its request; a handler keeps only the pointer
+ * and gives it up when it has ended the answer or was told on_gone. */
+#ifndef CA_HTTP_SERVER_H
+#define CA_HTTP_SERVER_H
+
+#include "base/error.h"
+#include "base/settings.h"
+#include "http/reader.h"
+
+#include <event2/event.h>
+#include <sys/queue.h>
+
+struct ca_http_peer;
+
+/* Bounds on what a client may send, and on how long it may take. */
+typedef struct
+{
+  uint32_t head_bytes;
+  uint32_t body_bytes;
+  uint32_t head_ms; /* from the first byte of a head to its end */
+  uint32_t idle_ms; /* without a byte between requests or within a body */
+} ca_http_limits_t;
+
+/* One request; the fields are valid until its answer has ended. */
+typedef struct
+{
+  const ca_http_head_t *head;
+  struct evbuffer *body;
+  void *handler; /* the handler's own */
+} ca_http_inbound_t;
+
+typedef struct
+{
+  /* A request was read whole. */
+  void (*on_request) (void *context, ca_http_inbound_t *request);
+  /* The client closed its connection before its answer had ended. */
+  void (*on_gone) (void *context, ca_http_inbound_t *request);
+  void *context;
+} ca_http_handler_t;
+
+typedef struct ca_http_server
+{
+  struct event_base *base; /* not owned */
+  ca_http_handler_t handler;
+  ca_http_limits_t limits;
+  struct evconnlistener *listener;
+  bool closing; /* answers ask the client to close */
+  uint32_t open;
+  TAILQ_HEAD (, ca_http_peer) peers;
+} ca_http_server_t;
+
+/* Listens; false and an error if the address cannot be had.  The limits may be
+ * changed at any time. */
+bool ca_http_server_init (ca_http_server_t *server, struct event_base *base,
+                          const ca_address_t *listen,
+                          const ca_http_handler_t *handler,
+                          const ca_http_limits_t *limits, ca_error_t *error);
+void ca_http_server_finish (ca_http_server_t *server);
+
+/* From now on answers say that the connection closes after them. */
+void ca_http_server_close_soon (ca_http_server_t *server);
+
+/* Closes the connections on which no request waits and no byte has come. */
+void ca_http_server_close_idle (ca_http_server_t *server);
+
+/* Whole answer.  Fields that frame the message are added here. */
+void ca_http_answer (ca_http_inbound_t *request, uint32_t status,
+                     const ca_headers_t *headers, const void *body,
+                     size_t bytes);
+
+/* Answer in pieces: head, any number of pieces, end. */
+void ca_http_answer_begin (ca_http_inbound_t *request, uint32_t status,
+                           const ca_headers_t *headers);
+void ca_http_answer_piece (ca_http_inbound_t *request, const void *bytes,
+                           size_t count);
+void ca_http_answer_end (ca_http_inbound_t *request);
+
+/* Resets the connection, so that nothing sent looks complete. */
+void ca_http_answer_break (ca_http_inbound_t *request);
+
+/* Opens or closes reading at the client's side of the flow: true while more
+ * than the bound waits to be sent. */
+bool ca_http_answer_is_congested (const ca_http_inbound_t *request);
+
+#endif
