--- /dev/null
+++ b/packages/gateway/bucket.c
@@ -0,0 +1,76 @@
+/* Token bucket. */
+#include "gateway/bucket.h"
+
+#define BUCKET_US_PER_S 1e6
+#define BUCKET_WAIT_MOST_US UINT64_C (60000000)
+
+static void
+bucket_fill (ca_bucket_t *bucket, uint64_t now_us)
+{
+  if (now_us <= bucket->filled_us)
+    return;
+  bucket->level += (double)(now_us - bucket->filled_us) * bucket->rate_per_s
+                   / BUCKET_US_PER_S;
+  if (bucket->level > bucket->depth)
+    bucket->level = bucket->depth;
+  bucket->filled_us = now_us;
+}
+
+void
+ca_bucket_init (ca_bucket_t *bucket, uint64_t now_us, double rate_per_s,
+                double depth)
+{
+  bucket->rate_per_s = rate_per_s;
+  bucket->depth = depth;
+  bucket->level = depth;
+  bucket->filled_us = now_us;
+}
+
+void
+ca_bucket_set (ca_bucket_t *bucket, uint64_t now_us, double rate_per_s,
+               double depth)
+{
+  bucket_fill (bucket, now_us);
+  if (bucket->depth > 0)
+    bucket->level *= depth / bucket->depth;
+  bucket->rate_per_s = rate_per_s;
+  bucket->depth = depth;
+}
+
+static double
+bucket_threshold (const ca_bucket_t *bucket, double amount)
+{
+  return amount < bucket->depth ? amount : bucket->depth;
+}
+
+bool
+ca_bucket_take (ca_bucket_t *bucket, uint64_t now_us, double amount)
+{
+  bucket_fill (bucket, now_us);
+  if (bucket->level < bucket_threshold (bucket, amount))
+    return false;
+  bucket->level -= amount;
+  return true;
+}
+
+void
+ca_bucket_return (ca_bucket_t *bucket, double amount)
+{
+  bucket->level += amount;
+  if (bucket->level > bucket->depth)
+    bucket->level = bucket->depth;
+}
+
+uint64_t
+ca_bucket_wait_us (const ca_bucket_t *bucket, double amount)
+{
+  double missing = bucket_threshold (bucket, amount) - bucket->level;
+
+  if (missing <= 0)
+    return 0;
+  if (bucket->rate_per_s <= 0)
+    return BUCKET_WAIT_MOST_US;
+  missing = missing / bucket->rate_per_s * BUCKET_US_PER_S;
+  return missing > (double)BUCKET_WAIT_MOST_US ? BUCKET_WAIT_MOST_US
+                                               : (uint64_t)missing;
+}
--- /dev/null
+++ b/packages/gateway/exchange.c
@@ -0,0 +1,727 @@
+/* Life of a request: admission, attempts, and the one final answer.
+ *
+ * What may follow a failed attempt is decided in one place, exchange_retry:
+ * a request that may run once is sent again only if no byte of it was sent or
+ * the endpoint itself says that it did not run it. */
+#include "gateway/private.h"
+
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* A keyed request is refused this long before the bound of revocation: the
+ * way from the caller, and the run of what was admitted last. */
+#define STALE_MARGIN_US (600 * CA_US_PER_MS)
+
+/* Without proof for this long, an unknown route or key may simply be new. */
+#define DOUBT_US (3 * CA_US_PER_S)
+
+/* Connections that could not be made, and rejections, before a request is
+ * refused. */
+#define MISSES_MAX 4
+#define REJECTED_MAX 3
+
+/* An endpoint without room is left alone for this. */
+#define FULL_US (60 * CA_US_PER_MS)
+
+/* An attempt with less time left than this is not worth its send. */
+#define ATTEMPT_LEAST_US (40 * CA_US_PER_MS)
+
+/* Longest wait for an endpoint, as a part of the latency objective, and for
+ * a stream that is to go on. */
+#define WAIT_SHARE 0.5
+#define RESUME_WAIT_US (1500 * CA_US_PER_MS)
+
+/* A first event predicted later than this part of the objective counts as
+ * overload. */
+#define OVERLOAD_SHARE 0.85
+
+/* Times to return: for a configuration or an endpoint to come, and the least
+ * and most for room. */
+#define RETRY_SOON_US (500 * CA_US_PER_MS)
+#define RETRY_LEAST_US (150 * CA_US_PER_MS)
+#define RETRY_MOST_US (2 * CA_US_PER_S)
+#define RETRY_NEVER_US (30 * CA_US_PER_S)
+
+/* Urgency told to engines: the routes' ranks from here on. */
+#define URGENCY_FIRST 3
+#define URGENCY_MOST 9
+
+/* --- Ends --- */
+
+static void
+exchange_free (ca_gateway_t *gateway, ca_exchange_t *exchange)
+{
+  if (gateway->admitting == exchange)
+    gateway->admitting = NULL;
+  TAILQ_REMOVE (&gateway->exchanges, exchange, entries);
+  gateway->open--;
+  ca_catalog_unref (exchange->catalog);
+  free (exchange);
+}
+
+/* Counts the exchange out of its endpoint. */
+static void
+exchange_leave_seat (ca_gateway_t *gateway, ca_exchange_t *exchange)
+{
+  ca_seat_t *seat = exchange->seat;
+  ca_service_stats_t *stats;
+
+  if (seat == NULL)
+    return;
+  stats = ca_service_stats (gateway, exchange->service->name);
+  stats->held_tokens -= exchange->held_tokens;
+  seat->own.open--;
+  seat->own.unread_tokens -= exchange->unread_tokens;
+  seat->own.held_tokens -= exchange->held_tokens;
+  exchange->unread_tokens = 0;
+  exchange->held_tokens = 0;
+  exchange->seat = NULL;
+  ca_seat_release (&gateway->roster, seat);
+}
+
+static uint64_t
+exchange_age_ms (const ca_gateway_t *gateway, const ca_exchange_t *exchange)
+{
+  return (gateway->now_us - exchange->accepted_us) / CA_US_PER_MS;
+}
+
+typedef struct
+{
+  ca_event_number_t event;
+  const char *reason;
+} exchange_refusal_t;
+
+static const exchange_refusal_t exchange_refusals[CA_REFUSE_KINDS] = {
+  [CA_REFUSE_NO_CONFIGURATION]
+  = { CA_EVENT_REQUEST_REFUSED, "no configuration known" },
+  [CA_REFUSE_STALE] = { CA_EVENT_REQUEST_REFUSED, "keys too old" },
+  [CA_REFUSE_NO_ROUTE] = { CA_EVENT_REQUEST_REFUSED, "no route" },
+  [CA_REFUSE_NO_KEY] = { CA_EVENT_REQUEST_REFUSED, "unknown key" },
+  [CA_REFUSE_QUOTA] = { CA_EVENT_REQUEST_REFUSED, "quota" },
+  [CA_REFUSE_QUARANTINED] = { CA_EVENT_REQUEST_REFUSED, "quarantined" },
+  [CA_REFUSE_NO_ENDPOINT] = { CA_EVENT_REQUEST_REFUSED, "no endpoint" },
+  [CA_REFUSE_OVERLOADED] = { CA_EVENT_REQUEST_REFUSED, "overloaded" },
+  [CA_REFUSE_EXPIRED] = { CA_EVENT_REQUEST_REFUSED, "out of time, not run" },
+  [CA_REFUSE_LOST] = { CA_EVENT_ATTEMPT_FAILED, "may have run; answer lost" },
+  [CA_REFUSE_TIMEOUT] = { CA_EVENT_ATTEMPT_SILENT, "running at its deadline" },
+};
+
+/* Ends the exchange with an answer of our own. */
+static void
+exchange_refuse (ca_gateway_t *gateway, ca_exchange_t *exchange,
+                 ca_refuse_t reason, uint64_t retry_after_us)
+{
+  if (exchange->runs > 0 && reason != CA_REFUSE_TIMEOUT)
+    reason = CA_REFUSE_LOST;
+  if (exchange->workspace != NULL && exchange->runs == 0
+      && reason != CA_REFUSE_QUOTA && exchange->cost > 0)
+    ca_quota_return (gateway, exchange->workspace, exchange->cost);
+  ca_counters_add (&gateway->counters, CA_COUNT_REFUSED, 1);
+  ca_gateway_note (
+      gateway, exchange_refusals[reason].event, exchange->id,
+      exchange->workspace == NULL ? NULL : exchange->workspace->name,
+      "%s; route %s, version %" PRIu64 ", age %" PRIu64
+      " ms, sends %u, rejected %u, unreachable %u, retry after "
+      "%" PRIu64 " ms",
+      exchange_refusals[reason].reason,
+      exchange->route == NULL ? "-" : exchange->route->name,
+      exchange->catalog == NULL ? 0 : exchange->catalog->version,
+      exchange_age_ms (gateway, exchange), exchange->sends, exchange->rejected,
+      exchange->misses, retry_after_us / CA_US_PER_MS);
+  exchange_leave_seat (gateway, exchange);
+  gateway->ports.refuse (gateway->ports.context, exchange, reason,
+                         retry_after_us);
+  exchange_free (gateway, exchange);
+}
+
+static void
+exchange_break (ca_gateway_t *gateway, ca_exchange_t *exchange, const char *why)
+{
+  ca_gateway_note (gateway, CA_EVENT_ATTEMPT_STOPPED, exchange->id,
+                   exchange->seat == NULL ? NULL : exchange->seat->id,
+                   "%s after event %" PRIu64 "; the answer ends unfinished",
+                   why, exchange->last_event);
+  exchange_leave_seat (gateway, exchange);
+  gateway->ports.break_off (gateway->ports.context, exchange);
+  exchange_free (gateway, exchange);
+}
+
+static void
+exchange_answered (ca_gateway_t *gateway, ca_exchange_t *exchange)
+{
+  ca_counters_add (&gateway->counters, CA_COUNT_ANSWERED, 1);
+  ca_counters_observe (&gateway->counters, CA_LATENCY_WHOLE_ANSWER,
+                       gateway->now_us - exchange->accepted_us);
+  ca_gateway_note (gateway, CA_EVENT_REQUEST_ANSWERED, exchange->id,
+                   exchange->seat->id,
+                   "status %u after %" PRIu64 " ms, sends %u, route %s",
+                   exchange->facts.status, exchange_age_ms (gateway, exchange),
+                   exchange->sends, exchange->route->name);
+}
+
+/* --- Attempts --- */
+
+static bool
+exchange_is_repeatable (const ca_exchange_t *exchange)
+{
+  return exchange->route->kind == CA_ROUTE_IDEMPOTENT
+         || (exchange->route->kind == CA_ROUTE_STREAMING
+             && exchange->route->resumable);
+}
+
+static uint32_t
+exchange_urgency (const ca_exchange_t *exchange)
+{
+  uint32_t rank = exchange->route->priority;
+
+  if (exchange->workspace != NULL && exchange->workspace->has_priority)
+    rank += exchange->workspace->priority;
+  rank += URGENCY_FIRST;
+  return rank > URGENCY_MOST ? URGENCY_MOST : rank;
+}
+
+static void
+exchange_send (ca_gateway_t *gateway, ca_exchange_t *exchange,
+               const ca_place_t *place)
+{
+  ca_seat_t *seat = place->seat;
+  ca_service_stats_t *stats
+      = ca_service_stats (gateway, exchange->service->name);
+  ca_attempt_t attempt;
+
+  exchange->seat = seat;
+  exchange->phase = CA_EXCHANGE_SENT;
+  exchange->phase_us = gateway->now_us;
+  exchange->sent_us = gateway->now_us;
+  exchange->lone = place->lone;
+  exchange->missing_tokens = place->missing_tokens;
+  exchange->unread_tokens = place->missing_tokens;
+  exchange->held_tokens
+      = exchange->prompt.tokens + exchange->prompt.output_tokens;
+  memset (&exchange->facts, 0, sizeof exchange->facts);
+  ca_seat_hold (seat);
+  seat->own.open++;
+  seat->own.unread_tokens += exchange->unread_tokens;
+  seat->own.held_tokens += exchange->held_tokens;
+  stats->held_tokens += exchange->held_tokens;
+  if (exchange->service->is_engine)
+    ca_affinity_note (seat, gateway->now_us, &exchange->prompt,
+                      exchange->service->cache_tokens / 2);
+  attempt.left_ms
+      = (uint32_t)((exchange->deadline_us - gateway->now_us) / CA_US_PER_MS);
+  attempt.urgency = exchange_urgency (exchange);
+  attempt.resumes = exchange->has_event;
+  attempt.last_event = exchange->last_event;
+  ca_counters_add (&gateway->counters, CA_COUNT_ATTEMPTS, 1);
+  ca_gateway_note (gateway, CA_EVENT_REQUEST_DISPATCHED, exchange->id, seat->id,
+                   "send %u, first event predicted in %" PRIu64
+                   " ms, %u of %u tokens to read, open there %u and %u",
+                   exchange->sends + 1, place->predicted_us / CA_US_PER_MS,
+                   place->missing_tokens, exchange->prompt.tokens,
+                   seat->own.open, seat->peers.open);
+  gateway->ports.attempt (gateway->ports.context, exchange, &attempt);
+}
+
+/* Time that the request may wait for an endpoint. */
+static uint64_t
+exchange_wait_until_us (const ca_exchange_t *exchange)
+{
+  uint64_t until_us;
+
+  if (exchange->head_sent)
+    until_us = exchange->phase_us + RESUME_WAIT_US;
+  else
+    until_us
+        = exchange->accepted_us
+          + (uint64_t)(exchange->route->target_ms * CA_US_PER_MS * WAIT_SHARE);
+  return until_us < exchange->deadline_us ? until_us : exchange->deadline_us;
+}
+
+static void
+exchange_give_up (ca_gateway_t *gateway, ca_exchange_t *exchange,
+                  ca_refuse_t reason, uint64_t retry_after_us)
+{
+  if (exchange->head_sent)
+    exchange_break (gateway, exchange, "no endpoint to go on at");
+  else
+    exchange_refuse (gateway, exchange, reason, retry_after_us);
+}
+
+static bool
+exchange_is_overloaded (const ca_exchange_t *exchange, const ca_place_t *place,
+                        uint64_t now_us)
+{
+  uint64_t at_us = now_us + place->predicted_us;
+
+  return exchange->service->is_engine && exchange->sends == 0
+         && at_us > exchange->accepted_us
+                        + (uint64_t)(exchange->route->target_ms * CA_US_PER_MS
+                                     * OVERLOAD_SHARE)
+         && place->predicted_us > 0 && !place->lone;
+}
+
+static uint64_t
+exchange_retry_after_us (const ca_exchange_t *exchange, const ca_place_t *place)
+{
+  uint64_t target_us = exchange->route->target_ms * CA_US_PER_MS / 2;
+  uint64_t wait_us
+      = place->predicted_us > target_us ? place->predicted_us - target_us : 0;
+
+  if (wait_us < RETRY_LEAST_US)
+    return RETRY_LEAST_US;
+  return wait_us > RETRY_MOST_US ? RETRY_MOST_US : wait_us;
+}
+
+/* Sends the request to the best endpoint, waits for one, or gives up. */
+static void
+exchange_place (ca_gateway_t *gateway, ca_exchange_t *exchange)
+{
+  ca_place_t place = ca_place (gateway, exchange);
+
+  if (place.seat != NULL)
+    {
+      if (exchange_is_overloaded (exchange, &place, gateway->now_us))
+        {
+          exchange_refuse (gateway, exchange, CA_REFUSE_OVERLOADED,
+                           exchange_retry_after_us (exchange, &place));
+          return;
+        }
+      if (exchange->sends > 0
+          && !ca_retry_take (gateway, exchange->service->name))
+        {
+          exchange_give_up (gateway, exchange, CA_REFUSE_OVERLOADED,
+                            RETRY_SOON_US);
+          return;
+        }
+      exchange_send (gateway, exchange, &place);
+      return;
+    }
+  if (exchange->phase != CA_EXCHANGE_WAITING)
+    {
+      exchange->phase = CA_EXCHANGE_WAITING;
+      exchange->phase_us = gateway->now_us;
+    }
+  if ((!place.any && !exchange->head_sent)
+      || gateway->now_us >= exchange_wait_until_us (exchange))
+    exchange_give_up (gateway, exchange, CA_REFUSE_NO_ENDPOINT, RETRY_SOON_US);
+}
+
+static void
+exchange_avoid (ca_exchange_t *exchange, const ca_seat_t *seat)
+{
+  exchange->avoided[exchange->avoided_count % CA_EXCHANGE_AVOIDED] = seat->hash;
+  if (exchange->avoided_count < CA_EXCHANGE_AVOIDED)
+    exchange->avoided_count++;
+}
+
+/* What follows an attempt that brought no answer. */
+static void
+exchange_retry (ca_gateway_t *gateway, ca_exchange_t *exchange,
+                bool may_have_run)
+{
+  bool again = !may_have_run || exchange_is_repeatable (exchange);
+
+  if (may_have_run && exchange->runs >= exchange->route->max_attempts)
+    again = false;
+  if (exchange->misses >= MISSES_MAX || exchange->rejected >= REJECTED_MAX)
+    again = false;
+  if (may_have_run && again
+      && ca_strike_is_barred (gateway, exchange->fingerprint))
+    again = false;
+  exchange_leave_seat (gateway, exchange);
+  if (again)
+    {
+      exchange_place (gateway, exchange);
+      return;
+    }
+  exchange_give_up (gateway, exchange,
+                    may_have_run ? CA_REFUSE_LOST : CA_REFUSE_NO_ENDPOINT,
+                    RETRY_SOON_US);
+}
+
+static void
+exchange_note_failure (ca_gateway_t *gateway, const ca_exchange_t *exchange,
+                       const char *what)
+{
+  ca_gateway_note (
+      gateway, CA_EVENT_ATTEMPT_FAILED, exchange->id, exchange->seat->id,
+      "%s; status %u, %" PRIu64 " ms after the send, events to %" PRIu64, what,
+      exchange->facts.status,
+      (gateway->now_us - exchange->sent_us) / CA_US_PER_MS,
+      exchange->last_event);
+}
+
+/* A run began: it counts for usage once. */
+static void
+exchange_begin_run (ca_gateway_t *gateway, ca_exchange_t *exchange,
+                    uint64_t at_us)
+{
+  if (exchange->begun)
+    return;
+  exchange->begun = true;
+  if (exchange->workspace != NULL)
+    ca_usage_count (gateway, exchange->workspace->name, at_us);
+}
+
+static void
+exchange_count_busy (ca_gateway_t *gateway, const ca_exchange_t *exchange)
+{
+  ca_service_stats_t *stats
+      = ca_service_stats (gateway, exchange->service->name);
+
+  if (exchange->service->is_engine)
+    ca_window_add (&stats->busy, gateway->now_us,
+                   exchange->missing_tokens / stats->read_tokens_per_ms
+                       * CA_US_PER_MS);
+}
+
+/* An attempt that may have run ended without its answer. */
+static void
+exchange_cut (ca_gateway_t *gateway, ca_exchange_t *exchange, const char *what)
+{
+  exchange_note_failure (gateway, exchange, what);
+  exchange->sends++;
+  exchange->runs++;
+  exchange_begin_run (gateway, exchange, exchange->sent_us);
+  ca_strike_add (gateway, exchange);
+  ca_seat_failed (exchange->seat, gateway->now_us, false);
+  exchange_avoid (exchange, exchange->seat);
+  exchange_retry (gateway, exchange, true);
+}
+
+/* The endpoint says that it did not run the request. */
+static void
+exchange_rejected (ca_gateway_t *gateway, ca_exchange_t *exchange)
+{
+  ca_seat_t *seat = exchange->seat;
+
+  exchange_note_failure (gateway, exchange, "not run, by its own word");
+  exchange->sends++;
+  exchange->rejected++;
+  ca_counters_add (&gateway->counters, CA_COUNT_REJECTS, 1);
+  if (exchange->facts.misplaced)
+    {
+      /* The address is another endpoint's: this life has ended. */
+      seat->state
+          = seat->state == CA_SEAT_GONE ? CA_SEAT_GONE : CA_SEAT_DRAINING;
+    }
+  else
+    seat->full_until_us = gateway->now_us + FULL_US;
+  exchange_avoid (exchange, seat);
+  exchange_retry (gateway, exchange, false);
+}
+
+/* True if another attempt could still bring an answer in time. */
+static bool
+exchange_has_time (const ca_gateway_t *gateway, const ca_exchange_t *exchange)
+{
+  return exchange->deadline_us > gateway->now_us + ATTEMPT_LEAST_US;
+}
+
+/* A whole answer that is not relayed event by event. */
+static void
+exchange_plain_answer (ca_gateway_t *gateway, ca_exchange_t *exchange)
+{
+  const ca_answer_facts_t *facts = &exchange->facts;
+  bool failed = facts->status >= 500;
+
+  if (facts->not_run || facts->misplaced)
+    {
+      exchange_rejected (gateway, exchange);
+      return;
+    }
+  if (!facts->is_signed || facts->encoded || exchange->head_sent)
+    {
+      exchange_cut (gateway, exchange,
+                    facts->encoded      ? "encoded answer"
+                    : !facts->is_signed ? "unsigned answer"
+                                        : "no stream to go on with");
+      return;
+    }
+  exchange->sends++;
+  exchange->runs++;
+  exchange_begin_run (gateway, exchange, exchange->sent_us);
+  ca_strike_clear (gateway, exchange->fingerprint);
+  if (!failed)
+    ca_seat_succeeded (exchange->seat, gateway->now_us - exchange->sent_us);
+  else
+    ca_seat_failed (exchange->seat, gateway->now_us, false);
+  if (failed && exchange_is_repeatable (exchange)
+      && exchange->runs < exchange->route->max_attempts
+      && exchange_has_time (gateway, exchange))
+    {
+      ca_place_t place;
+
+      exchange_note_failure (gateway, exchange, "failed by its own word");
+      exchange_avoid (exchange, exchange->seat);
+      place = ca_place (gateway, exchange);
+      if (place.seat != NULL
+          && ca_retry_take (gateway, exchange->service->name))
+        {
+          exchange_leave_seat (gateway, exchange);
+          exchange_send (gateway, exchange, &place);
+          return;
+        }
+    }
+  exchange_answered (gateway, exchange);
+  exchange_leave_seat (gateway, exchange);
+  gateway->ports.deliver (gateway->ports.context, exchange);
+  exchange_free (gateway, exchange);
+}
+
+bool
+ca_exchange_head (ca_gateway_t *gateway, uint64_t now_us,
+                  ca_exchange_t *exchange, const ca_answer_facts_t *facts)
+{
+  gateway->now_us = now_us;
+  exchange->facts = *facts;
+  return facts->is_stream && facts->is_signed && !facts->encoded
+         && facts->status == 200 && !facts->not_run;
+}
+
+bool
+ca_exchange_event (ca_gateway_t *gateway, uint64_t now_us,
+                   ca_exchange_t *exchange, bool has_id, uint64_t id)
+{
+  gateway->now_us = now_us;
+  if (exchange->phase == CA_EXCHANGE_SENT)
+    {
+      exchange->phase = CA_EXCHANGE_STREAMING;
+      exchange->phase_us = now_us;
+      exchange_begin_run (gateway, exchange, now_us);
+      exchange_count_busy (gateway, exchange);
+      ca_place_learn (gateway, exchange);
+      exchange->seat->own.unread_tokens -= exchange->unread_tokens;
+      exchange->unread_tokens = 0;
+      ca_seat_succeeded (exchange->seat, 0);
+      ca_counters_observe (&gateway->counters, CA_LATENCY_FIRST_TOKEN,
+                           now_us - exchange->accepted_us);
+    }
+  if (has_id && exchange->has_event && id <= exchange->last_event)
+    return false;
+  if (has_id)
+    {
+      exchange->has_event = true;
+      exchange->last_event = id;
+    }
+  if (!exchange->head_sent)
+    {
+      exchange->head_sent = true;
+      gateway->ports.begin (gateway->ports.context, exchange);
+    }
+  return true;
+}
+
+/* The end of a stream that was relayed. */
+static void
+exchange_stream_end (ca_gateway_t *gateway, ca_exchange_t *exchange,
+                     ca_end_t end)
+{
+  if (end != CA_END_WHOLE)
+    {
+      exchange_cut (gateway, exchange, "stream cut");
+      return;
+    }
+  exchange->sends++;
+  exchange->runs++;
+  exchange_begin_run (gateway, exchange, exchange->sent_us);
+  ca_strike_clear (gateway, exchange->fingerprint);
+  exchange_answered (gateway, exchange);
+  exchange_leave_seat (gateway, exchange);
+  if (!exchange->head_sent)
+    gateway->ports.begin (gateway->ports.context, exchange);
+  gateway->ports.finish (gateway->ports.context, exchange);
+  exchange_free (gateway, exchange);
+}
+
+void
+ca_exchange_end (ca_gateway_t *gateway, uint64_t now_us,
+                 ca_exchange_t *exchange, ca_end_t end)
+{
+  gateway->now_us = now_us;
+  if (end == CA_END_UNREACHABLE)
+    {
+      exchange_note_failure (gateway, exchange, "unreachable");
+      exchange->misses++;
+      ca_seat_failed (exchange->seat, now_us, true);
+      ca_strike_confirm (gateway, exchange->seat);
+      exchange_avoid (exchange, exchange->seat);
+      exchange_retry (gateway, exchange, false);
+      return;
+    }
+  if (exchange->phase == CA_EXCHANGE_STREAMING
+      || (end == CA_END_WHOLE
+          && ca_exchange_head (gateway, now_us, exchange, &exchange->facts)))
+    {
+      exchange_stream_end (gateway, exchange, end);
+      return;
+    }
+  if (end == CA_END_WHOLE)
+    exchange_plain_answer (gateway, exchange);
+  else
+    exchange_cut (gateway, exchange,
+                  end == CA_END_CUT ? "answer cut" : "not an answer");
+}
+
+void
+ca_exchange_gone (ca_gateway_t *gateway, uint64_t now_us,
+                  ca_exchange_t *exchange)
+{
+  gateway->now_us = now_us;
+  ca_gateway_note (gateway, CA_EVENT_CALLER_GONE, exchange->id,
+                   exchange->seat == NULL ? NULL : exchange->seat->id,
+                   "after %" PRIu64 " ms", exchange_age_ms (gateway, exchange));
+  if (exchange->seat != NULL)
+    {
+      if (exchange->phase == CA_EXCHANGE_SENT && !exchange->service->is_engine)
+        exchange_begin_run (gateway, exchange, exchange->sent_us);
+      gateway->ports.cancel (gateway->ports.context, exchange);
+    }
+  exchange_leave_seat (gateway, exchange);
+  exchange_free (gateway, exchange);
+}
+
+/* --- Admission --- */
+
+/* Why the request may not be sent on; CA_REFUSE_KINDS if it may. */
+static ca_refuse_t
+exchange_check (ca_gateway_t *gateway, ca_exchange_t *exchange,
+                const ca_request_facts_t *facts, uint64_t *wait_us)
+{
+  const ca_bounds_t *bounds = &gateway->options.bounds;
+  uint64_t age_us
+      = ca_freshness_age_us (&gateway->config_freshness, gateway->now_us);
+  bool in_doubt = age_us > DOUBT_US;
+
+  *wait_us = RETRY_SOON_US;
+  if (gateway->catalog == NULL || !gateway->config_freshness.known)
+    return CA_REFUSE_NO_CONFIGURATION;
+  exchange->catalog = ca_catalog_ref (gateway->catalog);
+  exchange->route
+      = ca_catalog_route (exchange->catalog, facts->host, facts->path);
+  if (exchange->route == NULL || exchange->route->target_count == 0)
+    return in_doubt ? CA_REFUSE_STALE : CA_REFUSE_NO_ROUTE;
+  exchange->service
+      = &exchange->catalog
+             ->services[ca_route_service (exchange->route, facts->fingerprint)];
+  if (!exchange->route->is_public && exchange->catalog->workspace_count > 0)
+    {
+      if (bounds->strict_revocation
+          && age_us + STALE_MARGIN_US > bounds->revocation_ms * CA_US_PER_MS)
+        return CA_REFUSE_STALE;
+      if (facts->key != NULL)
+        exchange->workspace = ca_catalog_key (exchange->catalog, facts->key);
+      if (exchange->workspace == NULL)
+        return in_doubt ? CA_REFUSE_STALE : CA_REFUSE_NO_KEY;
+    }
+  if (ca_strike_is_barred (gateway, facts->fingerprint))
+    {
+      *wait_us = RETRY_NEVER_US;
+      return CA_REFUSE_QUARANTINED;
+    }
+  exchange->cost = 1;
+  if (exchange->workspace != NULL && exchange->workspace->by_tokens)
+    exchange->cost = facts->has_cost
+                         ? facts->prompt.tokens + facts->prompt.output_tokens
+                         : exchange->workspace->default_cost;
+  if (exchange->workspace != NULL
+      && !ca_quota_take (gateway, exchange->workspace, exchange->cost, wait_us))
+    return CA_REFUSE_QUOTA;
+  return CA_REFUSE_KINDS;
+}
+
+static void
+exchange_count_request (ca_gateway_t *gateway, const ca_exchange_t *exchange)
+{
+  ca_service_stats_t *stats
+      = ca_service_stats (gateway, exchange->service->name);
+
+  ca_window_add (&stats->requests, gateway->now_us, 1);
+  ca_window_add (&stats->arrivals, gateway->now_us, 1);
+}
+
+ca_exchange_t *
+ca_gateway_request (ca_gateway_t *gateway, uint64_t now_us,
+                    const ca_request_facts_t *facts)
+{
+  ca_exchange_t *exchange = calloc (1, sizeof *exchange);
+  uint64_t wait_us;
+  uint64_t timeout_us;
+  ca_refuse_t refusal;
+
+  gateway->now_us = now_us;
+  strlcpy (exchange->id, facts->id, sizeof exchange->id);
+  exchange->fingerprint = facts->fingerprint;
+  exchange->prompt = facts->prompt;
+  exchange->conveyance = facts->conveyance;
+  exchange->phase = CA_EXCHANGE_WAITING;
+  exchange->accepted_us = now_us;
+  exchange->phase_us = now_us;
+  gateway->admitting = exchange;
+  TAILQ_INSERT_TAIL (&gateway->exchanges, exchange, entries);
+  gateway->open++;
+  ca_counters_add (&gateway->counters, CA_COUNT_REQUESTS, 1);
+  refusal = exchange_check (gateway, exchange, facts, &wait_us);
+  if (refusal != CA_REFUSE_KINDS)
+    {
+      exchange_refuse (gateway, exchange, refusal, wait_us);
+      return NULL;
+    }
+  timeout_us = exchange->route->timeout_ms * CA_US_PER_MS;
+  if (facts->wait_ms > 0 && facts->wait_ms * CA_US_PER_MS < timeout_us)
+    timeout_us = facts->wait_ms * CA_US_PER_MS;
+  exchange->deadline_us = now_us + timeout_us;
+  exchange_count_request (gateway, exchange);
+  exchange_place (gateway, exchange);
+  return gateway->admitting;
+}
+
+/* --- Time --- */
+
+static void
+exchange_expire (ca_gateway_t *gateway, ca_exchange_t *exchange)
+{
+  if (exchange->seat != NULL)
+    {
+      exchange->sends++;
+      exchange->runs++;
+      exchange_begin_run (gateway, exchange, exchange->sent_us);
+      gateway->ports.cancel (gateway->ports.context, exchange);
+    }
+  if (exchange->head_sent)
+    exchange_break (gateway, exchange, "deadline");
+  else
+    exchange_refuse (gateway, exchange,
+                     exchange->runs > 0 ? CA_REFUSE_TIMEOUT : CA_REFUSE_EXPIRED,
+                     RETRY_SOON_US);
+}
+
+void
+ca_exchanges_tick (ca_gateway_t *gateway)
+{
+  ca_exchange_t *exchange = TAILQ_FIRST (&gateway->exchanges);
+
+  while (exchange != NULL)
+    {
+      ca_exchange_t *next = TAILQ_NEXT (exchange, entries);
+
+      if (gateway->now_us >= exchange->deadline_us)
+        exchange_expire (gateway, exchange);
+      else if (exchange->phase == CA_EXCHANGE_WAITING)
+        exchange_place (gateway, exchange);
+      exchange = next;
+    }
+}
+
+void
+ca_exchanges_finish (ca_gateway_t *gateway)
+{
+  while (!TAILQ_EMPTY (&gateway->exchanges))
+    {
+      ca_exchange_t *exchange = TAILQ_FIRST (&gateway->exchanges);
+
+      exchange_leave_seat (gateway, exchange);
+      exchange_free (gateway, exchange);
+    }
+}
--- /dev/null
+++ b/packages/gateway/fleet_plan.c
@@ -0,0 +1,94 @@
+/* Sizing of a service's endpoints. */
+#include "gateway/fleet_plan.h"
+
+#include <math.h>
+
+/* Shares of an endpoint that a plan fills: time for reading prompts (beyond
+ * it the tokens of running requests come late), slots, memory. */
+#define FLEET_BUSY_SHARE 0.5
+#define FLEET_SLOT_SHARE 0.5
+#define FLEET_MEMORY_SHARE 0.5
+
+/* Endpoints a zone before any traffic is known. */
+#define FLEET_FIRST_PER_ZONE 3
+
+uint32_t
+ca_fleet_need (const ca_fleet_state_t *state)
+{
+  double need = state->busy / FLEET_BUSY_SHARE;
+
+  if (state->slots > 0)
+    need = fmax (need, state->open / (state->slots * FLEET_SLOT_SHARE));
+  if (state->cache_tokens > 0)
+    need
+        = fmax (need, state->held_tokens
+                          / ((double)state->cache_tokens * FLEET_MEMORY_SHARE));
+  if (!state->traffic_known)
+    need = fmax (need, (double)FLEET_FIRST_PER_ZONE * state->zone_count);
+  return (uint32_t)ceil (fmax (need, 1.0));
+}
+
+/* Zones in which reclaimable endpoints can be had now. */
+static uint32_t
+fleet_open_zones (const ca_fleet_state_t *state)
+{
+  uint32_t count = 0;
+
+  for (uint32_t i = 0; i < state->zone_count; i++)
+    {
+      if (!state->zones[i].reclaimable_out)
+        count++;
+    }
+  return state->reclaimable_price > 0 ? count : 0;
+}
+
+static uint32_t
+fleet_bound (uint32_t count, uint32_t most)
+{
+  return count < most ? count : most;
+}
+
+/* Endpoints a zone so that the zones but one carry the need. */
+static uint32_t
+fleet_per_zone (uint32_t need, uint32_t floor, uint32_t zones)
+{
+  uint32_t bearing = zones > 1 ? zones - 1 : 1;
+  uint32_t missing = need > floor ? need - floor : 0;
+
+  return (missing + bearing - 1) / bearing;
+}
+
+void
+ca_fleet_plan (const ca_fleet_state_t *state, uint32_t need,
+               ca_fleet_want_t *wants)
+{
+  uint32_t open_zones = fleet_open_zones (state);
+  uint32_t floor = state->min_endpoints > 0 ? state->min_endpoints : 1;
+  uint32_t planned = 0;
+  uint32_t next = 0;
+
+  for (uint32_t i = 0; i < state->zone_count; i++)
+    {
+      const ca_fleet_zone_t *zone = &state->zones[i];
+
+      wants[i].on_demand = floor;
+      /* What still runs of a kind that cannot be had anew is kept. */
+      wants[i].reclaimable = zone->reclaimable;
+      if (!zone->reclaimable_out && state->reclaimable_price > 0)
+        wants[i].reclaimable
+            = fleet_per_zone (need, floor * state->zone_count, open_zones);
+      wants[i].reclaimable = fleet_bound (
+          wants[i].reclaimable, state->max_endpoints - wants[i].on_demand);
+      planned += wants[i].on_demand + wants[i].reclaimable;
+    }
+  /* On demand for what the others do not carry, zone by zone. */
+  while (planned < need && next < state->zone_count * state->max_endpoints)
+    {
+      ca_fleet_want_t *want = &wants[next++ % state->zone_count];
+
+      if (want->on_demand + want->reclaimable >= state->max_endpoints)
+        continue;
+      want->on_demand++;
+      planned++;
+    }
+}
--- /dev/null
+++ b/packages/gateway/freshness.c
@@ -0,0 +1,52 @@
+/* Proofs that a belief is new. */
+#include "gateway/freshness.h"
+
+#include <string.h>
+
+void
+ca_freshness_init (ca_freshness_t *freshness)
+{
+  memset (freshness, 0, sizeof *freshness);
+}
+
+static void
+freshness_prove (ca_freshness_t *freshness, uint64_t at_us)
+{
+  if (!freshness->known || at_us > freshness->proved_us)
+    freshness->proved_us = at_us;
+  freshness->known = true;
+}
+
+void
+ca_freshness_store (ca_freshness_t *freshness, uint64_t sent_us,
+                    uint64_t store_us)
+{
+  int64_t offset_us = (int64_t)store_us - (int64_t)sent_us;
+  int64_t at_us;
+
+  /* A clock that went back is another clock. */
+  if (store_us < freshness->store_us)
+    freshness->has_offset = false;
+  if (!freshness->has_offset || offset_us < freshness->offset_us)
+    freshness->offset_us = offset_us;
+  freshness->has_offset = true;
+  freshness->store_us = store_us;
+  at_us = (int64_t)store_us - freshness->offset_us;
+  freshness_prove (freshness,
+                   at_us < (int64_t)sent_us ? sent_us : (uint64_t)at_us);
+}
+
+void
+ca_freshness_peer (ca_freshness_t *freshness, uint64_t echo_us, uint64_t age_us)
+{
+  if (freshness->known && age_us < echo_us)
+    freshness_prove (freshness, echo_us - age_us);
+}
+
+uint64_t
+ca_freshness_age_us (const ca_freshness_t *freshness, uint64_t now_us)
+{
+  if (!freshness->known)
+    return UINT64_MAX;
+  return now_us > freshness->proved_us ? now_us - freshness->proved_us : 0;
+}
--- /dev/null
+++ b/packages/gateway/gateway.c
@@ -0,0 +1,106 @@
+/* Construction, time, and the parts that all files use. */
+#include "gateway/private.h"
+
+#include <stdarg.h>
+#include <stdlib.h>
+#include <string.h>
+#include <xxhash.h>
+
+#define NOTE_DETAIL_BYTES 256
+
+uint64_t
+ca_gateway_id (const char *name)
+{
+  return XXH3_64bits (name, strlen (name));
+}
+
+void
+ca_gateway_init (ca_gateway_t *gateway, const ca_gateway_options_t *options,
+                 const ca_gateway_ports_t *ports, uint64_t now_us,
+                 uint64_t wall_us)
+{
+  memset (gateway, 0, sizeof *gateway);
+  gateway->options = *options;
+  gateway->ports = *ports;
+  gateway->now_us = now_us;
+  gateway->id = ca_gateway_id (options->name);
+  gateway->incarnation = wall_us;
+  gateway->rng[0] = (unsigned short)options->seed;
+  gateway->rng[1] = (unsigned short)(options->seed >> 16);
+  gateway->rng[2] = (unsigned short)gateway->id;
+  gateway->own_wall_offset_us = (int64_t)wall_us - (int64_t)now_us;
+  gateway->wall_offset_us = gateway->own_wall_offset_us;
+  ca_counters_init (&gateway->counters);
+  ca_freshness_init (&gateway->config_freshness);
+  ca_roster_init (&gateway->roster);
+  TAILQ_INIT (&gateway->exchanges);
+  TAILQ_INIT (&gateway->usage);
+  TAILQ_INIT (&gateway->cuts);
+}
+
+void
+ca_gateway_finish (ca_gateway_t *gateway)
+{
+  ca_exchanges_finish (gateway);
+  ca_siblings_finish (gateway);
+  ca_strikes_finish (gateway);
+  ca_quota_finish (gateway);
+  ca_service_stats_finish (gateway);
+  ca_usage_rows_finish (&gateway->usage);
+  ca_roster_finish (&gateway->roster);
+  ca_catalog_unref (gateway->catalog);
+}
+
+void
+ca_gateway_tick (ca_gateway_t *gateway, uint64_t now_us, uint64_t wall_us)
+{
+  gateway->now_us = now_us;
+  ca_knowledge_tick (gateway);
+  ca_siblings_tick (gateway, wall_us);
+  ca_quota_tick (gateway);
+  ca_strikes_tick (gateway);
+  ca_usage_expire (gateway);
+  ca_exchanges_tick (gateway);
+}
+
+void
+ca_gateway_note (ca_gateway_t *gateway, ca_event_number_t event,
+                 const char *request, const char *subject, const char *format,
+                 ...)
+{
+  char detail[NOTE_DETAIL_BYTES];
+  ca_note_t note = { event, request, subject, detail };
+  va_list args;
+
+  va_start (args, format);
+  vsnprintf (detail, sizeof detail, format, args);
+  va_end (args);
+  gateway->ports.note (gateway->ports.context, &note);
+}
+
+double
+ca_gateway_random (ca_gateway_t *gateway)
+{
+  return erand48 (gateway->rng);
+}
+
+uint64_t
+ca_gateway_wall_us (const ca_gateway_t *gateway, uint64_t at_us)
+{
+  return (uint64_t)((int64_t)at_us + gateway->wall_offset_us);
+}
+
+bool
+ca_gateway_ready (const ca_gateway_t *gateway)
+{
+  return gateway->catalog != NULL && gateway->roster_known
+         && !gateway->stopping;
+}
+
+void
+ca_gateway_stop (ca_gateway_t *gateway, uint64_t now_us)
+{
+  gateway->now_us = now_us;
+  gateway->stopping = true;
+  gateway->pulse_us = 0;
+}
--- /dev/null
+++ b/packages/gateway/gateway.h
@@ -0,0 +1,369 @@
+/* Decisions of one entry for opaque requests: who may send what, to which
+ * endpoint it goes, what follows when that fails, and what the entries share.
+ *
+ * An instance does no I/O, reads no clock and has no globals.  `now_us` is a
+ * clock that runs on while the machine is suspended.  Functions may call
+ * ports; a port must not call back. */
+#ifndef CA_GATEWAY_GATEWAY_H
+#define CA_GATEWAY_GATEWAY_H
+
+#include "base/clock.h"
+#include "base/counters.h"
+#include "base/events.h"
+#include "gateway/affinity.h"
+#include "gateway/bucket.h"
+#include "gateway/catalog.h"
+#include "gateway/freshness.h"
+#include "gateway/roster.h"
+#include "gateway/window.h"
+#include "wire/peer.pb-c.h"
+
+/* How often ca_gateway_tick is to be called. */
+#define CA_GATEWAY_TICK_US (25 * CA_US_PER_MS)
+
+/* Bounds that the platform sets for all entries together. */
+typedef struct
+{
+  uint32_t propagation_ms; /* for a configuration to be in force */
+  bool strict_revocation;  /* a key that was taken away must not be used */
+  uint32_t revocation_ms;  /* later than this, in touch or not */
+  double retry_ratio;      /* repeats for each request of a service */
+  double retry_allowance;  /* and beside that, in one window */
+  uint32_t retry_window_ms;
+  double quota_overrun;   /* part of a quota that may be exceeded */
+  double quota_allowance; /* and beside that, in one window */
+  uint32_t quota_window_ms;
+  uint32_t usage_window_s;
+  uint32_t usage_delay_s;
+  uint32_t lease_ms;
+  uint32_t grace_ms; /* from SIGTERM to SIGKILL */
+} ca_bounds_t;
+
+typedef struct
+{
+  char name[64];
+  char zone[64];
+  ca_address_t peers;
+  ca_bounds_t bounds;
+  uint32_t seed;
+} ca_gateway_options_t;
+
+/* What is known of an answer's head. */
+typedef struct
+{
+  uint32_t status;
+  bool is_signed; /* bears the endpoint's signature: it is its own word */
+  bool not_run;   /* the endpoint says that it did not run the request */
+  bool misplaced; /* another endpoint has the address */
+  bool encoded;   /* not the endpoint's bytes */
+  bool is_stream;
+} ca_answer_facts_t;
+
+typedef enum
+{
+  CA_END_WHOLE,       /* a whole answer */
+  CA_END_UNREACHABLE, /* no byte was sent */
+  CA_END_CUT,         /* sent; the answer ended early or never came */
+  CA_END_GARBLED      /* sent; what came is no answer */
+} ca_end_t;
+
+typedef enum
+{
+  CA_EXCHANGE_WAITING,   /* for an endpoint */
+  CA_EXCHANGE_SENT,      /* to one */
+  CA_EXCHANGE_STREAMING, /* events arrive */
+  CA_EXCHANGE_ENDED
+} ca_exchange_phase_t;
+
+/* Endpoints that an exchange keeps away from after a failure there. */
+#define CA_EXCHANGE_AVOIDED 4
+
+/* One request of one caller, from its arrival to its one final answer. */
+typedef struct ca_exchange
+{
+  char id[64]; /* the caller's name for it */
+  uint64_t fingerprint;
+  ca_catalog_t *catalog; /* that admitted it; a reference */
+  const ca_route_t *route;
+  const ca_service_t *service;
+  const ca_catalog_workspace_t *workspace; /* NULL if the route needs no key */
+  ca_prompt_t prompt;
+  uint32_t cost; /* taken from the quota */
+  ca_exchange_phase_t phase;
+  uint64_t accepted_us;
+  uint64_t deadline_us;
+  uint64_t phase_us;
+  /* Attempts. */
+  ca_seat_t *seat;        /* being used; NULL if none */
+  uint32_t sends;         /* of which a byte left */
+  uint32_t runs;          /* that may have begun */
+  uint32_t misses;        /* connections that could not be made */
+  uint32_t rejected;      /* times that an endpoint said it had no room */
+  uint32_t unread_tokens; /* counted at the seat until the first event */
+  uint32_t held_tokens;
+  uint64_t avoided[CA_EXCHANGE_AVOIDED];
+  uint32_t avoided_count;
+  uint64_t sent_us;
+  bool lone;               /* its prompt was alone in line at the seat */
+  uint32_t missing_tokens; /* that the seat was expected to read */
+  /* Answer. */
+  ca_answer_facts_t facts;
+  bool begun;     /* a run of it has begun: counted as used */
+  bool head_sent; /* the caller has part of the answer */
+  bool has_event;
+  uint64_t last_event;
+  void *conveyance; /* the adapter's own */
+  TAILQ_ENTRY (ca_exchange) entries;
+} ca_exchange_t;
+
+/* What an adapter tells of a request. */
+typedef struct
+{
+  const char *id;
+  const char *host;
+  const char *path;
+  const char *key; /* NULL if none */
+  uint64_t fingerprint;
+  uint32_t wait_ms; /* what the caller will wait; 0 if it does not say */
+  bool has_cost;
+  ca_prompt_t prompt;
+  void *conveyance;
+} ca_request_facts_t;
+
+typedef struct
+{
+  uint32_t left_ms; /* of the deadline */
+  uint32_t urgency; /* 0 is first */
+  bool resumes;     /* goes on after `last_event` */
+  uint64_t last_event;
+} ca_attempt_t;
+
+/* Reason of an answer of our own; a table gives status and event. */
+typedef enum
+{
+  CA_REFUSE_NO_CONFIGURATION,
+  CA_REFUSE_STALE, /* keys cannot be trusted: the store is out of reach */
+  CA_REFUSE_NO_ROUTE,
+  CA_REFUSE_NO_KEY,
+  CA_REFUSE_QUOTA,
+  CA_REFUSE_QUARANTINED,
+  CA_REFUSE_NO_ENDPOINT,
+  CA_REFUSE_OVERLOADED,
+  CA_REFUSE_EXPIRED, /* out of time before it ran */
+  CA_REFUSE_LOST,    /* it may have run and must not run again */
+  CA_REFUSE_TIMEOUT, /* it runs, and its time is over */
+  CA_REFUSE_KINDS
+} ca_refuse_t;
+
+typedef struct
+{
+  ca_event_number_t event;
+  const char *request; /* NULL if none */
+  const char *subject; /* endpoint, workspace or peer; NULL if none */
+  const char *detail;
+} ca_note_t;
+
+typedef struct
+{
+  void *context;
+  /* Exchanges. */
+  void (*attempt) (void *context, ca_exchange_t *exchange,
+                   const ca_attempt_t *attempt);
+  void (*cancel) (void *context, ca_exchange_t *exchange);
+  void (*deliver) (void *context, ca_exchange_t *exchange);
+  void (*begin) (void *context, ca_exchange_t *exchange);
+  void (*finish) (void *context, ca_exchange_t *exchange);
+  void (*break_off) (void *context, ca_exchange_t *exchange);
+  void (*refuse) (void *context, ca_exchange_t *exchange, ca_refuse_t reason,
+                  uint64_t retry_after_us);
+  /* Peers; the envelope is not kept. */
+  void (*send_peer) (void *context, const ca_address_t *to,
+                     const Camphor__Envelope *envelope);
+  /* A peer's copy of the configuration; the adapter parses it and calls
+   * ca_gateway_catalog. */
+  void (*parse_catalog) (void *context, uint64_t version, const void *text,
+                         size_t bytes);
+  /* Duties (gateway/duties.h). */
+  void (*note) (void *context, const ca_note_t *note);
+} ca_gateway_ports_t;
+
+/* Figures of one service, learned by this entry. */
+typedef struct ca_service_stats
+{
+  char *name;
+  double read_tokens_per_ms; /* of an endpoint, learned */
+  ca_window_t requests;      /* of callers, in the retry window */
+  ca_window_t repeats;       /* sends beyond the first */
+  ca_window_t busy;          /* endpoint time taken, in us */
+  ca_window_t arrivals;
+  double held_tokens;
+  UT_hash_handle hh;
+} ca_service_stats_t;
+
+typedef struct ca_quota
+{
+  char *workspace;
+  ca_bucket_t bucket;
+  ca_window_t asked;
+  double share;
+  UT_hash_handle hh;
+} ca_quota_t;
+
+/* Count of a workspace in one window of usage. */
+typedef struct ca_usage_row
+{
+  uint64_t window;
+  char *workspace;
+  uint32_t count;
+  TAILQ_ENTRY (ca_usage_row) entries;
+} ca_usage_row_t;
+
+TAILQ_HEAD (ca_usage_rows, ca_usage_row);
+
+/* Another entry, by its pulses. */
+typedef struct ca_sibling
+{
+  uint64_t id;
+  uint64_t incarnation;
+  char *name;
+  char *zone;
+  ca_address_t address;
+  uint64_t heard_us;      /* 0: never */
+  uint64_t stamp_us;      /* its latest stamp, to be echoed */
+  int64_t wall_offset_us; /* its time of day less our clock */
+  uint64_t met_us;
+  uint64_t pulsed_us;
+  bool leaving;
+  bool reads_store;
+  bool leads;
+  bool loads_counted;         /* what it has open is added to the endpoints' */
+  Camphor__Pulse *pulse;      /* latest; owned */
+  struct ca_usage_rows usage; /* of this life and former ones */
+  UT_hash_handle hh;
+} ca_sibling_t;
+
+/* A request that was open at endpoints when they ended. */
+typedef struct ca_strike
+{
+  uint64_t fingerprint;
+  uint32_t count;
+  uint64_t seats[4]; /* hashes of their lives */
+  uint64_t latest_us;
+  UT_hash_handle hh;
+} ca_strike_t;
+
+/* A cut run whose endpoint is not yet known to have ended. */
+typedef struct ca_cut
+{
+  uint64_t fingerprint;
+  uint64_t seat; /* hash of the life */
+  uint64_t at_us;
+  TAILQ_ENTRY (ca_cut) entries;
+} ca_cut_t;
+
+typedef struct ca_gateway
+{
+  ca_gateway_options_t options;
+  ca_gateway_ports_t ports;
+  ca_counters_t counters;
+  uint64_t id;
+  uint64_t incarnation;
+  uint64_t now_us;
+  unsigned short rng[3];
+  /* Knowledge. */
+  ca_catalog_t *catalog; /* NULL until one is known */
+  ca_freshness_t config_freshness;
+  bool store_down;
+  uint64_t store_lost_us; /* when the list of endpoints was last out of
+                             reach */
+  bool roster_known;
+  ca_roster_t roster;
+  uint64_t want_us; /* when a peer was last asked for a configuration */
+  /* Requests. */
+  TAILQ_HEAD (ca_exchanges, ca_exchange) exchanges;
+  uint32_t open;
+  ca_service_stats_t *services;
+  ca_quota_t *quotas;
+  ca_strike_t *strikes;
+  TAILQ_HEAD (, ca_cut) cuts;
+  bool stopping;
+  bool leads; /* holds the lease on duties */
+  /* Siblings. */
+  ca_sibling_t *siblings;
+  uint64_t pulse_us;
+  uint64_t share_us;
+  int64_t wall_offset_us; /* agreed time of day less our clock */
+  int64_t own_wall_offset_us;
+  bool wall_agreed; /* by enough entries to outvote one that is off */
+  struct ca_usage_rows usage;
+  ca_exchange_t *admitting; /* being taken in; NULL once it has ended */
+} ca_gateway_t;
+
+/* Initialises caller-owned memory; `wall_us` is the time of day. */
+void ca_gateway_init (ca_gateway_t *gateway,
+                      const ca_gateway_options_t *options,
+                      const ca_gateway_ports_t *ports, uint64_t now_us,
+                      uint64_t wall_us);
+void ca_gateway_finish (ca_gateway_t *gateway);
+void ca_gateway_tick (ca_gateway_t *gateway, uint64_t now_us, uint64_t wall_us);
+
+/* --- Knowledge (knowledge.c) --- */
+
+/* Takes a configuration, and the reference to it; an older one than the
+ * present is dropped. */
+void ca_gateway_catalog (ca_gateway_t *gateway, uint64_t now_us,
+                         ca_catalog_t *catalog);
+
+/* An answer of the store that leaves no newer configuration out. */
+void ca_gateway_config_proved (ca_gateway_t *gateway, uint64_t now_us,
+                               uint64_t sent_us, uint64_t store_us);
+
+/* The store stopped or began to answer. */
+void ca_gateway_store_state (ca_gateway_t *gateway, uint64_t now_us, bool down);
+
+/* Changes of the list of endpoints.  `first` begins a whole list, which
+ * ca_gateway_list_end ends. */
+void ca_gateway_list_begin (ca_gateway_t *gateway, uint64_t now_us);
+void ca_gateway_list_end (ca_gateway_t *gateway, uint64_t now_us);
+void ca_gateway_seat (ca_gateway_t *gateway, uint64_t now_us,
+                      const ca_seat_entry_t *entry);
+void ca_gateway_seat_removed (ca_gateway_t *gateway, uint64_t now_us,
+                              const char *id);
+
+/* True while the balancer should send callers here. */
+bool ca_gateway_ready (const ca_gateway_t *gateway);
+
+/* Begins a planned stop. */
+void ca_gateway_stop (ca_gateway_t *gateway, uint64_t now_us);
+
+/* --- Exchanges (exchange.c) --- */
+
+/* Takes a request in.  The gateway owns the exchange, and frees it after the
+ * port call that ends it; NULL if it has ended already. */
+ca_exchange_t *ca_gateway_request (ca_gateway_t *gateway, uint64_t now_us,
+                                   const ca_request_facts_t *facts);
+void ca_exchange_gone (ca_gateway_t *gateway, uint64_t now_us,
+                       ca_exchange_t *exchange);
+
+/* The head of an answer; true if its events are to be told one by one. */
+bool ca_exchange_head (ca_gateway_t *gateway, uint64_t now_us,
+                       ca_exchange_t *exchange, const ca_answer_facts_t *facts);
+
+/* One whole event; true if it is to be sent on.  The port `begin` may be
+ * called before. */
+bool ca_exchange_event (ca_gateway_t *gateway, uint64_t now_us,
+                        ca_exchange_t *exchange, bool has_id, uint64_t id);
+
+/* The attempt has ended. */
+void ca_exchange_end (ca_gateway_t *gateway, uint64_t now_us,
+                      ca_exchange_t *exchange, ca_end_t end);
+
+/* --- Peers (siblings.c) --- */
+
+/* An entry that may be there. */
+void ca_gateway_sibling (ca_gateway_t *gateway, const char *name,
+                         const ca_address_t *address);
+void ca_gateway_envelope (ca_gateway_t *gateway, uint64_t now_us,
+                          const Camphor__Envelope *envelope);
+
+#endif
--- /dev/null
+++ b/packages/gateway/knowledge.c
@@ -0,0 +1,155 @@
+/* What the entry believes, and how it learns better: the configuration, and
+ * the list of endpoints. */
+#include "gateway/private.h"
+
+#include <inttypes.h>
+#include <string.h>
+
+/* After the store's return an entry that is still missing this long has left:
+ * the platform has those of living endpoints back within about 2 s. */
+#define LIST_RETURN_US (2300 * CA_US_PER_MS)
+
+/* A peer is asked for its configuration at most this often. */
+#define CATALOG_WANT_US (300 * CA_US_PER_MS)
+
+void
+ca_gateway_catalog (ca_gateway_t *gateway, uint64_t now_us,
+                    ca_catalog_t *catalog)
+{
+  ca_catalog_t *former = gateway->catalog;
+
+  gateway->now_us = now_us;
+  if (former != NULL && catalog->version <= former->version)
+    {
+      ca_catalog_unref (catalog);
+      return;
+    }
+  gateway->catalog = catalog;
+  gateway->share_us = 0;
+  ca_gateway_note (gateway, CA_EVENT_CONFIG_APPLIED, NULL, NULL,
+                   "version %" PRIu64 " after %" PRIu64
+                   ", %u routes, %u workspaces",
+                   catalog->version, former == NULL ? 0 : former->version,
+                   catalog->route_count, catalog->workspace_count);
+  ca_catalog_unref (former);
+}
+
+void
+ca_gateway_config_proved (ca_gateway_t *gateway, uint64_t now_us,
+                          uint64_t sent_us, uint64_t store_us)
+{
+  gateway->now_us = now_us;
+  ca_freshness_store (&gateway->config_freshness, sent_us, store_us);
+}
+
+void
+ca_gateway_store_state (ca_gateway_t *gateway, uint64_t now_us, bool down)
+{
+  gateway->now_us = now_us;
+  if (gateway->store_down == down)
+    return;
+  gateway->store_down = down;
+  gateway->store_lost_us = now_us;
+  ca_gateway_note (
+      gateway, down ? CA_EVENT_STORE_DOWN : CA_EVENT_STORE_UP, NULL, NULL,
+      "configuration proved %" PRIu64 " ms ago",
+      gateway->config_freshness.known
+          ? ca_freshness_age_us (&gateway->config_freshness, now_us)
+                / CA_US_PER_MS
+          : 0);
+}
+
+/* True while entries may be missing only because the store was away. */
+static bool
+knowledge_list_is_returning (const ca_gateway_t *gateway)
+{
+  return gateway->store_lost_us != 0
+         && (gateway->store_down
+             || gateway->now_us - gateway->store_lost_us < LIST_RETURN_US);
+}
+
+void
+ca_gateway_list_begin (ca_gateway_t *gateway, uint64_t now_us)
+{
+  gateway->now_us = now_us;
+  ca_roster_mark (&gateway->roster, now_us);
+}
+
+void
+ca_gateway_list_end (ca_gateway_t *gateway, uint64_t now_us)
+{
+  gateway->now_us = now_us;
+  gateway->roster_known = true;
+  if (!knowledge_list_is_returning (gateway))
+    ca_roster_expire (&gateway->roster, now_us, 0);
+}
+
+void
+ca_gateway_seat (ca_gateway_t *gateway, uint64_t now_us,
+                 const ca_seat_entry_t *entry)
+{
+  gateway->now_us = now_us;
+  if (!ca_roster_put (&gateway->roster, now_us, entry))
+    return;
+  ca_gateway_note (gateway,
+                   entry->draining ? CA_EVENT_ENDPOINT_LEAVING
+                                   : CA_EVENT_ENDPOINT_ADDED,
+                   NULL, entry->id, "service %s zone %s born %" PRIu64,
+                   entry->service, entry->zone, entry->born_ms);
+}
+
+void
+ca_gateway_seat_removed (ca_gateway_t *gateway, uint64_t now_us, const char *id)
+{
+  bool sure;
+
+  gateway->now_us = now_us;
+  sure = !knowledge_list_is_returning (gateway);
+  if (ca_roster_find (&gateway->roster, id) == NULL)
+    return;
+  ca_roster_remove (&gateway->roster, now_us, id, sure);
+  ca_gateway_note (gateway, CA_EVENT_ENDPOINT_GONE, NULL, id, "%s",
+                   sure ? "left the list" : "missing since the store returned");
+}
+
+/* A configuration newer than ours that a peer has is asked for while the
+ * store does not give it to us. */
+static void
+knowledge_want (ca_gateway_t *gateway)
+{
+  uint64_t have = gateway->catalog == NULL ? 0 : gateway->catalog->version;
+  Camphor__Envelope envelope = CAMPHOR__ENVELOPE__INIT;
+  Camphor__CatalogWant want = CAMPHOR__CATALOG_WANT__INIT;
+  ca_sibling_t *sibling;
+  ca_sibling_t *best = NULL;
+
+  if (gateway->now_us < gateway->want_us)
+    return;
+  for (sibling = gateway->siblings; sibling != NULL; sibling = sibling->hh.next)
+    {
+      if (sibling->pulse != NULL && sibling->pulse->config_known
+          && sibling->pulse->config_version > have
+          && (best == NULL
+              || sibling->pulse->config_version > best->pulse->config_version))
+        best = sibling;
+    }
+  if (best == NULL)
+    return;
+  gateway->want_us = gateway->now_us + CATALOG_WANT_US;
+  want.have_version = have;
+  envelope.version = 1;
+  envelope.from = gateway->id;
+  envelope.incarnation = gateway->incarnation;
+  envelope.body_case = CAMPHOR__ENVELOPE__BODY_CATALOG_WANT;
+  envelope.catalog_want = &want;
+  gateway->ports.send_peer (gateway->ports.context, &best->address, &envelope);
+}
+
+void
+ca_knowledge_tick (ca_gateway_t *gateway)
+{
+  if (!gateway->store_down)
+    ca_roster_expire (&gateway->roster, gateway->now_us, LIST_RETURN_US);
+  if (gateway->store_down)
+    knowledge_want (gateway);
+}
--- /dev/null
+++ b/packages/gateway/place.c
@@ -0,0 +1,293 @@
+/* The endpoint for a request.
+ *
+ * Model work goes where its first event is expected soonest: prompts in line,
+ * tokens of its own that are not yet kept there, requests that share the
+ * batch.  Plain work goes to the endpoint with the least open for its slots.
+ * Load counted at an endpoint is this entry's own, exact, and its peers' by
+ * their latest pulses. */
+#include "gateway/private.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* Prompt tokens that an engine reads in a millisecond until that is learned:
+ * near the figures of the users' sheets. */
+#define PLACE_READ_TOKENS_PER_MS 30.0
+#define PLACE_READ_MIN 2.0
+
+/* Overhead of a first event beside reading: a step of the batch, two ways. */
+#define PLACE_FIRST_US (20 * CA_US_PER_MS)
+
+/* How much one request in the batch delays the others' prompts. */
+#define PLACE_SHARE_US 1500.0
+
+/* Preference for the own zone: bytes between zones cost, and links between
+ * them fail. */
+#define PLACE_ZONE_ENGINE_US 12000.0
+#define PLACE_ZONE_PLAIN 0.15
+
+/* Weight of reading tokens again beside the time that it takes: it also
+ * delays all others. */
+#define PLACE_READ_WEIGHT 1.5
+
+/* Part of an engine's memory that prompts are thought to be kept in. */
+#define PLACE_MEMORY_SHARE 0.92
+
+/* Cost of being beyond the slots or the memory: the wait for a request there
+ * to end. */
+#define PLACE_FULL_US 700000.0
+
+/* Plain endpoints queue a few requests beyond their slots. */
+#define PLACE_PLAIN_QUEUE 2.5
+
+/* An endpoint that could not be reached is tried again after this even if
+ * no other is left. */
+#define PLACE_UNREACHABLE_US (250 * CA_US_PER_MS)
+
+/* Weight of the newest reading when it shows a faster engine, or a slower. */
+#define PLACE_LEARN_UP 0.3
+#define PLACE_LEARN_DOWN 0.03
+#define PLACE_LEARN_TOKENS 500
+
+ca_service_stats_t *
+ca_service_stats (ca_gateway_t *gateway, const char *name)
+{
+  ca_service_stats_t *stats = NULL;
+  uint64_t window_us = gateway->options.bounds.retry_window_ms * CA_US_PER_MS;
+
+  HASH_FIND (hh, gateway->services, name, strlen (name), stats);
+  if (stats != NULL)
+    return stats;
+  stats = calloc (1, sizeof *stats);
+  stats->name = strdup (name);
+  stats->read_tokens_per_ms = PLACE_READ_TOKENS_PER_MS;
+  ca_window_init (&stats->requests, window_us);
+  ca_window_init (&stats->repeats, window_us);
+  ca_window_init (&stats->busy, CA_WORK_SPAN_S * CA_US_PER_S);
+  ca_window_init (&stats->arrivals, CA_WORK_SPAN_S * CA_US_PER_S);
+  HASH_ADD_KEYPTR (hh, gateway->services, stats->name, strlen (stats->name),
+                   stats);
+  return stats;
+}
+
+double
+ca_service_busy_share (ca_gateway_t *gateway, ca_service_stats_t *stats)
+{
+  return ca_window_sum (&stats->busy, gateway->now_us)
+         / (CA_WORK_SPAN_S * CA_US_PER_S);
+}
+
+void
+ca_service_stats_finish (ca_gateway_t *gateway)
+{
+  ca_service_stats_t *stats;
+  ca_service_stats_t *next;
+
+  HASH_ITER (hh, gateway->services, stats, next)
+  {
+    HASH_DEL (gateway->services, stats);
+    free (stats->name);
+    free (stats);
+  }
+}
+
+void
+ca_place_learn (ca_gateway_t *gateway, const ca_exchange_t *exchange)
+{
+  ca_service_stats_t *stats
+      = ca_service_stats (gateway, exchange->service->name);
+  double took_us = (double)(gateway->now_us - exchange->sent_us);
+  double rate;
+  double weight;
+
+  if (!exchange->lone || exchange->missing_tokens < PLACE_LEARN_TOKENS)
+    return;
+  took_us -= PLACE_FIRST_US;
+  if (took_us < (double)CA_US_PER_MS)
+    return;
+  rate = exchange->missing_tokens / (took_us / CA_US_PER_MS);
+  /* Faster than any known engine: the prompt was kept there after all. */
+  if (rate > stats->read_tokens_per_ms * 1.5)
+    return;
+  weight = rate > stats->read_tokens_per_ms ? PLACE_LEARN_UP : PLACE_LEARN_DOWN;
+  stats->read_tokens_per_ms += (rate - stats->read_tokens_per_ms) * weight;
+  if (stats->read_tokens_per_ms < PLACE_READ_MIN)
+    stats->read_tokens_per_ms = PLACE_READ_MIN;
+}
+
+static bool
+place_is_avoided (const ca_exchange_t *exchange, const ca_seat_t *seat)
+{
+  for (uint32_t i = 0; i < exchange->avoided_count; i++)
+    {
+      if (exchange->avoided[i] == seat->hash)
+        return true;
+    }
+  return false;
+}
+
+typedef enum
+{
+  PLACE_NEVER, /* not for this request */
+  PLACE_LATER, /* out for now */
+  PLACE_NOW
+} place_fit_t;
+
+static place_fit_t
+place_fit (const ca_gateway_t *gateway, const ca_exchange_t *exchange,
+           const ca_seat_t *seat)
+{
+  if (!ca_seat_is_open (seat)
+      || strcmp (seat->service, exchange->service->name) != 0)
+    return PLACE_NEVER;
+  if (place_is_avoided (exchange, seat) || gateway->now_us < seat->full_until_us
+      || gateway->now_us < seat->ejected_until_us)
+    return PLACE_LATER;
+  return PLACE_NOW;
+}
+
+static double
+place_zone_cost (const ca_gateway_t *gateway, const ca_seat_t *seat,
+                 double cost)
+{
+  return strcmp (seat->zone, gateway->options.zone) == 0 ? 0 : cost;
+}
+
+/* Tokens of the prompt that the endpoint would have to read. */
+static uint32_t
+place_missing (const ca_exchange_t *exchange, const ca_seat_t *seat, bool home)
+{
+  uint32_t known = home ? ca_prompt_shared_tokens (&exchange->prompt)
+                        : ca_affinity_known (seat, &exchange->prompt);
+
+  return exchange->prompt.tokens > known ? exchange->prompt.tokens - known : 0;
+}
+
+/* Expected time to the first event, with what else counts against a place. */
+static double
+place_engine_cost (ca_gateway_t *gateway, const ca_exchange_t *exchange,
+                   const ca_seat_t *seat, bool home, ca_place_t *place)
+{
+  const ca_service_stats_t *stats
+      = ca_service_stats (gateway, exchange->service->name);
+  double us_per_token = CA_US_PER_MS / stats->read_tokens_per_ms;
+  double unread = (double)seat->own.unread_tokens + seat->peers.unread_tokens;
+  double open = (double)seat->own.open + seat->peers.open;
+  double held = (double)seat->own.held_tokens + seat->peers.held_tokens
+                + exchange->prompt.tokens + exchange->prompt.output_tokens;
+  uint32_t slots = seat->slots > 0 ? seat->slots : exchange->service->slots;
+  double cost;
+
+  place->missing_tokens = place_missing (exchange, seat, home);
+  place->lone = unread <= 0;
+  cost
+      = (unread + place->missing_tokens) * us_per_token + open * PLACE_SHARE_US;
+  if (slots > 0 && open >= slots)
+    cost += PLACE_FULL_US * (1 + (open - slots) / slots);
+  if (exchange->service->cache_tokens > 0
+      && held > PLACE_MEMORY_SHARE * (double)exchange->service->cache_tokens)
+    cost += PLACE_FULL_US;
+  place->predicted_us = (uint64_t)cost + PLACE_FIRST_US;
+  cost += place->missing_tokens * us_per_token * (PLACE_READ_WEIGHT - 1);
+  cost += place_zone_cost (gateway, seat, PLACE_ZONE_ENGINE_US);
+  return cost * (1 + 3 * seat->error_share);
+}
+
+static double
+place_plain_cost (const ca_gateway_t *gateway, const ca_seat_t *seat,
+                  ca_place_t *place)
+{
+  double slots = seat->slots > 0 ? seat->slots : 1;
+  double open = (double)seat->own.open + seat->peers.open;
+  double cost = open / slots;
+
+  place->predicted_us = (uint64_t)(seat->latency_us * (1 + cost));
+  cost += place_zone_cost (gateway, seat, PLACE_ZONE_PLAIN);
+  cost += 2 * seat->error_share + 0.05 * drand48 ();
+  /* A slow one counts for its time, against a tenth of a second. */
+  return cost + seat->latency_us / (100.0 * CA_US_PER_MS) * (0.2 + cost);
+}
+
+/* The home of the request's session among the endpoints that fit. */
+static const ca_seat_t *
+place_home (const ca_gateway_t *gateway, const ca_exchange_t *exchange,
+            place_fit_t least)
+{
+  uint64_t session = ca_prompt_session (&exchange->prompt);
+  const ca_seat_t *seat;
+  const ca_seat_t *home = NULL;
+  uint64_t best = 0;
+
+  if (session == 0)
+    return NULL;
+  for (seat = gateway->roster.seats; seat != NULL; seat = seat->hh.next)
+    {
+      uint64_t rank;
+
+      if (place_fit (gateway, exchange, seat) < least)
+        continue;
+      rank = ca_affinity_rank (seat, session);
+      if (home == NULL || rank > best)
+        {
+          home = seat;
+          best = rank;
+        }
+    }
+  return home;
+}
+
+static bool
+place_is_unreachable (const ca_gateway_t *gateway, const ca_seat_t *seat)
+{
+  return seat->failed_us != 0
+         && gateway->now_us - seat->failed_us < PLACE_UNREACHABLE_US;
+}
+
+/* The best endpoint that fits at least so well. */
+static ca_place_t
+place_best (ca_gateway_t *gateway, const ca_exchange_t *exchange,
+            place_fit_t least)
+{
+  const ca_seat_t *home = place_home (gateway, exchange, least);
+  ca_place_t best = { NULL, false, 0, 0, false };
+  double best_cost = 0;
+  ca_seat_t *seat;
+
+  for (seat = gateway->roster.seats; seat != NULL; seat = seat->hh.next)
+    {
+      place_fit_t fit = place_fit (gateway, exchange, seat);
+      ca_place_t place = { seat, true, 0, 0, false };
+      double cost;
+
+      if (fit == PLACE_NEVER)
+        continue;
+      best.any = true;
+      if (fit < least
+          || (least == PLACE_LATER && place_is_unreachable (gateway, seat)))
+        continue;
+      cost = exchange->service->is_engine
+                 ? place_engine_cost (gateway, exchange, seat, seat == home,
+                                      &place)
+                 : place_plain_cost (gateway, seat, &place);
+      if (!exchange->service->is_engine && seat->slots > 0
+          && seat->own.open + seat->peers.open
+                 >= PLACE_PLAIN_QUEUE * seat->slots)
+        continue;
+      if (best.seat == NULL || cost < best_cost)
+        {
+          best = place;
+          best_cost = cost;
+        }
+    }
+  return best;
+}
+
+ca_place_t
+ca_place (ca_gateway_t *gateway, const ca_exchange_t *exchange)
+{
+  ca_place_t place = place_best (gateway, exchange, PLACE_NOW);
+
+  if (place.seat != NULL || !place.any)
+    return place;
+  return place_best (gateway, exchange, PLACE_LATER);
+}
--- /dev/null
+++ b/packages/gateway/private.h
@@ -0,0 +1,123 @@
+/* What the files of the gateway share. */
+#ifndef CA_GATEWAY_PRIVATE_H
+#define CA_GATEWAY_PRIVATE_H
+
+#include "gateway/gateway.h"
+
+/* Writes a log line. */
+void ca_gateway_note (ca_gateway_t *gateway, ca_event_number_t event,
+                      const char *request, const char *subject,
+                      const char *format, ...)
+    __attribute__ ((format (printf, 5, 6)));
+
+/* Number of the entry with this name. */
+uint64_t ca_gateway_id (const char *name);
+
+/* Uniform in [0, 1). */
+double ca_gateway_random (ca_gateway_t *gateway);
+
+/* --- exchange.c --- */
+
+void ca_exchanges_tick (ca_gateway_t *gateway);
+void ca_exchanges_finish (ca_gateway_t *gateway);
+
+/* --- knowledge.c --- */
+
+void ca_knowledge_tick (ca_gateway_t *gateway);
+
+/* --- place.c --- */
+
+typedef struct
+{
+  ca_seat_t *seat;       /* NULL if there is none now */
+  bool any;              /* the service has an endpoint at all */
+  uint64_t predicted_us; /* to the first event or the answer */
+  uint32_t missing_tokens;
+  bool lone; /* nothing waits there */
+} ca_place_t;
+
+ca_place_t ca_place (ca_gateway_t *gateway, const ca_exchange_t *exchange);
+
+ca_service_stats_t *ca_service_stats (ca_gateway_t *gateway, const char *name);
+/* Spans over which a workspace's demand and a service's work are measured. */
+#define CA_DEMAND_SPAN_S 2
+#define CA_WORK_SPAN_S 3
+
+/* Endpoints' worth of time that requests through this entry take. */
+double ca_service_busy_share (ca_gateway_t *gateway, ca_service_stats_t *stats);
+void ca_service_stats_finish (ca_gateway_t *gateway);
+
+/* Learns from the time to a first event. */
+void ca_place_learn (ca_gateway_t *gateway, const ca_exchange_t *exchange);
+
+/* --- quota.c --- */
+
+bool ca_quota_take (ca_gateway_t *gateway,
+                    const ca_catalog_workspace_t *workspace, double cost,
+                    uint64_t *wait_us);
+void ca_quota_return (ca_gateway_t *gateway,
+                      const ca_catalog_workspace_t *workspace, double cost);
+
+/* Works the shares out anew. */
+void ca_quota_tick (ca_gateway_t *gateway);
+void ca_quota_finish (ca_gateway_t *gateway);
+
+/* True if one more send beyond a request's first is within the budget; the
+ * send is then counted. */
+bool ca_retry_take (ca_gateway_t *gateway, const char *service);
+
+/* --- strikes.c --- */
+
+bool ca_strike_is_barred (const ca_gateway_t *gateway, uint64_t fingerprint);
+void ca_strike_add (ca_gateway_t *gateway, const ca_exchange_t *exchange);
+void ca_strike_clear (ca_gateway_t *gateway, uint64_t fingerprint);
+/* The endpoint cannot be reached: cut runs there were strikes. */
+void ca_strike_confirm (ca_gateway_t *gateway, const ca_seat_t *seat);
+void ca_strikes_tick (ca_gateway_t *gateway);
+void ca_strikes_finish (ca_gateway_t *gateway);
+
+/* --- usage.c --- */
+
+/* A run of a workspace's request began at `at_us`. */
+void ca_usage_count (ca_gateway_t *gateway, const char *workspace,
+                     uint64_t at_us);
+void ca_usage_add (struct ca_usage_rows *rows, uint64_t window,
+                   const char *workspace, uint32_t count);
+void ca_usage_expire (ca_gateway_t *gateway);
+void ca_usage_rows_finish (struct ca_usage_rows *rows);
+
+uint64_t ca_usage_window (const ca_gateway_t *gateway, uint64_t at_us);
+
+/* Sums what all entries have told of one window. */
+void ca_usage_total (const ca_gateway_t *gateway, uint64_t window,
+                     struct ca_usage_rows *total);
+
+/* Agreed time of day, in microseconds since 1970. */
+uint64_t ca_gateway_wall_us (const ca_gateway_t *gateway, uint64_t at_us);
+
+/* --- siblings.c --- */
+
+void ca_siblings_tick (ca_gateway_t *gateway, uint64_t wall_us);
+void ca_siblings_finish (ca_gateway_t *gateway);
+
+/* Entries heard of lately, this one included. */
+uint32_t ca_siblings_live (const ca_gateway_t *gateway);
+
+/* True if a live entry says that it holds the lease on duties. */
+bool ca_siblings_have_leader (const ca_gateway_t *gateway);
+
+/* Live entries that read the store and come before this one. */
+uint32_t ca_siblings_rank (const ca_gateway_t *gateway);
+
+/* What all entries' callers ask of a service. */
+typedef struct
+{
+  double busy; /* endpoints' worth of reading prompts */
+  double held_tokens;
+  double requests_per_s;
+} ca_service_work_t;
+
+void ca_siblings_work (ca_gateway_t *gateway, const char *service,
+                       ca_service_work_t *work);
+
+#endif
--- /dev/null
+++ b/packages/gateway/roster.h
@@ -0,0 +1,116 @@
+/* Endpoints that the store lists, what this process has open at each, and how
+ * each has done lately. */
+#ifndef CA_GATEWAY_ROSTER_H
+#define CA_GATEWAY_ROSTER_H
+
+#include "base/settings.h"
+
+#include <stdbool.h>
+#include <stdint.h>
+#include <sys/queue.h>
+#include <uthash.h>
+
+typedef enum
+{
+  CA_SEAT_READY,
+  CA_SEAT_DRAINING,
+  CA_SEAT_GONE /* no longer listed; kept while exchanges are open at it */
+} ca_seat_state_t;
+
+/* One entry of the store's list, decoded. */
+typedef struct
+{
+  const char *id;
+  const char *service;
+  const char *zone;
+  ca_address_t address;
+  bool draining;
+  bool reclaimable;
+  uint32_t slots;
+  uint64_t born_ms;     /* start of this life, Unix milliseconds; 0 unknown */
+  uint64_t leaves_ms;   /* until it is taken away; 0 unknown */
+  uint32_t cold_ms;     /* it stays slow for this long */
+  const char *versions; /* software and weights, for the log */
+} ca_seat_entry_t;
+
+/* What peers have open at an endpoint, by their latest pulses. */
+typedef struct
+{
+  uint32_t open;
+  uint32_t unread_tokens; /* of prompts that wait for their first event */
+  uint32_t held_tokens;   /* prompt and output of all that is open */
+} ca_seat_load_t;
+
+struct ca_affinity_part;
+
+/* One life of an endpoint. */
+typedef struct ca_seat
+{
+  char *id;
+  char *service;
+  char *zone;
+  ca_address_t address;
+  ca_seat_state_t state;
+  bool reclaimable;
+  uint32_t slots;
+  uint64_t born_ms;
+  uint64_t leaves_at_us; /* 0 unknown */
+  uint64_t missing_us;   /* since when its entry is missing; 0 if it is there */
+  uint64_t hash;         /* of the id, for the choice of homes */
+  ca_seat_load_t own;
+  ca_seat_load_t peers;
+  /* Health, as this process sees it. */
+  uint32_t failures;  /* in a row */
+  double error_share; /* smoothed part of answers that failed */
+  uint64_t ejected_until_us;
+  uint64_t full_until_us; /* it said that it has no room */
+  uint64_t failed_us;     /* last connection that could not be made */
+  uint64_t probe_at_us;   /* one request may try it again from then on */
+  double latency_us;      /* smoothed, of plain answers */
+  /* Parts of prompts that this process has sent there. */
+  TAILQ_HEAD (ca_affinity_parts, ca_affinity_part) parts;
+  uint64_t part_tokens;
+  uint32_t open; /* exchanges that point here */
+  struct ca_seat *next_retired;
+  UT_hash_handle hh;
+} ca_seat_t;
+
+typedef struct
+{
+  ca_seat_t *seats;   /* by id */
+  ca_seat_t *retired; /* former lives with open exchanges */
+} ca_roster_t;
+
+void ca_roster_init (ca_roster_t *roster);
+void ca_roster_finish (ca_roster_t *roster);
+
+/* Takes an entry in; true if it changes where requests may go. */
+bool ca_roster_put (ca_roster_t *roster, uint64_t now_us,
+                    const ca_seat_entry_t *entry);
+
+/* Its entry is no longer there.  `sure`: it has left; else it counts as gone
+ * only if the entry stays away (ca_roster_expire). */
+void ca_roster_remove (ca_roster_t *roster, uint64_t now_us, const char *id,
+                       bool sure);
+
+/* Ends the endpoints whose entry has been missing for `wait_us`. */
+void ca_roster_expire (ca_roster_t *roster, uint64_t now_us, uint64_t wait_us);
+
+/* Marks every endpoint as missing, for a list that is read anew: those that
+ * ca_roster_put names are there again. */
+void ca_roster_mark (ca_roster_t *roster, uint64_t now_us);
+
+/* True if new requests may go there. */
+bool ca_seat_is_open (const ca_seat_t *seat);
+
+/* Counts an exchange in and out. */
+void ca_seat_hold (ca_seat_t *seat);
+void ca_seat_release (ca_roster_t *roster, ca_seat_t *seat);
+
+/* The end of one attempt at an endpoint. */
+void ca_seat_succeeded (ca_seat_t *seat, uint64_t latency_us);
+void ca_seat_failed (ca_seat_t *seat, uint64_t now_us, bool unreachable);
+
+ca_seat_t *ca_roster_find (const ca_roster_t *roster, const char *id);
+
+#endif
--- /dev/null
+++ b/packages/gateway/siblings.c
@@ -0,0 +1,577 @@
+/* The other entries: pulses to and from each, and what follows from them. */
+#include "gateway/private.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* Pulses to each other entry; the period grows with their number, so that one
+ * entry's messages a second stay bounded. */
+#define PULSE_PERIOD_US (300 * CA_US_PER_MS)
+#define PULSE_ENTRIES 10
+
+/* An entry that is not heard is sent a pulse this often. */
+#define PULSE_SILENT_US (2 * CA_US_PER_S)
+
+/* Not heard for this long: it is not counted as live, and what it had open is
+ * no longer counted. */
+#define SIBLING_LIVE_US (2 * CA_US_PER_S)
+#define SIBLING_KEPT_US (40 * CA_US_PER_S)
+
+/* Windows of usage told in each pulse. */
+#define PULSE_USAGE_ROWS 256
+#define PULSE_LOADS 256
+#define PULSE_DEMANDS 128
+#define PULSE_LEFT 128
+#define PULSE_STRIKES 64
+#define PULSE_SERVICES 32
+
+/* Rows of a pulse that is being built. */
+typedef struct
+{
+  Camphor__Pulse pulse;
+  Camphor__SeatLoad loads[PULSE_LOADS];
+  Camphor__SeatLoad *load_rows[PULSE_LOADS];
+  Camphor__WorkspaceDemand demands[PULSE_DEMANDS];
+  Camphor__WorkspaceDemand *demand_rows[PULSE_DEMANDS];
+  Camphor__UsageCount usage[PULSE_USAGE_ROWS];
+  Camphor__UsageCount *usage_rows[PULSE_USAGE_ROWS];
+  Camphor__ServiceWork work[PULSE_SERVICES];
+  Camphor__ServiceWork *work_rows[PULSE_SERVICES];
+  Camphor__Strike strikes[PULSE_STRIKES];
+  Camphor__Strike *strike_rows[PULSE_STRIKES];
+  uint64_t left[PULSE_LEFT];
+} sibling_draft_t;
+
+/* --- Rows --- */
+
+static ca_sibling_t *
+sibling_find (const ca_gateway_t *gateway, uint64_t id)
+{
+  ca_sibling_t *sibling = NULL;
+
+  HASH_FIND (hh, gateway->siblings, &id, sizeof id, sibling);
+  return sibling;
+}
+
+static ca_sibling_t *
+sibling_add (ca_gateway_t *gateway, uint64_t id, const char *name)
+{
+  ca_sibling_t *sibling = calloc (1, sizeof *sibling);
+
+  sibling->id = id;
+  sibling->name = strdup (name);
+  sibling->zone = strdup ("");
+  sibling->met_us = gateway->now_us;
+  TAILQ_INIT (&sibling->usage);
+  HASH_ADD (hh, gateway->siblings, id, sizeof sibling->id, sibling);
+  return sibling;
+}
+
+/* Adds what the peer has open to its endpoints, or takes it off again. */
+static void
+sibling_count_loads (ca_gateway_t *gateway, ca_sibling_t *sibling, bool add)
+{
+  const Camphor__Pulse *pulse = sibling->pulse;
+
+  if (pulse == NULL || sibling->loads_counted == add)
+    return;
+  sibling->loads_counted = add;
+  for (size_t i = 0; i < pulse->n_loads; i++)
+    {
+      const Camphor__SeatLoad *load = pulse->loads[i];
+      ca_seat_t *seat = ca_roster_find (&gateway->roster, load->seat);
+      ca_seat_load_t *sum;
+
+      if (seat == NULL)
+        continue;
+      sum = &seat->peers;
+      if (add)
+        {
+          sum->open += load->open;
+          sum->unread_tokens += load->unread_tokens;
+          sum->held_tokens += load->held_tokens;
+          continue;
+        }
+      /* The endpoint may have begun a new life since. */
+      sum->open -= sum->open < load->open ? sum->open : load->open;
+      sum->unread_tokens -= sum->unread_tokens < load->unread_tokens
+                                ? sum->unread_tokens
+                                : load->unread_tokens;
+      sum->held_tokens -= sum->held_tokens < load->held_tokens
+                              ? sum->held_tokens
+                              : load->held_tokens;
+    }
+}
+
+static void
+sibling_free (ca_gateway_t *gateway, ca_sibling_t *sibling)
+{
+  sibling_count_loads (gateway, sibling, false);
+  HASH_DEL (gateway->siblings, sibling);
+  if (sibling->pulse != NULL)
+    camphor__pulse__free_unpacked (sibling->pulse, NULL);
+  ca_usage_rows_finish (&sibling->usage);
+  free (sibling->name);
+  free (sibling->zone);
+  free (sibling);
+}
+
+void
+ca_siblings_finish (ca_gateway_t *gateway)
+{
+  ca_sibling_t *sibling;
+  ca_sibling_t *next;
+
+  HASH_ITER (hh, gateway->siblings, sibling, next)
+  sibling_free (gateway, sibling);
+}
+
+static bool
+sibling_is_live (const ca_gateway_t *gateway, const ca_sibling_t *sibling)
+{
+  return sibling->heard_us != 0
+         && gateway->now_us - sibling->heard_us < SIBLING_LIVE_US;
+}
+
+bool
+ca_siblings_have_leader (const ca_gateway_t *gateway)
+{
+  const ca_sibling_t *sibling;
+
+  for (sibling = gateway->siblings; sibling != NULL; sibling = sibling->hh.next)
+    {
+      if (sibling->leads && sibling_is_live (gateway, sibling))
+        return true;
+    }
+  return false;
+}
+
+uint32_t
+ca_siblings_rank (const ca_gateway_t *gateway)
+{
+  const ca_sibling_t *sibling;
+  uint32_t rank = 0;
+
+  for (sibling = gateway->siblings; sibling != NULL; sibling = sibling->hh.next)
+    {
+      if (sibling_is_live (gateway, sibling) && sibling->reads_store
+          && !sibling->leaving && sibling->id < gateway->id)
+        rank++;
+    }
+  return rank;
+}
+
+void
+ca_siblings_work (ca_gateway_t *gateway, const char *service,
+                  ca_service_work_t *work)
+{
+  const ca_sibling_t *sibling;
+  ca_service_stats_t *stats = ca_service_stats (gateway, service);
+
+  work->busy = ca_service_busy_share (gateway, stats);
+  work->held_tokens = stats->held_tokens;
+  work->requests_per_s
+      = ca_window_sum (&stats->arrivals, gateway->now_us) / CA_WORK_SPAN_S;
+  for (sibling = gateway->siblings; sibling != NULL; sibling = sibling->hh.next)
+    {
+      for (size_t i = 0;
+           sibling_is_live (gateway, sibling) && i < sibling->pulse->n_work;
+           i++)
+        {
+          const Camphor__ServiceWork *row = sibling->pulse->work[i];
+
+          if (strcmp (row->service, service) != 0)
+            continue;
+          work->busy += row->busy_share;
+          work->held_tokens += row->held_tokens;
+          work->requests_per_s += row->requests_per_s;
+        }
+    }
+}
+
+uint32_t
+ca_siblings_live (const ca_gateway_t *gateway)
+{
+  const ca_sibling_t *sibling;
+  uint32_t count = 1;
+
+  for (sibling = gateway->siblings; sibling != NULL; sibling = sibling->hh.next)
+    {
+      if (sibling_is_live (gateway, sibling))
+        count++;
+    }
+  return count;
+}
+
+void
+ca_gateway_sibling (ca_gateway_t *gateway, const char *name,
+                    const ca_address_t *address)
+{
+  uint64_t id = ca_gateway_id (name);
+  ca_sibling_t *sibling = sibling_find (gateway, id);
+
+  if (id == gateway->id)
+    return;
+  if (sibling == NULL)
+    sibling = sibling_add (gateway, id, name);
+  if (sibling->heard_us == 0)
+    sibling->address = *address;
+}
+
+/* --- Sending --- */
+
+static void
+sibling_draft_loads (const ca_gateway_t *gateway, sibling_draft_t *draft)
+{
+  const ca_seat_t *seat;
+  Camphor__Pulse *pulse = &draft->pulse;
+
+  pulse->loads = draft->load_rows;
+  pulse->left_lives = draft->left;
+  for (seat = gateway->roster.seats; seat != NULL; seat = seat->hh.next)
+    {
+      if (seat->state == CA_SEAT_DRAINING && pulse->n_left_lives < PULSE_LEFT)
+        draft->left[pulse->n_left_lives++] = seat->hash ^ seat->born_ms;
+      if (seat->own.open == 0 || pulse->n_loads == PULSE_LOADS)
+        continue;
+      draft->load_rows[pulse->n_loads] = &draft->loads[pulse->n_loads];
+      camphor__seat_load__init (&draft->loads[pulse->n_loads]);
+      draft->loads[pulse->n_loads].seat = seat->id;
+      draft->loads[pulse->n_loads].open = seat->own.open;
+      draft->loads[pulse->n_loads].unread_tokens = seat->own.unread_tokens;
+      draft->loads[pulse->n_loads].held_tokens = seat->own.held_tokens;
+      pulse->n_loads++;
+    }
+}
+
+static void
+sibling_draft_demands (ca_gateway_t *gateway, sibling_draft_t *draft)
+{
+  ca_quota_t *quota;
+  Camphor__Pulse *pulse = &draft->pulse;
+
+  pulse->demands = draft->demand_rows;
+  for (quota = gateway->quotas;
+       quota != NULL && pulse->n_demands < PULSE_DEMANDS;
+       quota = quota->hh.next)
+    {
+      Camphor__WorkspaceDemand *row = &draft->demands[pulse->n_demands];
+
+      draft->demand_rows[pulse->n_demands++] = row;
+      camphor__workspace_demand__init (row);
+      row->workspace = quota->workspace;
+      row->asked_per_s
+          = ca_window_sum (&quota->asked, gateway->now_us) / CA_DEMAND_SPAN_S;
+    }
+}
+
+static void
+sibling_draft_usage (ca_gateway_t *gateway, sibling_draft_t *draft)
+{
+  ca_usage_row_t *row;
+  Camphor__Pulse *pulse = &draft->pulse;
+
+  pulse->usage = draft->usage_rows;
+  TAILQ_FOREACH (row, &gateway->usage, entries)
+  {
+    Camphor__UsageCount *count = &draft->usage[pulse->n_usage];
+
+    if (pulse->n_usage == PULSE_USAGE_ROWS)
+      break;
+    draft->usage_rows[pulse->n_usage++] = count;
+    camphor__usage_count__init (count);
+    count->window = row->window;
+    count->workspace = row->workspace;
+    count->count = row->count;
+  }
+}
+
+static void
+sibling_draft_work (ca_gateway_t *gateway, sibling_draft_t *draft)
+{
+  ca_service_stats_t *stats;
+  Camphor__Pulse *pulse = &draft->pulse;
+
+  pulse->work = draft->work_rows;
+  for (stats = gateway->services;
+       stats != NULL && pulse->n_work < PULSE_SERVICES; stats = stats->hh.next)
+    {
+      Camphor__ServiceWork *row = &draft->work[pulse->n_work];
+
+      draft->work_rows[pulse->n_work++] = row;
+      camphor__service_work__init (row);
+      row->service = stats->name;
+      row->busy_share = ca_service_busy_share (gateway, stats);
+      row->held_tokens = stats->held_tokens;
+      row->requests_per_s
+          = ca_window_sum (&stats->arrivals, gateway->now_us) / CA_WORK_SPAN_S;
+    }
+}
+
+static void
+sibling_draft_strikes (const ca_gateway_t *gateway, sibling_draft_t *draft)
+{
+  const ca_strike_t *strike;
+  Camphor__Pulse *pulse = &draft->pulse;
+
+  pulse->strikes = draft->strike_rows;
+  for (strike = gateway->strikes;
+       strike != NULL && pulse->n_strikes < PULSE_STRIKES;
+       strike = strike->hh.next)
+    {
+      Camphor__Strike *row = &draft->strikes[pulse->n_strikes];
+
+      draft->strike_rows[pulse->n_strikes++] = row;
+      camphor__strike__init (row);
+      row->fingerprint = strike->fingerprint;
+      row->count = strike->count;
+    }
+}
+
+static void
+sibling_draft (ca_gateway_t *gateway, uint64_t wall_us, sibling_draft_t *draft)
+{
+  Camphor__Pulse *pulse = &draft->pulse;
+
+  camphor__pulse__init (pulse);
+  pulse->name = gateway->options.name;
+  pulse->zone = gateway->options.zone;
+  pulse->ip = gateway->options.peers.ip;
+  pulse->port = gateway->options.peers.port;
+  pulse->stamp_us = gateway->now_us;
+  pulse->wall_ms = wall_us / CA_US_PER_MS;
+  pulse->leaving = gateway->stopping;
+  pulse->reads_store = !gateway->store_down;
+  pulse->leads = gateway->leads;
+  if (gateway->catalog != NULL && gateway->config_freshness.known)
+    {
+      pulse->config_known = true;
+      pulse->config_version = gateway->catalog->version;
+      pulse->config_age_us
+          = ca_freshness_age_us (&gateway->config_freshness, gateway->now_us);
+    }
+  sibling_draft_loads (gateway, draft);
+  sibling_draft_demands (gateway, draft);
+  sibling_draft_usage (gateway, draft);
+  sibling_draft_work (gateway, draft);
+  sibling_draft_strikes (gateway, draft);
+}
+
+static void
+sibling_send (ca_gateway_t *gateway, const ca_address_t *to,
+              Camphor__Envelope *envelope)
+{
+  envelope->version = 1;
+  envelope->from = gateway->id;
+  envelope->incarnation = gateway->incarnation;
+  gateway->ports.send_peer (gateway->ports.context, to, envelope);
+}
+
+static void
+sibling_pulse_all (ca_gateway_t *gateway, uint64_t wall_us)
+{
+  static sibling_draft_t draft; /* rebuilt at each use; large */
+  Camphor__Envelope envelope = CAMPHOR__ENVELOPE__INIT;
+  ca_sibling_t *sibling;
+
+  memset (&draft, 0, sizeof draft);
+  sibling_draft (gateway, wall_us, &draft);
+  envelope.body_case = CAMPHOR__ENVELOPE__BODY_PULSE;
+  envelope.pulse = &draft.pulse;
+  for (sibling = gateway->siblings; sibling != NULL; sibling = sibling->hh.next)
+    {
+      if (!sibling_is_live (gateway, sibling)
+          && gateway->now_us - sibling->pulsed_us < PULSE_SILENT_US)
+        continue;
+      sibling->pulsed_us = gateway->now_us;
+      draft.pulse.echo_us = sibling->stamp_us;
+      sibling_send (gateway, &sibling->address, &envelope);
+    }
+}
+
+/* --- Time of day --- */
+
+static int
+sibling_compare_offsets (const void *a, const void *b)
+{
+  int64_t left = *(const int64_t *)a;
+  int64_t right = *(const int64_t *)b;
+
+  return left < right ? -1 : left > right;
+}
+
+/* The median of all entries' offsets: one machine's clock may jump. */
+static void
+sibling_agree_wall (ca_gateway_t *gateway)
+{
+  int64_t offsets[PULSE_LOADS];
+  size_t count = 0;
+  const ca_sibling_t *sibling;
+
+  offsets[count++] = gateway->own_wall_offset_us;
+  for (sibling = gateway->siblings; sibling != NULL && count < PULSE_LOADS;
+       sibling = sibling->hh.next)
+    {
+      if (sibling_is_live (gateway, sibling))
+        offsets[count++] = sibling->wall_offset_us;
+    }
+  if (count < 3)
+    {
+      /* Too few to outvote a jump: the offset that was agreed stays. */
+      if (!gateway->wall_agreed)
+        gateway->wall_offset_us = gateway->own_wall_offset_us;
+      return;
+    }
+  qsort (offsets, count, sizeof offsets[0], sibling_compare_offsets);
+  gateway->wall_offset_us = offsets[count / 2];
+  gateway->wall_agreed = true;
+}
+
+/* --- Time --- */
+
+void
+ca_siblings_tick (ca_gateway_t *gateway, uint64_t wall_us)
+{
+  ca_sibling_t *sibling;
+  ca_sibling_t *next;
+  uint32_t entries = HASH_COUNT (gateway->siblings);
+
+  gateway->own_wall_offset_us = (int64_t)wall_us - (int64_t)gateway->now_us;
+  if (gateway->now_us < gateway->pulse_us)
+    return;
+  gateway->pulse_us
+      = gateway->now_us
+        + PULSE_PERIOD_US * (entries > PULSE_ENTRIES ? entries : PULSE_ENTRIES)
+              / PULSE_ENTRIES;
+  HASH_ITER (hh, gateway->siblings, sibling, next)
+  {
+    uint64_t since_us
+        = sibling->heard_us > 0 ? sibling->heard_us : sibling->met_us;
+
+    if (!sibling_is_live (gateway, sibling))
+      sibling_count_loads (gateway, sibling, false);
+    if (gateway->now_us - since_us > SIBLING_KEPT_US)
+      sibling_free (gateway, sibling);
+  }
+  sibling_agree_wall (gateway);
+  sibling_pulse_all (gateway, wall_us);
+}
+
+/* --- Receiving --- */
+
+/* A former life's counts stay. */
+static void
+sibling_new_life (ca_sibling_t *sibling)
+{
+  for (size_t i = 0; sibling->pulse != NULL && i < sibling->pulse->n_usage; i++)
+    ca_usage_add (&sibling->usage, sibling->pulse->usage[i]->window,
+                  sibling->pulse->usage[i]->workspace,
+                  sibling->pulse->usage[i]->count);
+}
+
+/* Endpoints that the peer knows to be leaving get nothing from here either. */
+static void
+sibling_take_left (ca_gateway_t *gateway, const Camphor__Pulse *pulse)
+{
+  ca_seat_t *seat;
+
+  for (size_t i = 0; i < pulse->n_left_lives; i++)
+    {
+      for (seat = gateway->roster.seats; seat != NULL; seat = seat->hh.next)
+        {
+          if (seat->state != CA_SEAT_READY
+              || (seat->hash ^ seat->born_ms) != pulse->left_lives[i])
+            continue;
+          seat->state = CA_SEAT_DRAINING;
+          ca_gateway_note (gateway, CA_EVENT_ENDPOINT_LEAVING, NULL, seat->id,
+                           "told by %s", pulse->name);
+        }
+    }
+}
+
+static void
+sibling_take_pulse (ca_gateway_t *gateway, const Camphor__Envelope *envelope,
+                    Camphor__Pulse *pulse)
+{
+  ca_sibling_t *sibling = sibling_find (gateway, envelope->from);
+
+  if (sibling == NULL)
+    sibling = sibling_add (gateway, envelope->from, pulse->name);
+  if (sibling->heard_us == 0)
+    ca_gateway_note (gateway, CA_EVENT_MEMBER_JOINED, NULL, pulse->name,
+                     "zone %s", pulse->zone);
+  sibling_count_loads (gateway, sibling, false);
+  if (sibling->incarnation != envelope->incarnation)
+    sibling_new_life (sibling);
+  if (sibling->pulse != NULL)
+    camphor__pulse__free_unpacked (sibling->pulse, NULL);
+  sibling->pulse = pulse;
+  sibling->incarnation = envelope->incarnation;
+  sibling->address.ip = pulse->ip;
+  sibling->address.port = (uint16_t)pulse->port;
+  sibling->heard_us = gateway->now_us;
+  sibling->stamp_us = pulse->stamp_us;
+  sibling->leaving = pulse->leaving;
+  sibling->reads_store = pulse->reads_store;
+  sibling->leads = pulse->leads;
+  sibling->wall_offset_us
+      = (int64_t)(pulse->wall_ms * CA_US_PER_MS) - (int64_t)gateway->now_us;
+  sibling_count_loads (gateway, sibling, true);
+  sibling_take_left (gateway, pulse);
+  if (pulse->config_known && gateway->catalog != NULL && pulse->echo_us > 0
+      && pulse->echo_us <= gateway->now_us
+      && pulse->config_version == gateway->catalog->version)
+    ca_freshness_peer (&gateway->config_freshness, pulse->echo_us,
+                       pulse->config_age_us);
+}
+
+static void
+sibling_answer_want (ca_gateway_t *gateway, const Camphor__Envelope *envelope)
+{
+  const ca_sibling_t *sibling = sibling_find (gateway, envelope->from);
+  Camphor__Envelope answer = CAMPHOR__ENVELOPE__INIT;
+  Camphor__CatalogText text = CAMPHOR__CATALOG_TEXT__INIT;
+
+  if (sibling == NULL || gateway->catalog == NULL
+      || gateway->catalog->version <= envelope->catalog_want->have_version)
+    return;
+  text.version = gateway->catalog->version;
+  text.text.data = (uint8_t *)gateway->catalog->text;
+  text.text.len = gateway->catalog->text_bytes;
+  answer.body_case = CAMPHOR__ENVELOPE__BODY_CATALOG_TEXT;
+  answer.catalog_text = &text;
+  sibling_send (gateway, &sibling->address, &answer);
+}
+
+void
+ca_gateway_envelope (ca_gateway_t *gateway, uint64_t now_us,
+                     const Camphor__Envelope *envelope)
+{
+  uint8_t *packed;
+  size_t bytes;
+
+  gateway->now_us = now_us;
+  if (envelope->from == gateway->id)
+    return;
+  switch (envelope->body_case)
+    {
+    case CAMPHOR__ENVELOPE__BODY_PULSE:
+      bytes = camphor__pulse__get_packed_size (envelope->pulse);
+      packed = malloc (bytes);
+      camphor__pulse__pack (envelope->pulse, packed);
+      sibling_take_pulse (gateway, envelope,
+                          camphor__pulse__unpack (NULL, bytes, packed));
+      free (packed);
+      return;
+    case CAMPHOR__ENVELOPE__BODY_CATALOG_WANT:
+      sibling_answer_want (gateway, envelope);
+      return;
+    case CAMPHOR__ENVELOPE__BODY_CATALOG_TEXT:
+      gateway->ports.parse_catalog (
+          gateway->ports.context, envelope->catalog_text->version,
+          envelope->catalog_text->text.data, envelope->catalog_text->text.len);
+      return;
+    default:
+      return;
+    }
+}
--- /dev/null
+++ b/packages/gateway/usage.c
@@ -0,0 +1,123 @@
+/* Counts of what began to run, by workspace and window of true time.
+ *
+ * Machines' times of day jump; windows are told by the median of the entries'
+ * offsets to their own steady clocks.  Counts travel with every pulse, so that
+ * any entry can report for all, and an entry's end loses little. */
+#include "gateway/private.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* Windows that are kept after the latest one. */
+#define USAGE_WINDOWS_KEPT 6
+
+void
+ca_usage_add (struct ca_usage_rows *rows, uint64_t window,
+              const char *workspace, uint32_t count)
+{
+  ca_usage_row_t *row;
+
+  TAILQ_FOREACH (row, rows, entries)
+  {
+    if (row->window == window && strcmp (row->workspace, workspace) == 0)
+      {
+        row->count += count;
+        return;
+      }
+  }
+  row = calloc (1, sizeof *row);
+  row->window = window;
+  row->workspace = strdup (workspace);
+  row->count = count;
+  TAILQ_INSERT_TAIL (rows, row, entries);
+}
+
+static void
+usage_drop (struct ca_usage_rows *rows, ca_usage_row_t *row)
+{
+  TAILQ_REMOVE (rows, row, entries);
+  free (row->workspace);
+  free (row);
+}
+
+void
+ca_usage_rows_finish (struct ca_usage_rows *rows)
+{
+  while (!TAILQ_EMPTY (rows))
+    usage_drop (rows, TAILQ_FIRST (rows));
+}
+
+uint64_t
+ca_usage_window (const ca_gateway_t *gateway, uint64_t at_us)
+{
+  return ca_gateway_wall_us (gateway, at_us)
+         / (gateway->options.bounds.usage_window_s * CA_US_PER_S);
+}
+
+void
+ca_usage_count (ca_gateway_t *gateway, const char *workspace, uint64_t at_us)
+{
+  ca_usage_add (&gateway->usage, ca_usage_window (gateway, at_us), workspace,
+                1);
+}
+
+static void
+usage_expire_rows (struct ca_usage_rows *rows, uint64_t oldest)
+{
+  ca_usage_row_t *row = TAILQ_FIRST (rows);
+
+  while (row != NULL)
+    {
+      ca_usage_row_t *next = TAILQ_NEXT (row, entries);
+
+      if (row->window < oldest)
+        usage_drop (rows, row);
+      row = next;
+    }
+}
+
+void
+ca_usage_expire (ca_gateway_t *gateway)
+{
+  uint64_t now = ca_usage_window (gateway, gateway->now_us);
+  ca_sibling_t *sibling;
+
+  if (now < USAGE_WINDOWS_KEPT)
+    return;
+  usage_expire_rows (&gateway->usage, now - USAGE_WINDOWS_KEPT);
+  for (sibling = gateway->siblings; sibling != NULL; sibling = sibling->hh.next)
+    usage_expire_rows (&sibling->usage, now - USAGE_WINDOWS_KEPT);
+}
+
+static void
+usage_sum_rows (struct ca_usage_rows *total, const struct ca_usage_rows *rows,
+                uint64_t window)
+{
+  const ca_usage_row_t *row;
+
+  TAILQ_FOREACH (row, rows, entries)
+  {
+    if (row->window == window)
+      ca_usage_add (total, window, row->workspace, row->count);
+  }
+}
+
+void
+ca_usage_total (const ca_gateway_t *gateway, uint64_t window,
+                struct ca_usage_rows *total)
+{
+  const ca_sibling_t *sibling;
+
+  usage_sum_rows (total, &gateway->usage, window);
+  for (sibling = gateway->siblings; sibling != NULL; sibling = sibling->hh.next)
+    {
+      usage_sum_rows (total, &sibling->usage, window);
+      for (size_t i = 0; sibling->pulse != NULL && i < sibling->pulse->n_usage;
+           i++)
+        {
+          if (sibling->pulse->usage[i]->window == window)
+            ca_usage_add (total, window, sibling->pulse->usage[i]->workspace,
+                          sibling->pulse->usage[i]->count);
+        }
+    }
+}
--- /dev/null
+++ b/packages/gateway/window.c
@@ -0,0 +1,44 @@
+/* Sliding counts. */
+#include "gateway/window.h"
+
+#include <string.h>
+
+void
+ca_window_init (ca_window_t *window, uint64_t span_us)
+{
+  memset (window, 0, sizeof *window);
+  window->slice_us = span_us / CA_WINDOW_SLICES + 1;
+}
+
+/* Empties the slices that have passed out of the span. */
+static void
+window_advance (ca_window_t *window, uint64_t now_us)
+{
+  uint64_t slice = now_us / window->slice_us;
+
+  if (slice > window->latest + CA_WINDOW_SLICES)
+    window->latest = slice - CA_WINDOW_SLICES;
+  while (window->latest < slice)
+    {
+      window->latest++;
+      window->counts[window->latest % CA_WINDOW_SLICES] = 0;
+    }
+}
+
+void
+ca_window_add (ca_window_t *window, uint64_t now_us, double amount)
+{
+  window_advance (window, now_us);
+  window->counts[window->latest % CA_WINDOW_SLICES] += amount;
+}
+
+double
+ca_window_sum (ca_window_t *window, uint64_t now_us)
+{
+  double sum = 0;
+
+  window_advance (window, now_us);
+  for (uint32_t i = 0; i < CA_WINDOW_SLICES; i++)
+    sum += window->counts[i];
+  return sum;
+}
--- a/packages/wire/peer.pb-c.c
+++ b/packages/wire/peer.pb-c.c
@@ -817,6 +817,366 @@
   assert(message->base.descriptor == &camphor__find_request__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   camphor__workspace_demand__init
+                     (Camphor__WorkspaceDemand         *message)
+{
+  static const Camphor__WorkspaceDemand init_value = CAMPHOR__WORKSPACE_DEMAND__INIT;
+  *message = init_value;
+}
+size_t camphor__workspace_demand__get_packed_size
+                     (const Camphor__WorkspaceDemand *message)
+{
+  assert(message->base.descriptor == &camphor__workspace_demand__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t camphor__workspace_demand__pack
+                     (const Camphor__WorkspaceDemand *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &camphor__workspace_demand__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t camphor__workspace_demand__pack_to_buffer
+                     (const Camphor__WorkspaceDemand *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &camphor__workspace_demand__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Camphor__WorkspaceDemand *
+       camphor__workspace_demand__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Camphor__WorkspaceDemand *)
+     protobuf_c_message_unpack (&camphor__workspace_demand__descriptor,
+                                allocator, len, data);
+}
+void   camphor__workspace_demand__free_unpacked
+                     (Camphor__WorkspaceDemand *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &camphor__workspace_demand__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   camphor__seat_load__init
+                     (Camphor__SeatLoad         *message)
+{
+  static const Camphor__SeatLoad init_value = CAMPHOR__SEAT_LOAD__INIT;
+  *message = init_value;
+}
+size_t camphor__seat_load__get_packed_size
+                     (const Camphor__SeatLoad *message)
+{
+  assert(message->base.descriptor == &camphor__seat_load__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t camphor__seat_load__pack
+                     (const Camphor__SeatLoad *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &camphor__seat_load__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t camphor__seat_load__pack_to_buffer
+                     (const Camphor__SeatLoad *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &camphor__seat_load__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Camphor__SeatLoad *
+       camphor__seat_load__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Camphor__SeatLoad *)
+     protobuf_c_message_unpack (&camphor__seat_load__descriptor,
+                                allocator, len, data);
+}
+void   camphor__seat_load__free_unpacked
+                     (Camphor__SeatLoad *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &camphor__seat_load__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   camphor__usage_count__init
+                     (Camphor__UsageCount         *message)
+{
+  static const Camphor__UsageCount init_value = CAMPHOR__USAGE_COUNT__INIT;
+  *message = init_value;
+}
+size_t camphor__usage_count__get_packed_size
+                     (const Camphor__UsageCount *message)
+{
+  assert(message->base.descriptor == &camphor__usage_count__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t camphor__usage_count__pack
+                     (const Camphor__UsageCount *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &camphor__usage_count__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t camphor__usage_count__pack_to_buffer
+                     (const Camphor__UsageCount *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &camphor__usage_count__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Camphor__UsageCount *
+       camphor__usage_count__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Camphor__UsageCount *)
+     protobuf_c_message_unpack (&camphor__usage_count__descriptor,
+                                allocator, len, data);
+}
+void   camphor__usage_count__free_unpacked
+                     (Camphor__UsageCount *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &camphor__usage_count__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   camphor__service_work__init
+                     (Camphor__ServiceWork         *message)
+{
+  static const Camphor__ServiceWork init_value = CAMPHOR__SERVICE_WORK__INIT;
+  *message = init_value;
+}
+size_t camphor__service_work__get_packed_size
+                     (const Camphor__ServiceWork *message)
+{
+  assert(message->base.descriptor == &camphor__service_work__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t camphor__service_work__pack
+                     (const Camphor__ServiceWork *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &camphor__service_work__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t camphor__service_work__pack_to_buffer
+                     (const Camphor__ServiceWork *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &camphor__service_work__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Camphor__ServiceWork *
+       camphor__service_work__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Camphor__ServiceWork *)
+     protobuf_c_message_unpack (&camphor__service_work__descriptor,
+                                allocator, len, data);
+}
+void   camphor__service_work__free_unpacked
+                     (Camphor__ServiceWork *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &camphor__service_work__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   camphor__strike__init
+                     (Camphor__Strike         *message)
+{
+  static const Camphor__Strike init_value = CAMPHOR__STRIKE__INIT;
+  *message = init_value;
+}
+size_t camphor__strike__get_packed_size
+                     (const Camphor__Strike *message)
+{
+  assert(message->base.descriptor == &camphor__strike__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t camphor__strike__pack
+                     (const Camphor__Strike *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &camphor__strike__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t camphor__strike__pack_to_buffer
+                     (const Camphor__Strike *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &camphor__strike__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Camphor__Strike *
+       camphor__strike__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Camphor__Strike *)
+     protobuf_c_message_unpack (&camphor__strike__descriptor,
+                                allocator, len, data);
+}
+void   camphor__strike__free_unpacked
+                     (Camphor__Strike *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &camphor__strike__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   camphor__pulse__init
+                     (Camphor__Pulse         *message)
+{
+  static const Camphor__Pulse init_value = CAMPHOR__PULSE__INIT;
+  *message = init_value;
+}
+size_t camphor__pulse__get_packed_size
+                     (const Camphor__Pulse *message)
+{
+  assert(message->base.descriptor == &camphor__pulse__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t camphor__pulse__pack
+                     (const Camphor__Pulse *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &camphor__pulse__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t camphor__pulse__pack_to_buffer
+                     (const Camphor__Pulse *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &camphor__pulse__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Camphor__Pulse *
+       camphor__pulse__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Camphor__Pulse *)
+     protobuf_c_message_unpack (&camphor__pulse__descriptor,
+                                allocator, len, data);
+}
+void   camphor__pulse__free_unpacked
+                     (Camphor__Pulse *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &camphor__pulse__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   camphor__catalog_want__init
+                     (Camphor__CatalogWant         *message)
+{
+  static const Camphor__CatalogWant init_value = CAMPHOR__CATALOG_WANT__INIT;
+  *message = init_value;
+}
+size_t camphor__catalog_want__get_packed_size
+                     (const Camphor__CatalogWant *message)
+{
+  assert(message->base.descriptor == &camphor__catalog_want__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t camphor__catalog_want__pack
+                     (const Camphor__CatalogWant *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &camphor__catalog_want__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t camphor__catalog_want__pack_to_buffer
+                     (const Camphor__CatalogWant *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &camphor__catalog_want__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Camphor__CatalogWant *
+       camphor__catalog_want__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Camphor__CatalogWant *)
+     protobuf_c_message_unpack (&camphor__catalog_want__descriptor,
+                                allocator, len, data);
+}
+void   camphor__catalog_want__free_unpacked
+                     (Camphor__CatalogWant *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &camphor__catalog_want__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   camphor__catalog_text__init
+                     (Camphor__CatalogText         *message)
+{
+  static const Camphor__CatalogText init_value = CAMPHOR__CATALOG_TEXT__INIT;
+  *message = init_value;
+}
+size_t camphor__catalog_text__get_packed_size
+                     (const Camphor__CatalogText *message)
+{
+  assert(message->base.descriptor == &camphor__catalog_text__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t camphor__catalog_text__pack
+                     (const Camphor__CatalogText *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &camphor__catalog_text__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t camphor__catalog_text__pack_to_buffer
+                     (const Camphor__CatalogText *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &camphor__catalog_text__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Camphor__CatalogText *
+       camphor__catalog_text__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Camphor__CatalogText *)
+     protobuf_c_message_unpack (&camphor__catalog_text__descriptor,
+                                allocator, len, data);
+}
+void   camphor__catalog_text__free_unpacked
+                     (Camphor__CatalogText *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &camphor__catalog_text__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   camphor__envelope__init
                      (Camphor__Envelope         *message)
 {
@@ -2470,64 +2830,745 @@
   (ProtobufCMessageInit) camphor__find_request__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor camphor__envelope__field_descriptors[21] =
+static const ProtobufCFieldDescriptor camphor__workspace_demand__field_descriptors[2] =
 {
   {
-    "version",
+    "workspace",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Camphor__Envelope, version),
-    NULL,
+    offsetof(Camphor__WorkspaceDemand, workspace),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "from",
+    "asked_per_s",
     2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_FIXED64,
+    PROTOBUF_C_TYPE_DOUBLE,
     0,   /* quantifier_offset */
-    offsetof(Camphor__Envelope, from),
+    offsetof(Camphor__WorkspaceDemand, asked_per_s),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+};
+static const unsigned camphor__workspace_demand__field_indices_by_name[] = {
+  1,   /* field[1] = asked_per_s */
+  0,   /* field[0] = workspace */
+};
+static const ProtobufCIntRange camphor__workspace_demand__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor camphor__workspace_demand__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "camphor.WorkspaceDemand",
+  "WorkspaceDemand",
+  "Camphor__WorkspaceDemand",
+  "camphor",
+  sizeof(Camphor__WorkspaceDemand),
+  2,
+  camphor__workspace_demand__field_descriptors,
+  camphor__workspace_demand__field_indices_by_name,
+  1,  camphor__workspace_demand__number_ranges,
+  (ProtobufCMessageInit) camphor__workspace_demand__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor camphor__seat_load__field_descriptors[4] =
+{
   {
-    "incarnation",
-    3,
+    "seat",
+    1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Camphor__Envelope, incarnation),
-    NULL,
+    offsetof(Camphor__SeatLoad, seat),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "hlc",
-    4,
+    "open",
+    2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Camphor__Envelope, hlc),
+    offsetof(Camphor__SeatLoad, open),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "members",
-    5,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Camphor__Envelope, n_members),
-    offsetof(Camphor__Envelope, members),
-    &camphor__member_update__descriptor,
+    "unread_tokens",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Camphor__SeatLoad, unread_tokens),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "held_tokens",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Camphor__SeatLoad, held_tokens),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned camphor__seat_load__field_indices_by_name[] = {
+  3,   /* field[3] = held_tokens */
+  1,   /* field[1] = open */
+  0,   /* field[0] = seat */
+  2,   /* field[2] = unread_tokens */
+};
+static const ProtobufCIntRange camphor__seat_load__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor camphor__seat_load__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "camphor.SeatLoad",
+  "SeatLoad",
+  "Camphor__SeatLoad",
+  "camphor",
+  sizeof(Camphor__SeatLoad),
+  4,
+  camphor__seat_load__field_descriptors,
+  camphor__seat_load__field_indices_by_name,
+  1,  camphor__seat_load__number_ranges,
+  (ProtobufCMessageInit) camphor__seat_load__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor camphor__usage_count__field_descriptors[3] =
+{
+  {
+    "window",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Camphor__UsageCount, window),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "workspace",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Camphor__UsageCount, workspace),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "count",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Camphor__UsageCount, count),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned camphor__usage_count__field_indices_by_name[] = {
+  2,   /* field[2] = count */
+  0,   /* field[0] = window */
+  1,   /* field[1] = workspace */
+};
+static const ProtobufCIntRange camphor__usage_count__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor camphor__usage_count__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "camphor.UsageCount",
+  "UsageCount",
+  "Camphor__UsageCount",
+  "camphor",
+  sizeof(Camphor__UsageCount),
+  3,
+  camphor__usage_count__field_descriptors,
+  camphor__usage_count__field_indices_by_name,
+  1,  camphor__usage_count__number_ranges,
+  (ProtobufCMessageInit) camphor__usage_count__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor camphor__service_work__field_descriptors[4] =
+{
+  {
+    "service",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Camphor__ServiceWork, service),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "busy_share",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_DOUBLE,
+    0,   /* quantifier_offset */
+    offsetof(Camphor__ServiceWork, busy_share),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "held_tokens",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_DOUBLE,
+    0,   /* quantifier_offset */
+    offsetof(Camphor__ServiceWork, held_tokens),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "requests_per_s",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_DOUBLE,
+    0,   /* quantifier_offset */
+    offsetof(Camphor__ServiceWork, requests_per_s),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned camphor__service_work__field_indices_by_name[] = {
+  1,   /* field[1] = busy_share */
+  2,   /* field[2] = held_tokens */
+  3,   /* field[3] = requests_per_s */
+  0,   /* field[0] = service */
+};
+static const ProtobufCIntRange camphor__service_work__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor camphor__service_work__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "camphor.ServiceWork",
+  "ServiceWork",
+  "Camphor__ServiceWork",
+  "camphor",
+  sizeof(Camphor__ServiceWork),
+  4,
+  camphor__service_work__field_descriptors,
+  camphor__service_work__field_indices_by_name,
+  1,  camphor__service_work__number_ranges,
+  (ProtobufCMessageInit) camphor__service_work__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor camphor__strike__field_descriptors[2] =
+{
+  {
+    "fingerprint",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Camphor__Strike, fingerprint),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "count",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Camphor__Strike, count),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned camphor__strike__field_indices_by_name[] = {
+  1,   /* field[1] = count */
+  0,   /* field[0] = fingerprint */
+};
+static const ProtobufCIntRange camphor__strike__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor camphor__strike__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "camphor.Strike",
+  "Strike",
+  "Camphor__Strike",
+  "camphor",
+  sizeof(Camphor__Strike),
+  2,
+  camphor__strike__field_descriptors,
+  camphor__strike__field_indices_by_name,
+  1,  camphor__strike__number_ranges,
+  (ProtobufCMessageInit) camphor__strike__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor camphor__pulse__field_descriptors[19] =
+{
+  {
+    "name",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Camphor__Pulse, name),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "zone",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Camphor__Pulse, zone),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ip",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(Camphor__Pulse, ip),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "port",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Camphor__Pulse, port),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "stamp_us",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Camphor__Pulse, stamp_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "echo_us",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Camphor__Pulse, echo_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "wall_ms",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Camphor__Pulse, wall_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "config_known",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Camphor__Pulse, config_known),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "config_version",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Camphor__Pulse, config_version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "config_age_us",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Camphor__Pulse, config_age_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "leaving",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Camphor__Pulse, leaving),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "demands",
+    12,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Camphor__Pulse, n_demands),
+    offsetof(Camphor__Pulse, demands),
+    &camphor__workspace_demand__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "loads",
+    13,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Camphor__Pulse, n_loads),
+    offsetof(Camphor__Pulse, loads),
+    &camphor__seat_load__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "usage",
+    14,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Camphor__Pulse, n_usage),
+    offsetof(Camphor__Pulse, usage),
+    &camphor__usage_count__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "work",
+    15,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Camphor__Pulse, n_work),
+    offsetof(Camphor__Pulse, work),
+    &camphor__service_work__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "strikes",
+    16,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Camphor__Pulse, n_strikes),
+    offsetof(Camphor__Pulse, strikes),
+    &camphor__strike__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "left_lives",
+    17,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Camphor__Pulse, n_left_lives),
+    offsetof(Camphor__Pulse, left_lives),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "reads_store",
+    18,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Camphor__Pulse, reads_store),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "leads",
+    19,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Camphor__Pulse, leads),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned camphor__pulse__field_indices_by_name[] = {
+  9,   /* field[9] = config_age_us */
+  7,   /* field[7] = config_known */
+  8,   /* field[8] = config_version */
+  11,   /* field[11] = demands */
+  5,   /* field[5] = echo_us */
+  2,   /* field[2] = ip */
+  18,   /* field[18] = leads */
+  10,   /* field[10] = leaving */
+  16,   /* field[16] = left_lives */
+  12,   /* field[12] = loads */
+  0,   /* field[0] = name */
+  3,   /* field[3] = port */
+  17,   /* field[17] = reads_store */
+  4,   /* field[4] = stamp_us */
+  15,   /* field[15] = strikes */
+  13,   /* field[13] = usage */
+  6,   /* field[6] = wall_ms */
+  14,   /* field[14] = work */
+  1,   /* field[1] = zone */
+};
+static const ProtobufCIntRange camphor__pulse__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 19 }
+};
+const ProtobufCMessageDescriptor camphor__pulse__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "camphor.Pulse",
+  "Pulse",
+  "Camphor__Pulse",
+  "camphor",
+  sizeof(Camphor__Pulse),
+  19,
+  camphor__pulse__field_descriptors,
+  camphor__pulse__field_indices_by_name,
+  1,  camphor__pulse__number_ranges,
+  (ProtobufCMessageInit) camphor__pulse__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor camphor__catalog_want__field_descriptors[1] =
+{
+  {
+    "have_version",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Camphor__CatalogWant, have_version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned camphor__catalog_want__field_indices_by_name[] = {
+  0,   /* field[0] = have_version */
+};
+static const ProtobufCIntRange camphor__catalog_want__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor camphor__catalog_want__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "camphor.CatalogWant",
+  "CatalogWant",
+  "Camphor__CatalogWant",
+  "camphor",
+  sizeof(Camphor__CatalogWant),
+  1,
+  camphor__catalog_want__field_descriptors,
+  camphor__catalog_want__field_indices_by_name,
+  1,  camphor__catalog_want__number_ranges,
+  (ProtobufCMessageInit) camphor__catalog_want__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor camphor__catalog_text__field_descriptors[2] =
+{
+  {
+    "version",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Camphor__CatalogText, version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "text",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Camphor__CatalogText, text),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned camphor__catalog_text__field_indices_by_name[] = {
+  1,   /* field[1] = text */
+  0,   /* field[0] = version */
+};
+static const ProtobufCIntRange camphor__catalog_text__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor camphor__catalog_text__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "camphor.CatalogText",
+  "CatalogText",
+  "Camphor__CatalogText",
+  "camphor",
+  sizeof(Camphor__CatalogText),
+  2,
+  camphor__catalog_text__field_descriptors,
+  camphor__catalog_text__field_indices_by_name,
+  1,  camphor__catalog_text__number_ranges,
+  (ProtobufCMessageInit) camphor__catalog_text__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor camphor__envelope__field_descriptors[24] =
+{
+  {
+    "version",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Camphor__Envelope, version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "from",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Camphor__Envelope, from),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "incarnation",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Camphor__Envelope, incarnation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "hlc",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Camphor__Envelope, hlc),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "members",
+    5,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Camphor__Envelope, n_members),
+    offsetof(Camphor__Envelope, members),
+    &camphor__member_update__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
@@ -2724,11 +3765,49 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "pulse",
+    24,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Camphor__Envelope, body_case),
+    offsetof(Camphor__Envelope, pulse),
+    &camphor__pulse__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "catalog_want",
+    25,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Camphor__Envelope, body_case),
+    offsetof(Camphor__Envelope, catalog_want),
+    &camphor__catalog_want__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "catalog_text",
+    26,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Camphor__Envelope, body_case),
+    offsetof(Camphor__Envelope, catalog_text),
+    &camphor__catalog_text__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned camphor__envelope__field_indices_by_name[] = {
   8,   /* field[8] = ack */
   10,   /* field[10] = ask */
   11,   /* field[11] = ask_ack */
+  23,   /* field[23] = catalog_text */
+  22,   /* field[22] = catalog_want */
   17,   /* field[17] = config_delta */
   16,   /* field[16] = config_want */
   5,   /* field[5] = endpoints */
@@ -2744,6 +3823,7 @@
   4,   /* field[4] = members */
   7,   /* field[7] = ping */
   9,   /* field[9] = ping_request */
+  21,   /* field[21] = pulse */
   13,   /* field[13] = reject */
   14,   /* field[14] = release */
   0,   /* field[0] = version */
@@ -2752,7 +3832,7 @@
 {
   { 1, 0 },
   { 10, 7 },
-  { 0, 21 }
+  { 0, 24 }
 };
 const ProtobufCMessageDescriptor camphor__envelope__descriptor =
 {
@@ -2762,7 +3842,7 @@
   "Camphor__Envelope",
   "camphor",
   sizeof(Camphor__Envelope),
-  21,
+  24,
   camphor__envelope__field_descriptors,
   camphor__envelope__field_indices_by_name,
   2,  camphor__envelope__number_ranges,
--- a/packages/wire/peer.pb-c.h
+++ b/packages/wire/peer.pb-c.h
@@ -33,6 +33,14 @@
 typedef struct Camphor__HandOver Camphor__HandOver;
 typedef struct Camphor__HandOverAck Camphor__HandOverAck;
 typedef struct Camphor__FindRequest Camphor__FindRequest;
+typedef struct Camphor__WorkspaceDemand Camphor__WorkspaceDemand;
+typedef struct Camphor__SeatLoad Camphor__SeatLoad;
+typedef struct Camphor__UsageCount Camphor__UsageCount;
+typedef struct Camphor__ServiceWork Camphor__ServiceWork;
+typedef struct Camphor__Strike Camphor__Strike;
+typedef struct Camphor__Pulse Camphor__Pulse;
+typedef struct Camphor__CatalogWant Camphor__CatalogWant;
+typedef struct Camphor__CatalogText Camphor__CatalogText;
 typedef struct Camphor__Envelope Camphor__Envelope;
 
 
@@ -319,6 +327,160 @@
     , 0 }
 
 
+/*
+ * What a workspace's callers ask of one entry, for the shares of its quota.
+ */
+struct  Camphor__WorkspaceDemand
+{
+  ProtobufCMessage base;
+  char *workspace;
+  double asked_per_s;
+};
+#define CAMPHOR__WORKSPACE_DEMAND__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&camphor__workspace_demand__descriptor) \
+    , (char *)protobuf_c_empty_string, 0 }
+
+
+/*
+ * What one entry has open at one endpoint.
+ */
+struct  Camphor__SeatLoad
+{
+  ProtobufCMessage base;
+  char *seat;
+  uint32_t open;
+  uint32_t unread_tokens;
+  uint32_t held_tokens;
+};
+#define CAMPHOR__SEAT_LOAD__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&camphor__seat_load__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0, 0 }
+
+
+/*
+ * Requests of a workspace that began to run in a window, through one entry.
+ */
+struct  Camphor__UsageCount
+{
+  ProtobufCMessage base;
+  uint64_t window;
+  char *workspace;
+  uint32_t count;
+};
+#define CAMPHOR__USAGE_COUNT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&camphor__usage_count__descriptor) \
+    , 0, (char *)protobuf_c_empty_string, 0 }
+
+
+/*
+ * Work that reaches one entry for a service in its zone.
+ */
+struct  Camphor__ServiceWork
+{
+  ProtobufCMessage base;
+  char *service;
+  /*
+   * endpoints' worth of time that it takes
+   */
+  double busy_share;
+  double held_tokens;
+  double requests_per_s;
+};
+#define CAMPHOR__SERVICE_WORK__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&camphor__service_work__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0, 0 }
+
+
+/*
+ * A request that was open at endpoints when they ended.
+ */
+struct  Camphor__Strike
+{
+  ProtobufCMessage base;
+  uint64_t fingerprint;
+  uint32_t count;
+};
+#define CAMPHOR__STRIKE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&camphor__strike__descriptor) \
+    , 0, 0 }
+
+
+/*
+ * State of one entry, sent to each other entry again and again.
+ */
+struct  Camphor__Pulse
+{
+  ProtobufCMessage base;
+  char *name;
+  char *zone;
+  uint32_t ip;
+  uint32_t port;
+  /*
+   * the sender's clock
+   */
+  uint64_t stamp_us;
+  /*
+   * latest stamp that the sender had from the receiver
+   */
+  uint64_t echo_us;
+  /*
+   * the sender's time of day
+   */
+  uint64_t wall_ms;
+  protobuf_c_boolean config_known;
+  uint64_t config_version;
+  /*
+   * since it was proved to be the newest
+   */
+  uint64_t config_age_us;
+  protobuf_c_boolean leaving;
+  size_t n_demands;
+  Camphor__WorkspaceDemand **demands;
+  size_t n_loads;
+  Camphor__SeatLoad **loads;
+  size_t n_usage;
+  Camphor__UsageCount **usage;
+  size_t n_work;
+  Camphor__ServiceWork **work;
+  size_t n_strikes;
+  Camphor__Strike **strikes;
+  /*
+   * endpoints that are leaving
+   */
+  size_t n_left_lives;
+  uint64_t *left_lives;
+  protobuf_c_boolean reads_store;
+  /*
+   * holds the lease on duties
+   */
+  protobuf_c_boolean leads;
+};
+#define CAMPHOR__PULSE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&camphor__pulse__descriptor) \
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0 }
+
+
+struct  Camphor__CatalogWant
+{
+  ProtobufCMessage base;
+  uint64_t have_version;
+};
+#define CAMPHOR__CATALOG_WANT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&camphor__catalog_want__descriptor) \
+    , 0 }
+
+
+struct  Camphor__CatalogText
+{
+  ProtobufCMessage base;
+  uint64_t version;
+  ProtobufCBinaryData text;
+};
+#define CAMPHOR__CATALOG_TEXT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&camphor__catalog_text__descriptor) \
+    , 0, {0,NULL} }
+
+
 typedef enum {
   CAMPHOR__ENVELOPE__BODY__NOT_SET = 0,
   CAMPHOR__ENVELOPE__BODY_PING = 10,
@@ -334,7 +496,10 @@
   CAMPHOR__ENVELOPE__BODY_CONFIG_DELTA = 20,
   CAMPHOR__ENVELOPE__BODY_HAND_OVER = 21,
   CAMPHOR__ENVELOPE__BODY_HAND_OVER_ACK = 22,
-  CAMPHOR__ENVELOPE__BODY_FIND_REQUEST = 23
+  CAMPHOR__ENVELOPE__BODY_FIND_REQUEST = 23,
+  CAMPHOR__ENVELOPE__BODY_PULSE = 24,
+  CAMPHOR__ENVELOPE__BODY_CATALOG_WANT = 25,
+  CAMPHOR__ENVELOPE__BODY_CATALOG_TEXT = 26
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(CAMPHOR__ENVELOPE__BODY__CASE)
 } Camphor__Envelope__BodyCase;
 
@@ -367,6 +532,9 @@
     Camphor__HandOver *hand_over;
     Camphor__HandOverAck *hand_over_ack;
     Camphor__FindRequest *find_request;
+    Camphor__Pulse *pulse;
+    Camphor__CatalogWant *catalog_want;
+    Camphor__CatalogText *catalog_text;
   };
 };
 #define CAMPHOR__ENVELOPE__INIT \
@@ -716,6 +884,158 @@
 void   camphor__find_request__free_unpacked
                      (Camphor__FindRequest *message,
                       ProtobufCAllocator *allocator);
+/* Camphor__WorkspaceDemand methods */
+void   camphor__workspace_demand__init
+                     (Camphor__WorkspaceDemand         *message);
+size_t camphor__workspace_demand__get_packed_size
+                     (const Camphor__WorkspaceDemand   *message);
+size_t camphor__workspace_demand__pack
+                     (const Camphor__WorkspaceDemand   *message,
+                      uint8_t             *out);
+size_t camphor__workspace_demand__pack_to_buffer
+                     (const Camphor__WorkspaceDemand   *message,
+                      ProtobufCBuffer     *buffer);
+Camphor__WorkspaceDemand *
+       camphor__workspace_demand__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   camphor__workspace_demand__free_unpacked
+                     (Camphor__WorkspaceDemand *message,
+                      ProtobufCAllocator *allocator);
+/* Camphor__SeatLoad methods */
+void   camphor__seat_load__init
+                     (Camphor__SeatLoad         *message);
+size_t camphor__seat_load__get_packed_size
+                     (const Camphor__SeatLoad   *message);
+size_t camphor__seat_load__pack
+                     (const Camphor__SeatLoad   *message,
+                      uint8_t             *out);
+size_t camphor__seat_load__pack_to_buffer
+                     (const Camphor__SeatLoad   *message,
+                      ProtobufCBuffer     *buffer);
+Camphor__SeatLoad *
+       camphor__seat_load__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   camphor__seat_load__free_unpacked
+                     (Camphor__SeatLoad *message,
+                      ProtobufCAllocator *allocator);
+/* Camphor__UsageCount methods */
+void   camphor__usage_count__init
+                     (Camphor__UsageCount         *message);
+size_t camphor__usage_count__get_packed_size
+                     (const Camphor__UsageCount   *message);
+size_t camphor__usage_count__pack
+                     (const Camphor__UsageCount   *message,
+                      uint8_t             *out);
+size_t camphor__usage_count__pack_to_buffer
+                     (const Camphor__UsageCount   *message,
+                      ProtobufCBuffer     *buffer);
+Camphor__UsageCount *
+       camphor__usage_count__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   camphor__usage_count__free_unpacked
+                     (Camphor__UsageCount *message,
+                      ProtobufCAllocator *allocator);
+/* Camphor__ServiceWork methods */
+void   camphor__service_work__init
+                     (Camphor__ServiceWork         *message);
+size_t camphor__service_work__get_packed_size
+                     (const Camphor__ServiceWork   *message);
+size_t camphor__service_work__pack
+                     (const Camphor__ServiceWork   *message,
+                      uint8_t             *out);
+size_t camphor__service_work__pack_to_buffer
+                     (const Camphor__ServiceWork   *message,
+                      ProtobufCBuffer     *buffer);
+Camphor__ServiceWork *
+       camphor__service_work__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   camphor__service_work__free_unpacked
+                     (Camphor__ServiceWork *message,
+                      ProtobufCAllocator *allocator);
+/* Camphor__Strike methods */
+void   camphor__strike__init
+                     (Camphor__Strike         *message);
+size_t camphor__strike__get_packed_size
+                     (const Camphor__Strike   *message);
+size_t camphor__strike__pack
+                     (const Camphor__Strike   *message,
+                      uint8_t             *out);
+size_t camphor__strike__pack_to_buffer
+                     (const Camphor__Strike   *message,
+                      ProtobufCBuffer     *buffer);
+Camphor__Strike *
+       camphor__strike__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   camphor__strike__free_unpacked
+                     (Camphor__Strike *message,
+                      ProtobufCAllocator *allocator);
+/* Camphor__Pulse methods */
+void   camphor__pulse__init
+                     (Camphor__Pulse         *message);
+size_t camphor__pulse__get_packed_size
+                     (const Camphor__Pulse   *message);
+size_t camphor__pulse__pack
+                     (const Camphor__Pulse   *message,
+                      uint8_t             *out);
+size_t camphor__pulse__pack_to_buffer
+                     (const Camphor__Pulse   *message,
+                      ProtobufCBuffer     *buffer);
+Camphor__Pulse *
+       camphor__pulse__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   camphor__pulse__free_unpacked
+                     (Camphor__Pulse *message,
+                      ProtobufCAllocator *allocator);
+/* Camphor__CatalogWant methods */
+void   camphor__catalog_want__init
+                     (Camphor__CatalogWant         *message);
+size_t camphor__catalog_want__get_packed_size
+                     (const Camphor__CatalogWant   *message);
+size_t camphor__catalog_want__pack
+                     (const Camphor__CatalogWant   *message,
+                      uint8_t             *out);
+size_t camphor__catalog_want__pack_to_buffer
+                     (const Camphor__CatalogWant   *message,
+                      ProtobufCBuffer     *buffer);
+Camphor__CatalogWant *
+       camphor__catalog_want__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   camphor__catalog_want__free_unpacked
+                     (Camphor__CatalogWant *message,
+                      ProtobufCAllocator *allocator);
+/* Camphor__CatalogText methods */
+void   camphor__catalog_text__init
+                     (Camphor__CatalogText         *message);
+size_t camphor__catalog_text__get_packed_size
+                     (const Camphor__CatalogText   *message);
+size_t camphor__catalog_text__pack
+                     (const Camphor__CatalogText   *message,
+                      uint8_t             *out);
+size_t camphor__catalog_text__pack_to_buffer
+                     (const Camphor__CatalogText   *message,
+                      ProtobufCBuffer     *buffer);
+Camphor__CatalogText *
+       camphor__catalog_text__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   camphor__catalog_text__free_unpacked
+                     (Camphor__CatalogText *message,
+                      ProtobufCAllocator *allocator);
 /* Camphor__Envelope methods */
 void   camphor__envelope__init
                      (Camphor__Envelope         *message);
@@ -791,6 +1111,30 @@
 typedef void (*Camphor__FindRequest_Closure)
                  (const Camphor__FindRequest *message,
                   void *closure_data);
+typedef void (*Camphor__WorkspaceDemand_Closure)
+                 (const Camphor__WorkspaceDemand *message,
+                  void *closure_data);
+typedef void (*Camphor__SeatLoad_Closure)
+                 (const Camphor__SeatLoad *message,
+                  void *closure_data);
+typedef void (*Camphor__UsageCount_Closure)
+                 (const Camphor__UsageCount *message,
+                  void *closure_data);
+typedef void (*Camphor__ServiceWork_Closure)
+                 (const Camphor__ServiceWork *message,
+                  void *closure_data);
+typedef void (*Camphor__Strike_Closure)
+                 (const Camphor__Strike *message,
+                  void *closure_data);
+typedef void (*Camphor__Pulse_Closure)
+                 (const Camphor__Pulse *message,
+                  void *closure_data);
+typedef void (*Camphor__CatalogWant_Closure)
+                 (const Camphor__CatalogWant *message,
+                  void *closure_data);
+typedef void (*Camphor__CatalogText_Closure)
+                 (const Camphor__CatalogText *message,
+                  void *closure_data);
 typedef void (*Camphor__Envelope_Closure)
                  (const Camphor__Envelope *message,
                   void *closure_data);
@@ -818,6 +1162,14 @@
 extern const ProtobufCMessageDescriptor camphor__hand_over__descriptor;
 extern const ProtobufCMessageDescriptor camphor__hand_over_ack__descriptor;
 extern const ProtobufCMessageDescriptor camphor__find_request__descriptor;
+extern const ProtobufCMessageDescriptor camphor__workspace_demand__descriptor;
+extern const ProtobufCMessageDescriptor camphor__seat_load__descriptor;
+extern const ProtobufCMessageDescriptor camphor__usage_count__descriptor;
+extern const ProtobufCMessageDescriptor camphor__service_work__descriptor;
+extern const ProtobufCMessageDescriptor camphor__strike__descriptor;
+extern const ProtobufCMessageDescriptor camphor__pulse__descriptor;
+extern const ProtobufCMessageDescriptor camphor__catalog_want__descriptor;
+extern const ProtobufCMessageDescriptor camphor__catalog_text__descriptor;
 extern const ProtobufCMessageDescriptor camphor__envelope__descriptor;
 
 PROTOBUF_C__END_DECLS
