Serve on the users' platform through platform/

Change: settings file, store, ingress, cloud calls and entries of the platform, wired to the gateway; --on-platform; deploy/system.toml; a log of decisions bounded in lines a second; peer links take callbacks.

--- a/packages/adapters/clock_source.c
+++ b/packages/adapters/clock_source.c
@@ -20,6 +20,12 @@
   return clock_read_us (CLOCK_MONOTONIC);
 }
 
+uint64_t
+ca_clock_boot_us (void)
+{
+  return clock_read_us (CLOCK_BOOTTIME);
+}
+
 uint64_t
 ca_clock_wall_us (void)
 {
--- a/packages/adapters/clock_source.h
+++ b/packages/adapters/clock_source.h
@@ -7,6 +7,9 @@
 /* Monotonic microseconds since an arbitrary start. */
 uint64_t ca_clock_now_us (void);
 
+/* Microseconds of a clock that runs on while the machine is suspended. */
+uint64_t ca_clock_boot_us (void);
+
 /* Wall-clock microseconds since 1970. */
 uint64_t ca_clock_wall_us (void);
 
--- a/packages/adapters/peers.c
+++ b/packages/adapters/peers.c
@@ -3,9 +3,11 @@
 #include "adapters/peers.h"
 
 #include "adapters/clock_source.h"
+#include "base/clock.h"
 #include "wire/frame.h"
 
 #include <arpa/inet.h>
+#include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <netinet/tcp.h>
 #include <stdlib.h>
@@ -60,7 +62,7 @@
 
   if (envelope == NULL)
     return false;
-  ca_core_peer_message (peers->core, ca_clock_now_us (), envelope);
+  peers->handler.on_message (peers->handler.context, envelope);
   camphor__envelope__free_unpacked (envelope, NULL);
   return true;
 }
@@ -116,8 +118,7 @@
     bufferevent_write (stream, LINK_ACK_BYTE, 1);
   if (error.kind == CA_ERROR_NONE)
     return;
-  peers->core->ports.trace (peers->core->ports.context, CA_EVENT_PEER_BAD_FRAME,
-                            0, 0, "", error.message);
+  peers->handler.on_bad_frame (peers->handler.context, error.message);
   peers_link_free (link);
 }
 
@@ -271,14 +272,15 @@
 }
 
 bool
-ca_peers_init (ca_peers_t *peers, ca_core_t *core, struct event_base *base,
-               const ca_address_t *listen, ca_error_t *error)
+ca_peers_init (ca_peers_t *peers, const ca_peers_handler_t *handler,
+               struct event_base *base, const ca_address_t *listen,
+               ca_error_t *error)
 {
   struct timeval period = { SWEEP_PERIOD_S, 0 };
   struct sockaddr_in at;
 
   memset (peers, 0, sizeof *peers);
-  peers->core = core;
+  peers->handler = *handler;
   peers->base = base;
   TAILQ_INIT (&peers->links);
   peers_fill_sockaddr (listen, &at);
--- a/packages/adapters/peers.h
+++ b/packages/adapters/peers.h
@@ -2,16 +2,27 @@
 #ifndef CA_ADAPTERS_PEERS_H
 #define CA_ADAPTERS_PEERS_H
 
-#include "adapters/http_client.h"
-#include "core/core.h"
+#include "base/settings.h"
+#include "wire/peer.pb-c.h"
 
+#include <event2/event.h>
 #include <event2/listener.h>
+#include <stdint.h>
+#include <sys/queue.h>
 
 struct ca_peer_link;
 
+/* What is done with a peer's message, and with a frame that does not parse. */
 typedef struct
 {
-  ca_core_t *core;         /* not owned */
+  void (*on_message) (void *context, const Camphor__Envelope *envelope);
+  void (*on_bad_frame) (void *context, const char *message);
+  void *context;
+} ca_peers_handler_t;
+
+typedef struct
+{
+  ca_peers_handler_t handler;
   struct event_base *base; /* not owned */
   struct evconnlistener *listener;
   TAILQ_HEAD (, ca_peer_link) links;
@@ -19,8 +30,9 @@
 } ca_peers_t;
 
 /* Listens; false and an error if the address cannot be had. */
-bool ca_peers_init (ca_peers_t *peers, ca_core_t *core, struct event_base *base,
-                    const ca_address_t *listen, ca_error_t *error);
+bool ca_peers_init (ca_peers_t *peers, const ca_peers_handler_t *handler,
+                    struct event_base *base, const ca_address_t *listen,
+                    ca_error_t *error);
 void ca_peers_finish (ca_peers_t *peers);
 
 /* Sends over the link to `address`, which is opened if there is none.  A
--- a/packages/base/events.c
+++ b/packages/base/events.c
@@ -15,9 +15,15 @@
   { CA_EVENT_STOPPED, CA_LEVEL_INFO, "stopped",
     "the process ends; nothing was cut unless the detail counts it",
     "raise --drain-limit-ms if requests were moved at the limit" },
+  { CA_EVENT_SETTINGS_READ, CA_LEVEL_INFO, "settings_read",
+    "the settings file was read, at the start or after SIGHUP", NOTHING },
   { CA_EVENT_INVARIANT, CA_LEVEL_ERROR, "invariant",
     "an invariant of the core does not hold; the process aborts",
     "file the line with the time line of the last minute" },
+  { CA_EVENT_LOG_DROPPED, CA_LEVEL_WARNING, "log_dropped",
+    "lines were dropped to keep the log within its rate, or since its reader "
+    "was slow",
+    "use the counters for this span" },
   { CA_EVENT_REQUEST_ACCEPTED, CA_LEVEL_DEBUG, "request_accepted",
     "a caller's request passed its checks", NOTHING },
   { CA_EVENT_REQUEST_CLAIMED, CA_LEVEL_DEBUG, "request_claimed",
@@ -106,6 +112,8 @@
   { CA_EVENT_FLEET_STOP, CA_LEVEL_INFO, "fleet_stop",
     "the stop of a surplus VM was ordered, its work having been moved",
     NOTHING },
+  { CA_EVENT_USAGE_REPORTED, CA_LEVEL_INFO, "usage_reported",
+    "a window of usage was reported and accepted", NOTHING },
 };
 
 static const char *const level_names[]
--- a/packages/base/log.c
+++ b/packages/base/log.c
@@ -1,7 +1,12 @@
 /* Writes records as one structured line each. */
 #include "base/log.h"
 
+#include "base/clock.h"
+
+#include <fcntl.h>
 #include <inttypes.h>
+#include <string.h>
+#include <unistd.h>
 
 void
 ca_log_init (ca_log_t *log, FILE *out, const char *entry, ca_level_t level)
@@ -39,3 +44,102 @@
   fflush (log->out);
   json_decref (line);
 }
+
+/* Lines a second, and how many may come at once: some lines for each request
+ * that a small VM can serve. */
+#define LOG_LINES_PER_S 400.0
+#define LOG_LINES_AT_ONCE 800.0
+
+void
+ca_decision_log_init (ca_decision_log_t *log, int fd, const char *entry)
+{
+  memset (log, 0, sizeof *log);
+  log->fd = fd;
+  log->entry = entry;
+  log->room = LOG_LINES_AT_ONCE;
+  fcntl (fd, F_SETFL, fcntl (fd, F_GETFL) | O_NONBLOCK);
+}
+
+/* Copies text into a JSON string, without its quotes. */
+static size_t
+log_escape (const char *text, char *out, size_t room)
+{
+  size_t used = 0;
+
+  for (; *text != '\0' && used + 2 < room; text++)
+    {
+      if (*text == '"' || *text == '\\')
+        out[used++] = '\\';
+      out[used++] = (unsigned char)*text < ' ' ? ' ' : *text;
+    }
+  out[used] = '\0';
+  return used;
+}
+
+static size_t
+log_add_field (char *line, size_t used, const char *name, const char *value)
+{
+  if (value == NULL || value[0] == '\0')
+    return used;
+  used += (size_t)snprintf (line + used, CA_LOG_LINE_BYTES - used, ",\"%s\":\"",
+                            name);
+  used += log_escape (value, line + used, CA_LOG_LINE_BYTES - used - 8);
+  line[used++] = '"';
+  line[used] = '\0';
+  return used;
+}
+
+/* False if the line could not be written whole. */
+static bool
+log_put (ca_decision_log_t *log, uint64_t wall_us, ca_event_number_t number,
+         const char *request, const char *subject, const char *detail)
+{
+  const ca_event_info_t *info = ca_event_info (number);
+  char line[CA_LOG_LINE_BYTES + 8];
+  size_t used;
+  ssize_t written;
+
+  used = (size_t)snprintf (
+      line, CA_LOG_LINE_BYTES,
+      "%s{\"time\":%" PRIu64 ".%06" PRIu64
+      ",\"level\":\"%s\",\"entry\":\"%s\",\"number\":%d,\"event\":\"%s\"",
+      log->torn ? "\n" : "", wall_us / CA_US_PER_S, wall_us % CA_US_PER_S,
+      ca_level_name (info->level), log->entry, (int)number, info->name);
+  used = log_add_field (line, used, "request", request);
+  used = log_add_field (line, used, "subject", subject);
+  used = log_add_field (line, used, "detail", detail);
+  line[used++] = '}';
+  line[used++] = '\n';
+  written = write (log->fd, line, used);
+  log->torn = written > 0 ? (size_t)written < used : log->torn;
+  return written == (ssize_t)used;
+}
+
+void
+ca_decision_log_write (ca_decision_log_t *log, uint64_t now_us,
+                       uint64_t wall_us, ca_event_number_t number,
+                       const char *request, const char *subject,
+                       const char *detail)
+{
+  char text[64];
+
+  log->room += (double)(now_us - log->filled_us) * LOG_LINES_PER_S
+               / (double)CA_US_PER_S;
+  if (log->room > LOG_LINES_AT_ONCE)
+    log->room = LOG_LINES_AT_ONCE;
+  log->filled_us = now_us;
+  if (log->room < 1)
+    {
+      log->dropped++;
+      return;
+    }
+  log->room--;
+  if (log->dropped > 0)
+    {
+      snprintf (text, sizeof text, "%" PRIu64 " lines", log->dropped);
+      if (log_put (log, wall_us, CA_EVENT_LOG_DROPPED, NULL, NULL, text))
+        log->dropped = 0;
+    }
+  if (!log_put (log, wall_us, number, request, subject, detail))
+    log->dropped++;
+}
--- a/packages/daemon/entry.c
+++ b/packages/daemon/entry.c
@@ -131,6 +131,20 @@
   .trace = entry_trace,
 };
 
+static void
+entry_on_peer (void *context, const Camphor__Envelope *envelope)
+{
+  ca_entry_t *entry = context;
+
+  ca_core_peer_message (&entry->core, ca_clock_now_us (), envelope);
+}
+
+static void
+entry_on_bad_frame (void *context, const char *message)
+{
+  entry_trace (context, CA_EVENT_PEER_BAD_FRAME, 0, 0, "", message);
+}
+
 /* --- Time and signals --- */
 
 static void
@@ -260,6 +274,7 @@
 {
   ca_core_options_t options;
   ca_ports_t ports = entry_ports;
+  ca_peers_handler_t handler = { entry_on_peer, entry_on_bad_frame, entry };
   ca_address_t callers;
   ca_address_t peers;
   ca_address_t platform;
@@ -282,7 +297,7 @@
                 ca_clock_wall_us ());
   ca_http_client_init (&entry->http, entry->base);
   ca_engine_init (&entry->engine, &entry->core, &entry->http);
-  if (!ca_peers_init (&entry->peers, &entry->core, entry->base, &peers, error)
+  if (!ca_peers_init (&entry->peers, &handler, entry->base, &peers, error)
       || !ca_callers_init (
           &entry->callers, &entry->core, &entry->observer, entry->base,
           &callers, ca_settings_number (settings, CA_SETTING_MAX_BODY_BYTES),
--- a/packages/daemon/main.c
+++ b/packages/daemon/main.c
@@ -1,6 +1,8 @@
 /* Command line of camphorarchd. */
 #include "daemon/entry.h"
 
+#include "platform/front.h"
+
 #include <argp.h>
 #include <stdlib.h>
 #include <string.h>
@@ -14,15 +16,17 @@
   MAIN_PRINT_SETTINGS_PAGE,
   MAIN_PRINT_EVENTS,
   MAIN_PRINT_ERRORS,
+  MAIN_PLATFORM,
   MAIN_FIRST_SETTING = 2000
 };
 
-#define MAIN_PRINT_OPTIONS 5
+#define MAIN_PRINT_OPTIONS 6
 
 typedef struct
 {
   ca_settings_t settings;
   int action; /* 0: serve */
+  uint16_t metrics_port; /* of MAIN_PLATFORM; 0: none */
 } ca_main_t;
 
 static const struct argp_option main_print_options[MAIN_PRINT_OPTIONS] = {
@@ -34,6 +38,8 @@
     "print docs/settings.md", 0 },
   { "print-events", MAIN_PRINT_EVENTS, NULL, 0, "print docs/events.md", 0 },
   { "print-errors", MAIN_PRINT_ERRORS, NULL, 0, "print docs/errors.md", 0 },
+  { "on-platform", MAIN_PLATFORM, "METRICS-PORT", 0,
+    "serve on the users' platform, by its settings file; 0 for no metrics", 0 },
 };
 
 static error_t
@@ -48,6 +54,12 @@
                        CA_SOURCE_FLAG);
       return 0;
     }
+  if (key == MAIN_PLATFORM)
+    {
+      program->action = key;
+      program->metrics_port = (uint16_t)strtoul (value, NULL, 10);
+      return 0;
+    }
   if (key >= MAIN_CHECK_SETTINGS && key <= MAIN_PRINT_ERRORS)
     {
       program->action = key;
@@ -109,6 +121,25 @@
   return program->action == MAIN_CHECK_SETTINGS;
 }
 
+/* Serves on the users' platform until a planned stop. */
+static int
+main_serve_platform (uint16_t metrics_port)
+{
+  static ca_front_t front;
+  ca_error_t error;
+
+  ca_error_init (&error);
+  if (!ca_front_init (&front, getenv (CA_PLATFORM_SETTINGS_VARIABLE),
+                      metrics_port, &error))
+    {
+      fprintf (stderr, "%s\n", error.message);
+      return error.kind == CA_ERROR_BAD_SETTING ? EX_CONFIG : EX_UNAVAILABLE;
+    }
+  ca_front_run (&front);
+  ca_front_finish (&front);
+  return EX_OK;
+}
+
 int
 main (int argc, char **argv)
 {
@@ -127,6 +158,8 @@
   ca_settings_init (&program.settings);
   argp_err_exit_status = EX_USAGE;
   argp_parse (&parser, argc, argv, 0, NULL, &program);
+  if (program.action == MAIN_PLATFORM)
+    return main_serve_platform (program.metrics_port);
   if (main_print (&program, &status))
     return status;
   ca_error_init (&error);
