See the store's return soon, and doubt a missing entry only from then

By its log: store_up at 14.76 s for a return at 11.5 s. Ruled out: a lost change (the list named it), the bound of the other entries. Change: after a failure every other call is short and does not wait at the store; the doubt begins with the first answer of any kind.

--- a/packages/gateway/gateway.h
+++ b/packages/gateway/gateway.h
@@ -142,7 +142,8 @@
 typedef enum
 {
   CA_REFUSE_NO_CONFIGURATION,
-  CA_REFUSE_STALE, /* keys cannot be trusted: the store is out of reach */
+  CA_REFUSE_STALE,    /* keys cannot be trusted: the store is out of reach */
+  CA_REFUSE_STOPPING, /* another entry takes it */
   CA_REFUSE_NO_ROUTE,
   CA_REFUSE_NO_KEY,
   CA_REFUSE_QUOTA,
@@ -274,8 +275,8 @@
   ca_catalog_t *catalog; /* NULL until one is known */
   ca_freshness_t config_freshness;
   bool store_down;
-  uint64_t store_lost_us; /* when the list of endpoints was last out of
-                             reach */
+  bool store_gone;        /* no kind of call is answered */
+  uint64_t store_back_us; /* when one was again; 0 if it never was gone */
   bool roster_known;
   ca_roster_t roster;
   uint64_t want_us; /* when a peer was last asked for a configuration */
@@ -287,7 +288,8 @@
   ca_strike_t *strikes;
   TAILQ_HEAD (, ca_cut) cuts;
   bool stopping;
-  bool leads; /* holds the lease on duties */
+  uint64_t stop_us; /* when that began */
+  bool leads;       /* holds the lease on duties */
   /* Siblings. */
   ca_sibling_t *siblings;
   uint64_t pulse_us;
@@ -318,8 +320,9 @@
 void ca_gateway_config_proved (ca_gateway_t *gateway, uint64_t now_us,
                                uint64_t sent_us, uint64_t store_us);
 
-/* The store stopped or began to answer. */
-void ca_gateway_store_state (ca_gateway_t *gateway, uint64_t now_us, bool down);
+/* Whether some kind of call, or every one, gets no answer of the store. */
+void ca_gateway_store_state (ca_gateway_t *gateway, uint64_t now_us, bool down,
+                             bool gone);
 
 /* Changes of the list of endpoints.  `first` begins a whole list, which
  * ca_gateway_list_end ends. */
--- a/packages/gateway/knowledge.c
+++ b/packages/gateway/knowledge.c
@@ -7,7 +7,7 @@
 
 /* After the store's return an entry that is still missing this long has left:
  * the platform has those of living endpoints back within about 2 s. */
-#define LIST_RETURN_US (2300 * CA_US_PER_MS)
+#define LIST_RETURN_US (2100 * CA_US_PER_MS)
 
 /* A peer is asked for its configuration at most this often. */
 #define CATALOG_WANT_US (300 * CA_US_PER_MS)
@@ -43,13 +43,16 @@
 }
 
 void
-ca_gateway_store_state (ca_gateway_t *gateway, uint64_t now_us, bool down)
+ca_gateway_store_state (ca_gateway_t *gateway, uint64_t now_us, bool down,
+                        bool gone)
 {
   gateway->now_us = now_us;
+  if (gateway->store_gone && !gone)
+    gateway->store_back_us = now_us;
+  gateway->store_gone = gone;
   if (gateway->store_down == down)
     return;
   gateway->store_down = down;
-  gateway->store_lost_us = now_us;
   ca_gateway_note (
       gateway, down ? CA_EVENT_STORE_DOWN : CA_EVENT_STORE_UP, NULL, NULL,
       "configuration proved %" PRIu64 " ms ago",
@@ -63,9 +66,9 @@
 static bool
 knowledge_list_is_returning (const ca_gateway_t *gateway)
 {
-  return gateway->store_lost_us != 0
-         && (gateway->store_down
-             || gateway->now_us - gateway->store_lost_us < LIST_RETURN_US);
+  return gateway->store_gone
+         || (gateway->store_back_us != 0
+             && gateway->now_us - gateway->store_back_us < LIST_RETURN_US);
 }
 
 void
@@ -148,8 +151,8 @@
 void
 ca_knowledge_tick (ca_gateway_t *gateway)
 {
-  if (!gateway->store_down)
-    ca_roster_expire (&gateway->roster, gateway->now_us, LIST_RETURN_US);
+  if (!knowledge_list_is_returning (gateway))
+    ca_roster_expire (&gateway->roster, gateway->now_us, 0);
   if (gateway->store_down)
     knowledge_want (gateway);
 }
--- a/packages/gateway/watch.c
+++ b/packages/gateway/watch.c
@@ -11,11 +11,16 @@
 #define WATCH_RETRY_MOST_US (600 * CA_US_PER_MS)
 #define WATCH_DOWN_FAILURES 2
 
+/* Longest wait for an answer.  After a failure every other call is short, so
+ * that the store's return is seen soon; the others bear a slow store. */
+#define WATCH_ANSWER_MS 2000
+#define WATCH_FEED_MARGIN_MS 1000
+#define WATCH_SHORT_MS 600
+
 void
 ca_watch_init (ca_watch_t *watch, const char *table, uint32_t wait_ms,
                void (*list) (void *context, ca_watch_t *watch),
-               void (*feed) (void *context, ca_watch_t *watch, uint64_t after),
-               void *context)
+               void (*feed) (void *context, ca_watch_t *watch), void *context)
 {
   memset (watch, 0, sizeof *watch);
   watch->table = table;
@@ -31,8 +36,14 @@
   if (watch->busy || now_us < watch->next_us)
     return;
   watch->busy = true;
+  watch->call_wait_ms = watch->failures > 0 ? 0 : watch->wait_ms;
+  watch->call_timeout_ms = watch->failures == 0 && watch->listed
+                               ? watch->wait_ms + WATCH_FEED_MARGIN_MS
+                               : WATCH_ANSWER_MS;
+  if (watch->failures % 2 == 1)
+    watch->call_timeout_ms = WATCH_SHORT_MS;
   if (watch->listed)
-    watch->feed (watch->context, watch, watch->after);
+    watch->feed (watch->context, watch);
   else
     watch->list (watch->context, watch);
 }
--- a/packages/gateway/watch.h
+++ b/packages/gateway/watch.h
@@ -20,20 +20,21 @@
   const char *table;
   uint32_t wait_ms; /* at the store, for a change */
   void (*list) (void *context, struct ca_watch *watch);
-  void (*feed) (void *context, struct ca_watch *watch, uint64_t after);
+  void (*feed) (void *context, struct ca_watch *watch);
   void *context;
   bool listed;
   bool busy;
-  uint64_t after;    /* version up to which changes are known */
-  uint32_t failures; /* in a row */
+  uint64_t after;           /* version up to which changes are known */
+  uint32_t call_wait_ms;    /* of the call that is out: at the store */
+  uint32_t call_timeout_ms; /* and for its answer */
+  uint32_t failures;        /* in a row */
   uint64_t next_us;
 } ca_watch_t;
 
 /* Initialises caller-owned memory. */
 void ca_watch_init (ca_watch_t *watch, const char *table, uint32_t wait_ms,
                     void (*list) (void *context, ca_watch_t *watch),
-                    void (*feed) (void *context, ca_watch_t *watch,
-                                  uint64_t after),
+                    void (*feed) (void *context, ca_watch_t *watch),
                     void *context);
 
 /* Makes the next call if it is due. */
