--- a/packages/gateway/exchange.c
+++ b/packages/gateway/exchange.c
@@ -21,6 +21,11 @@
 #define MISSES_MAX 4
 #define REJECTED_MAX 3
 
+/* A stopping entry takes no more streams this long after the signal: by then
+ * the balancer sends new connections elsewhere, and a stream that began later
+ * could outlast the grace period. */
+#define STOP_STREAMS_US (2200 * CA_US_PER_MS)
+
 /* An endpoint without room is left alone for this. */
 #define FULL_US (60 * CA_US_PER_MS)
 
@@ -96,6 +101,7 @@
   [CA_REFUSE_NO_CONFIGURATION]
   = { CA_EVENT_REQUEST_REFUSED, "no configuration known" },
   [CA_REFUSE_STALE] = { CA_EVENT_REQUEST_REFUSED, "keys too old" },
+  [CA_REFUSE_STOPPING] = { CA_EVENT_REQUEST_REFUSED, "stopping" },
   [CA_REFUSE_NO_ROUTE] = { CA_EVENT_REQUEST_REFUSED, "no route" },
   [CA_REFUSE_NO_KEY] = { CA_EVENT_REQUEST_REFUSED, "unknown key" },
   [CA_REFUSE_QUOTA] = { CA_EVENT_REQUEST_REFUSED, "quota" },
@@ -602,6 +608,12 @@
       = ca_catalog_route (exchange->catalog, facts->host, facts->path);
   if (exchange->route == NULL || exchange->route->target_count == 0)
     return in_doubt ? CA_REFUSE_STALE : CA_REFUSE_NO_ROUTE;
+  if (gateway->stopping && exchange->route->kind == CA_ROUTE_STREAMING
+      && gateway->now_us - gateway->stop_us > STOP_STREAMS_US)
+    {
+      *wait_us = 0;
+      return CA_REFUSE_STOPPING;
+    }
   exchange->service
       = &exchange->catalog
              ->services[ca_route_service (exchange->route, facts->fingerprint)];
