Follow one bucket for all entries in quotas

Change: each entry follows one bucket, less what its peers tell to have admitted, and grants itself its part of what is left ten times a second; a starting entry begins with 0.3 of it.

--- a/packages/gateway/gateway.h
+++ b/packages/gateway/gateway.h
@@ -201,12 +201,16 @@
   UT_hash_handle hh;
 } ca_service_stats_t;
 
+/* A workspace's quota, as this entry sees it for all. */
 typedef struct ca_quota
 {
   char *workspace;
-  ca_bucket_t bucket;
+  ca_bucket_t bucket; /* of all entries together, as far as is known */
   ca_window_t asked;
-  double share;
+  double admitted;    /* by this entry since its start */
+  double share;       /* this entry's part of the demand */
+  double peer_demand; /* of the others, a second */
+  double granted;     /* this entry's part of the bucket, not yet used */
   UT_hash_handle hh;
 } ca_quota_t;
 
@@ -293,7 +297,8 @@
   /* Siblings. */
   ca_sibling_t *siblings;
   uint64_t pulse_us;
-  uint64_t share_us;
+  uint64_t share_us;      /* when quotas are next divided */
+  uint64_t shared_us;     /* and when they last were */
   int64_t wall_offset_us; /* agreed time of day less our clock */
   int64_t own_wall_offset_us;
   bool wall_agreed; /* by enough entries to outvote one that is off */
--- a/packages/gateway/private.h
+++ b/packages/gateway/private.h
@@ -58,6 +58,11 @@
 void ca_quota_return (ca_gateway_t *gateway,
                       const ca_catalog_workspace_t *workspace, double cost);
 
+/* Takes off what a peer admitted between two of its pulses; `before` is NULL
+ * for the first of a life. */
+void ca_quota_take_pulse (ca_gateway_t *gateway, const Camphor__Pulse *before,
+                          const Camphor__Pulse *now);
+
 /* Works the shares out anew. */
 void ca_quota_tick (ca_gateway_t *gateway);
 void ca_quota_finish (ca_gateway_t *gateway);
@@ -97,6 +102,10 @@
 
 /* --- siblings.c --- */
 
+/* An entry that is not heard for this long is not counted as live, and what
+ * it had open no longer counts. */
+#define CA_SIBLING_LIVE_US (2 * CA_US_PER_S)
+
 void ca_siblings_tick (ca_gateway_t *gateway, uint64_t wall_us);
 void ca_siblings_finish (ca_gateway_t *gateway);
 
--- a/packages/gateway/quota.c
+++ b/packages/gateway/quota.c
@@ -1,16 +1,19 @@
 /* Limits that all entries keep together: quotas of workspaces, and the budget
  * for repeats.
  *
- * A quota is divided by demand: each entry tells its peers what its callers
- * ask, and takes its part of the sum.  An entry that is not heard keeps its
- * last demand for a while, as it may be cut off and go on.  The budget for
- * repeats needs no exchange: each entry keeps to its own requests' part. */
+ * Each entry follows one bucket for all: it takes off what it admits at once,
+ * and what its peers admit as their pulses tell.  Of what is left it grants
+ * itself the part that its callers have of the demand, again and again, so
+ * that what one does not use the others can.  A peer that is not heard is
+ * taken to use its part for a while, as it may be cut off and go on.  The
+ * budget for repeats needs no exchange: each entry keeps to its own requests'
+ * part. */
 #include "gateway/private.h"
 
 #include <stdlib.h>
 #include <string.h>
 
-#define SHARE_PERIOD_US (250 * CA_US_PER_MS)
+#define SHARE_PERIOD_US (100 * CA_US_PER_MS)
 
 /* Demand that every entry is taken to have, as a part of the rate: a first
  * request must find something. */
@@ -19,8 +22,22 @@
 /* An unheard entry may still be serving for this long. */
 #define DEMAND_KEPT_US (10 * CA_US_PER_S)
 
-/* Part of the tolerance that shares may use; the rest is for their lag. */
-#define QUOTA_TOLERANCE_USED 0.6
+/* Pulses tell late by about this much: their period, and the way. */
+#define DEMAND_LAG_S 0.35
+
+/* Parts of the tolerances that are used; the rest is for the lag. */
+#define QUOTA_OVERRUN_USED 0.4
+#define QUOTA_ALLOWANCE_USED 0.4
+
+/* An entry that starts knows nothing of what was admitted before. */
+#define QUOTA_FIRST_LEVEL 0.3
+
+/* A request may take more than its entry's part if this part of the bucket is
+ * left after it. */
+#define QUOTA_AMPLE 0.5
+#define QUOTA_FULL 0.9
+#define QUOTA_WAIT_LEAST_US (100 * CA_US_PER_MS)
+#define QUOTA_WAIT_MOST_US (5 * CA_US_PER_S)
 
 /* Part of the budget for repeats that is used; the rest is for windows that
  * do not line up and for entries that restart. */
@@ -41,9 +58,10 @@
   quota->workspace = strdup (workspace->name);
   quota->share = 1.0 / ca_siblings_live (gateway);
   ca_window_init (&quota->asked, CA_DEMAND_SPAN_S * CA_US_PER_S);
-  ca_bucket_init (&quota->bucket, gateway->now_us,
-                  workspace->rate_per_s * quota->share,
-                  workspace->burst * quota->share);
+  ca_bucket_init (&quota->bucket, gateway->now_us, workspace->rate_per_s,
+                  workspace->burst);
+  quota->bucket.level *= QUOTA_FIRST_LEVEL;
+  quota->granted = quota->bucket.level * quota->share;
   HASH_ADD_KEYPTR (hh, gateway->quotas, quota->workspace,
                    strlen (quota->workspace), quota);
   return quota;
@@ -63,19 +81,41 @@
   }
 }
 
+/* True if the bucket bears the request beside this entry's own part. */
+static bool
+quota_is_ample (const ca_quota_t *quota, double cost)
+{
+  const ca_bucket_t *bucket = &quota->bucket;
+
+  if (cost > bucket->depth * (1 - QUOTA_AMPLE))
+    return bucket->level >= bucket->depth * QUOTA_FULL;
+  return bucket->level >= cost + bucket->depth * QUOTA_AMPLE;
+}
+
 bool
 ca_quota_take (ca_gateway_t *gateway, const ca_catalog_workspace_t *workspace,
                double cost, uint64_t *wait_us)
 {
   ca_quota_t *quota;
+  double wait_s;
 
   if (workspace->rate_per_s <= 0)
     return true;
   quota = quota_get (gateway, workspace);
   ca_window_add (&quota->asked, gateway->now_us, cost);
-  if (ca_bucket_take (&quota->bucket, gateway->now_us, cost))
-    return true;
-  *wait_us = ca_bucket_wait_us (&quota->bucket, cost);
+  if (cost <= quota->granted || quota_is_ample (quota, cost))
+    {
+      quota->granted -= cost;
+      quota->admitted += cost;
+      quota->bucket.level -= cost;
+      return true;
+    }
+  wait_s = (cost - quota->granted) / (workspace->rate_per_s * quota->share);
+  *wait_us = (uint64_t)(wait_s * CA_US_PER_S);
+  if (*wait_us < QUOTA_WAIT_LEAST_US)
+    *wait_us = QUOTA_WAIT_LEAST_US;
+  if (*wait_us > QUOTA_WAIT_MOST_US)
+    *wait_us = QUOTA_WAIT_MOST_US;
   return false;
 }
 
@@ -83,8 +123,42 @@
 ca_quota_return (ca_gateway_t *gateway, const ca_catalog_workspace_t *workspace,
                  double cost)
 {
-  if (workspace->rate_per_s > 0)
-    ca_bucket_return (&quota_get (gateway, workspace)->bucket, cost);
+  ca_quota_t *quota;
+
+  if (workspace->rate_per_s <= 0)
+    return;
+  quota = quota_get (gateway, workspace);
+  quota->granted += cost;
+  quota->admitted -= cost;
+  ca_bucket_return (&quota->bucket, cost);
+}
+
+static double
+quota_admitted (const Camphor__Pulse *pulse, const char *workspace)
+{
+  for (size_t i = 0; pulse != NULL && i < pulse->n_demands; i++)
+    {
+      if (strcmp (pulse->demands[i]->workspace, workspace) == 0)
+        return pulse->demands[i]->admitted;
+    }
+  return 0;
+}
+
+void
+ca_quota_take_pulse (ca_gateway_t *gateway, const Camphor__Pulse *before,
+                     const Camphor__Pulse *now)
+{
+  for (size_t i = 0; i < now->n_demands; i++)
+    {
+      const Camphor__WorkspaceDemand *demand = now->demands[i];
+      ca_quota_t *quota = NULL;
+
+      HASH_FIND (hh, gateway->quotas, demand->workspace,
+                 strlen (demand->workspace), quota);
+      if (quota != NULL)
+        quota->bucket.level
+            -= demand->admitted - quota_admitted (before, demand->workspace);
+    }
 }
 
 static double
@@ -98,17 +172,17 @@
   return 0;
 }
 
-/* This entry's part of what all ask. */
-static double
-quota_share (ca_gateway_t *gateway, ca_quota_t *quota, double floor)
+/* This entry's part of what all ask, and what the others ask. */
+static void
+quota_measure (ca_gateway_t *gateway, ca_quota_t *quota, double rate)
 {
+  double floor = rate * DEMAND_FLOOR;
   double own
       = ca_window_sum (&quota->asked, gateway->now_us) / CA_DEMAND_SPAN_S;
-  double sum;
   ca_sibling_t *sibling;
 
   own = own > floor ? own : floor;
-  sum = own;
+  quota->peer_demand = 0;
   for (sibling = gateway->siblings; sibling != NULL; sibling = sibling->hh.next)
     {
       double demand;
@@ -117,41 +191,74 @@
           || gateway->now_us - sibling->heard_us > DEMAND_KEPT_US)
         continue;
       demand = quota_peer_demand (sibling, quota->workspace);
-      sum += demand > floor ? demand : floor;
+      quota->peer_demand += demand > floor ? demand : floor;
     }
-  return own / sum;
+  quota->share = own / (own + quota->peer_demand);
+}
+
+/* Part of the demand whose entries are not heard now: they are taken to use
+ * their parts of the rate. */
+static double
+quota_unheard (const ca_gateway_t *gateway, const ca_quota_t *quota)
+{
+  const ca_sibling_t *sibling;
+  double demand = 0;
+
+  for (sibling = gateway->siblings; sibling != NULL; sibling = sibling->hh.next)
+    {
+      uint64_t silent_us = gateway->now_us - sibling->heard_us;
+
+      if (sibling->pulse != NULL && silent_us > CA_SIBLING_LIVE_US
+          && silent_us <= DEMAND_KEPT_US)
+        demand += quota_peer_demand (sibling, quota->workspace);
+    }
+  return demand;
 }
 
 static void
-quota_update (ca_gateway_t *gateway, const ca_catalog_workspace_t *workspace)
+quota_update (ca_gateway_t *gateway, const ca_catalog_workspace_t *workspace,
+              uint64_t since_us)
 {
   const ca_bounds_t *bounds = &gateway->options.bounds;
   ca_quota_t *quota;
   double rate;
   double depth;
+  double unheard;
+  double left;
 
   if (workspace->rate_per_s <= 0)
     return;
   quota = quota_get (gateway, workspace);
-  quota->share
-      = quota_share (gateway, quota, workspace->rate_per_s * DEMAND_FLOOR);
+  quota_measure (gateway, quota, workspace->rate_per_s);
   rate = workspace->rate_per_s
-         * (1 + bounds->quota_overrun * QUOTA_TOLERANCE_USED);
-  depth = workspace->burst
-          + bounds->quota_allowance * QUOTA_TOLERANCE_USED
-                * (workspace->by_tokens ? 1 : 0);
-  ca_bucket_set (&quota->bucket, gateway->now_us, rate * quota->share,
-                 depth * quota->share);
+         * (1 + bounds->quota_overrun * QUOTA_OVERRUN_USED);
+  depth
+      = workspace->burst
+        + (workspace->by_tokens ? bounds->quota_allowance * QUOTA_ALLOWANCE_USED
+                                : 0);
+  ca_bucket_set (&quota->bucket, gateway->now_us, rate, depth);
+  unheard = quota_unheard (gateway, quota);
+  if (unheard > rate)
+    unheard = rate;
+  quota->bucket.level
+      -= unheard * (double)(gateway->now_us - since_us) / CA_US_PER_S;
+  left = quota->bucket.level - quota->peer_demand * DEMAND_LAG_S;
+  quota->granted = left > 0 ? left * quota->share : 0;
 }
 
 void
 ca_quota_tick (ca_gateway_t *gateway)
 {
+  uint64_t since_us = gateway->shared_us;
+
   if (gateway->now_us < gateway->share_us || gateway->catalog == NULL)
     return;
+  if (since_us == 0)
+    since_us = gateway->now_us;
+  gateway->shared_us = gateway->now_us;
   gateway->share_us = gateway->now_us + SHARE_PERIOD_US;
   for (uint32_t i = 0; i < gateway->catalog->workspace_count; i++)
-    quota_update (gateway, &gateway->catalog->workspaces[i]);
+    quota_update (gateway, &gateway->catalog->workspaces[i], since_us);
 }
 
 bool
--- a/packages/gateway/siblings.c
+++ b/packages/gateway/siblings.c
@@ -12,9 +12,7 @@
 /* An entry that is not heard is sent a pulse this often. */
 #define PULSE_SILENT_US (2 * CA_US_PER_S)
 
-/* Not heard for this long: it is not counted as live, and what it had open is
- * no longer counted. */
-#define SIBLING_LIVE_US (2 * CA_US_PER_S)
+/* What is known of an entry that is not heard is kept for this long. */
 #define SIBLING_KEPT_US (40 * CA_US_PER_S)
 
 /* Windows of usage told in each pulse. */
@@ -130,7 +128,7 @@
 sibling_is_live (const ca_gateway_t *gateway, const ca_sibling_t *sibling)
 {
   return sibling->heard_us != 0
-         && gateway->now_us - sibling->heard_us < SIBLING_LIVE_US;
+         && gateway->now_us - sibling->heard_us < CA_SIBLING_LIVE_US;
 }
 
 bool
@@ -262,6 +260,7 @@
       row->workspace = quota->workspace;
       row->asked_per_s
           = ca_window_sum (&quota->asked, gateway->now_us) / CA_DEMAND_SPAN_S;
+      row->admitted = quota->admitted;
     }
 }
 
@@ -501,6 +500,10 @@
     ca_gateway_note (gateway, CA_EVENT_MEMBER_JOINED, NULL, pulse->name,
                      "zone %s", pulse->zone);
   sibling_count_loads (gateway, sibling, false);
+  ca_quota_take_pulse (
+      gateway,
+      sibling->incarnation == envelope->incarnation ? sibling->pulse : NULL,
+      pulse);
   if (sibling->incarnation != envelope->incarnation)
     sibling_new_life (sibling);
   if (sibling->pulse != NULL)
--- a/packages/wire/peer.pb-c.c
+++ b/packages/wire/peer.pb-c.c
@@ -2830,7 +2830,7 @@
   (ProtobufCMessageInit) camphor__find_request__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor camphor__workspace_demand__field_descriptors[2] =
+static const ProtobufCFieldDescriptor camphor__workspace_demand__field_descriptors[3] =
 {
   {
     "workspace",
@@ -2856,15 +2856,28 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "admitted",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_DOUBLE,
+    0,   /* quantifier_offset */
+    offsetof(Camphor__WorkspaceDemand, admitted),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned camphor__workspace_demand__field_indices_by_name[] = {
+  2,   /* field[2] = admitted */
   1,   /* field[1] = asked_per_s */
   0,   /* field[0] = workspace */
 };
 static const ProtobufCIntRange camphor__workspace_demand__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor camphor__workspace_demand__descriptor =
 {
@@ -2874,7 +2887,7 @@
   "Camphor__WorkspaceDemand",
   "camphor",
   sizeof(Camphor__WorkspaceDemand),
-  2,
+  3,
   camphor__workspace_demand__field_descriptors,
   camphor__workspace_demand__field_indices_by_name,
   1,  camphor__workspace_demand__number_ranges,
--- a/packages/wire/peer.pb-c.h
+++ b/packages/wire/peer.pb-c.h
@@ -335,10 +335,14 @@
   ProtobufCMessage base;
   char *workspace;
   double asked_per_s;
+  /*
+   * in all, since the entry's start
+   */
+  double admitted;
 };
 #define CAMPHOR__WORKSPACE_DEMAND__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&camphor__workspace_demand__descriptor) \
-    , (char *)protobuf_c_empty_string, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0 }
 
 
 /*
