Hold one on-demand endpoint, in the cheapest zone; fill endpoints to 0.6

Change: one on-demand endpoint in the cheapest zone, and in others only while reclaimable ones are not to be had; two a zone at first; 0.6 of an endpoint's time for reading prompts; fewer after 6 s without need.

--- a/packages/gateway/duties.c
+++ b/packages/gateway/duties.c
@@ -39,7 +39,7 @@
 #define ORDER_OUT_US (4 * CA_US_PER_S)
 
 /* Fewer endpoints are ordered only when fewer have done for this long. */
-#define SURPLUS_US (8 * CA_US_PER_S)
+#define SURPLUS_US (6 * CA_US_PER_S)
 
 void
 ca_duties_init (ca_duties_t *duties, ca_gateway_t *gateway,
--- a/packages/gateway/fleet_plan.c
+++ b/packages/gateway/fleet_plan.c
@@ -5,12 +5,15 @@
 
 /* Shares of an endpoint that a plan fills: time for reading prompts (beyond
  * it the tokens of running requests come late), slots, memory. */
-#define FLEET_BUSY_SHARE 0.5
+#define FLEET_BUSY_SHARE 0.6
 #define FLEET_SLOT_SHARE 0.5
 #define FLEET_MEMORY_SHARE 0.5
 
+/* On-demand endpoints that are always there: what no reclaim takes. */
+#define FLEET_ON_DEMAND 1
+
 /* Endpoints a zone before any traffic is known. */
-#define FLEET_FIRST_PER_ZONE 3
+#define FLEET_FIRST_PER_ZONE 2
 
 uint32_t
 ca_fleet_need (const ca_fleet_state_t *state)
@@ -50,12 +53,24 @@
 
 /* Endpoints a zone so that the zones but one carry the need. */
 static uint32_t
-fleet_per_zone (uint32_t need, uint32_t floor, uint32_t zones)
+fleet_per_zone (uint32_t need, uint32_t zones)
 {
   uint32_t bearing = zones > 1 ? zones - 1 : 1;
-  uint32_t missing = need > floor ? need - floor : 0;
 
-  return (missing + bearing - 1) / bearing;
+  return (need + bearing - 1) / bearing;
+}
+
+static uint32_t
+fleet_cheapest (const ca_fleet_state_t *state)
+{
+  uint32_t best = 0;
+
+  for (uint32_t i = 1; i < state->zone_count; i++)
+    {
+      if (state->zones[i].price < state->zones[best].price)
+        best = i;
+    }
+  return best;
 }
 
 void
@@ -63,28 +78,31 @@
                ca_fleet_want_t *wants)
 {
   uint32_t open_zones = fleet_open_zones (state);
-  uint32_t floor = state->min_endpoints > 0 ? state->min_endpoints : 1;
+  uint32_t cheapest = fleet_cheapest (state);
   uint32_t planned = 0;
   uint32_t next = 0;
 
   for (uint32_t i = 0; i < state->zone_count; i++)
     {
       const ca_fleet_zone_t *zone = &state->zones[i];
+      ca_fleet_want_t *want = &wants[i];
 
-      wants[i].on_demand = floor;
+      want->on_demand = i == cheapest ? FLEET_ON_DEMAND : 0;
       /* What still runs of a kind that cannot be had anew is kept. */
-      wants[i].reclaimable = zone->reclaimable;
+      want->reclaimable = zone->reclaimable;
       if (!zone->reclaimable_out && state->reclaimable_price > 0)
-        wants[i].reclaimable
-            = fleet_per_zone (need, floor * state->zone_count, open_zones);
-      wants[i].reclaimable = fleet_bound (
-          wants[i].reclaimable, state->max_endpoints - wants[i].on_demand);
-      planned += wants[i].on_demand + wants[i].reclaimable;
+        want->reclaimable = fleet_per_zone (
+            need > FLEET_ON_DEMAND ? need - FLEET_ON_DEMAND : 1, open_zones);
+      want->reclaimable = fleet_bound (want->reclaimable,
+                                       state->max_endpoints - want->on_demand);
+      if (want->on_demand + want->reclaimable < state->min_endpoints)
+        want->on_demand = state->min_endpoints - want->reclaimable;
+      planned += want->on_demand + want->reclaimable;
     }
-  /* On demand for what the others do not carry, zone by zone. */
+  /* On demand for what the others do not carry, from the cheapest zone on. */
   while (planned < need && next < state->zone_count * state->max_endpoints)
     {
-      ca_fleet_want_t *want = &wants[next++ % state->zone_count];
+      ca_fleet_want_t *want = &wants[(cheapest + next++) % state->zone_count];
 
       if (want->on_demand + want->reclaimable >= state->max_endpoints)
         continue;
