Refuse what a stopping entry cannot end before it ends itself

Change: a plain request is refused, as not run, if its time could outlast what is left of the grace period; streams as before.

--- a/packages/gateway/exchange.c
+++ b/packages/gateway/exchange.c
@@ -590,6 +590,34 @@
 
 /* --- Admission --- */
 
+/* Time from now that the caller and the route allow. */
+static uint64_t
+exchange_time_us (const ca_exchange_t *exchange,
+                  const ca_request_facts_t *facts)
+{
+  uint64_t time_us = exchange->route->timeout_ms * CA_US_PER_MS;
+
+  if (facts->wait_ms > 0 && facts->wait_ms * CA_US_PER_MS < time_us)
+    time_us = facts->wait_ms * CA_US_PER_MS;
+  return time_us;
+}
+
+/* True if a stopping entry might end before the request has. */
+static bool
+exchange_comes_too_late (const ca_gateway_t *gateway,
+                         const ca_exchange_t *exchange,
+                         const ca_request_facts_t *facts)
+{
+  uint64_t since_us = gateway->now_us - gateway->stop_us;
+
+  if (!gateway->stopping)
+    return false;
+  if (exchange->route->kind == CA_ROUTE_STREAMING)
+    return since_us > STOP_STREAMS_US;
+  return since_us + exchange_time_us (exchange, facts) + CA_GRACE_MARGIN_US
+         > gateway->options.bounds.grace_ms * CA_US_PER_MS;
+}
+
 /* Why the request may not be sent on; CA_REFUSE_KINDS if it may. */
 static ca_refuse_t
 exchange_check (ca_gateway_t *gateway, ca_exchange_t *exchange,
@@ -608,8 +636,7 @@
       = ca_catalog_route (exchange->catalog, facts->host, facts->path);
   if (exchange->route == NULL || exchange->route->target_count == 0)
     return in_doubt ? CA_REFUSE_STALE : CA_REFUSE_NO_ROUTE;
-  if (gateway->stopping && exchange->route->kind == CA_ROUTE_STREAMING
-      && gateway->now_us - gateway->stop_us > STOP_STREAMS_US)
+  if (exchange_comes_too_late (gateway, exchange, facts))
     {
       *wait_us = 0;
       return CA_REFUSE_STOPPING;
@@ -659,7 +686,6 @@
 {
   ca_exchange_t *exchange = calloc (1, sizeof *exchange);
   uint64_t wait_us;
-  uint64_t timeout_us;
   ca_refuse_t refusal;
 
   gateway->now_us = now_us;
@@ -680,10 +706,7 @@
       exchange_refuse (gateway, exchange, refusal, wait_us);
       return NULL;
     }
-  timeout_us = exchange->route->timeout_ms * CA_US_PER_MS;
-  if (facts->wait_ms > 0 && facts->wait_ms * CA_US_PER_MS < timeout_us)
-    timeout_us = facts->wait_ms * CA_US_PER_MS;
-  exchange->deadline_us = now_us + timeout_us;
+  exchange->deadline_us = now_us + exchange_time_us (exchange, facts);
   exchange_count_request (gateway, exchange);
   exchange_place (gateway, exchange);
   return gateway->admitting;
--- a/packages/gateway/gateway.h
+++ b/packages/gateway/gateway.h
@@ -18,6 +18,9 @@
 #include "gateway/window.h"
 #include "wire/peer.pb-c.h"
 
+/* A stopping entry ends this long before it would be killed. */
+#define CA_GRACE_MARGIN_US (300 * CA_US_PER_MS)
+
 /* How often ca_gateway_tick is to be called. */
 #define CA_GATEWAY_TICK_US (25 * CA_US_PER_MS)
 
