--- a/packages/gateway/duties.c
+++ b/packages/gateway/duties.c
@@ -16,7 +16,7 @@
 /* A holder stops this long before its lease ends: the store's clock is known
  * to within the way there. */
 #define LEASE_MARGIN_US (700 * CA_US_PER_MS)
-#define LEASE_RENEW_US (1100 * CA_US_PER_MS)
+#define LEASE_RENEW_US (1500 * CA_US_PER_MS)
 
 /* Without word of a leader for this long, and longer by rank, the row is
  * read. */
--- a/packages/gateway/gateway.h
+++ b/packages/gateway/gateway.h
@@ -286,7 +286,10 @@
   uint64_t store_back_us; /* when one was again; 0 if it never was gone */
   bool roster_known;
   ca_roster_t roster;
-  uint64_t want_us; /* when a peer was last asked for a configuration */
+  uint64_t proof_us;    /* when proof was last asked for, of whomever */
+  uint32_t proof_tries; /* peers asked since the last proof */
+  uint64_t behind_us;   /* since when a peer has a newer configuration */
+  uint64_t want_us;     /* when a peer was last asked for a configuration */
   /* Requests. */
   TAILQ_HEAD (ca_exchanges, ca_exchange) exchanges;
   uint32_t open;
@@ -328,6 +331,10 @@
 void ca_gateway_config_proved (ca_gateway_t *gateway, uint64_t now_us,
                                uint64_t sent_us, uint64_t store_us);
 
+/* True if this entry should ask the store itself whether the configuration is
+ * still the newest. */
+bool ca_gateway_needs_proof (ca_gateway_t *gateway, uint64_t now_us);
+
 /* Whether some kind of call, or every one, gets no answer of the store. */
 void ca_gateway_store_state (ca_gateway_t *gateway, uint64_t now_us, bool down,
                              bool gone);
--- a/packages/gateway/knowledge.c
+++ b/packages/gateway/knowledge.c
@@ -9,6 +9,17 @@
  * the platform has those of living endpoints back within about 2 s. */
 #define LIST_RETURN_US (2100 * CA_US_PER_MS)
 
+/* Proof older than this is renewed: of the first entries, which ask the store
+ * for all, or of the store.  The bound of revocation is several times
+ * that. */
+#define PROOF_AGE_US (2000 * CA_US_PER_MS)
+#define PROOF_RETRY_US (300 * CA_US_PER_MS)
+#define PROOF_PEERS 2
+
+/* A configuration that a peer has and the store has not given to us for this
+ * long is asked for there. */
+#define BEHIND_US (500 * CA_US_PER_MS)
+
 /* A peer is asked for its configuration at most this often. */
 #define CATALOG_WANT_US (300 * CA_US_PER_MS)
 
@@ -115,8 +126,82 @@
                    sure ? "left the list" : "missing since the store returned");
 }
 
-/* A configuration newer than ours that a peer has is asked for while the
- * store does not give it to us. */
+/* --- Proof from peers --- */
+
+/* Asks the k-th entry for proof; true if this entry is the one to
+ * ask the store. */
+static bool
+knowledge_ask (ca_gateway_t *gateway, uint32_t k)
+{
+  Camphor__Envelope envelope = CAMPHOR__ENVELOPE__INIT;
+  Camphor__ProofWant want = CAMPHOR__PROOF_WANT__INIT;
+  bool is_self = false;
+  const ca_sibling_t *prover = ca_siblings_prover (gateway, k, &is_self);
+
+  if (prover == NULL)
+    return true;
+  want.stamp_us = gateway->now_us;
+  envelope.body_case = CAMPHOR__ENVELOPE__BODY_PROOF_WANT;
+  envelope.proof_want = &want;
+  ca_sibling_send (gateway, &prover->address, &envelope);
+  return false;
+}
+
+bool
+ca_gateway_needs_proof (ca_gateway_t *gateway, uint64_t now_us)
+{
+  uint64_t age_us = ca_freshness_age_us (&gateway->config_freshness, now_us);
+
+  gateway->now_us = now_us;
+  if (gateway->catalog == NULL || age_us < PROOF_AGE_US)
+    {
+      gateway->proof_tries = 0;
+      return false;
+    }
+  if (now_us - gateway->proof_us < PROOF_RETRY_US)
+    return false;
+  gateway->proof_us = now_us;
+  if (gateway->proof_tries++ < PROOF_PEERS)
+    return knowledge_ask (gateway, gateway->proof_tries - 1);
+  return true;
+}
+
+void
+ca_knowledge_answer_proof (ca_gateway_t *gateway,
+                           const Camphor__Envelope *envelope)
+{
+  const ca_sibling_t *sibling = ca_sibling_find (gateway, envelope->from);
+  Camphor__Envelope answer = CAMPHOR__ENVELOPE__INIT;
+  Camphor__Proof proof = CAMPHOR__PROOF__INIT;
+
+  if (sibling == NULL || gateway->catalog == NULL
+      || !gateway->config_freshness.known)
+    return;
+  proof.echo_us = envelope->proof_want->stamp_us;
+  proof.config_version = gateway->catalog->version;
+  proof.config_age_us
+      = ca_freshness_age_us (&gateway->config_freshness, gateway->now_us);
+  answer.body_case = CAMPHOR__ENVELOPE__BODY_PROOF;
+  answer.proof = &proof;
+  ca_sibling_send (gateway, &sibling->address, &answer);
+}
+
+void
+ca_knowledge_take_proof (ca_gateway_t *gateway,
+                         const Camphor__Envelope *envelope)
+{
+  const Camphor__Proof *proof = envelope->proof;
+
+  if (gateway->catalog != NULL && proof->echo_us <= gateway->now_us
+      && proof->config_version == gateway->catalog->version)
+    ca_freshness_peer (&gateway->config_freshness, proof->echo_us,
+                       proof->config_age_us);
+}
+
+/* --- Configuration from peers --- */
+
+/* A configuration newer than ours that a peer has is asked for if the store
+ * does not give it to us soon. */
 static void
 knowledge_want (ca_gateway_t *gateway)
 {
@@ -132,20 +217,25 @@
     {
       if (sibling->pulse != NULL && sibling->pulse->config_known
           && sibling->pulse->config_version > have
+          && gateway->now_us - sibling->heard_us < CA_SIBLING_LIVE_US
           && (best == NULL
               || sibling->pulse->config_version > best->pulse->config_version))
         best = sibling;
     }
   if (best == NULL)
+    {
+      gateway->behind_us = 0;
+      return;
+    }
+  if (gateway->behind_us == 0)
+    gateway->behind_us = gateway->now_us;
+  if (!gateway->store_down && gateway->now_us - gateway->behind_us < BEHIND_US)
     return;
   gateway->want_us = gateway->now_us + CATALOG_WANT_US;
   want.have_version = have;
-  envelope.version = 1;
-  envelope.from = gateway->id;
-  envelope.incarnation = gateway->incarnation;
   envelope.body_case = CAMPHOR__ENVELOPE__BODY_CATALOG_WANT;
   envelope.catalog_want = &want;
-  gateway->ports.send_peer (gateway->ports.context, &best->address, &envelope);
+  ca_sibling_send (gateway, &best->address, &envelope);
 }
 
 void
@@ -153,6 +243,5 @@
 {
   if (!knowledge_list_is_returning (gateway))
     ca_roster_expire (&gateway->roster, gateway->now_us, 0);
-  if (gateway->store_down)
-    knowledge_want (gateway);
+  knowledge_want (gateway);
 }
--- a/packages/gateway/private.h
+++ b/packages/gateway/private.h
@@ -25,6 +25,12 @@
 
 void ca_knowledge_tick (ca_gateway_t *gateway);
 
+/* A peer asks how new our configuration is, or answers that. */
+void ca_knowledge_answer_proof (ca_gateway_t *gateway,
+                                const Camphor__Envelope *envelope);
+void ca_knowledge_take_proof (ca_gateway_t *gateway,
+                              const Camphor__Envelope *envelope);
+
 /* --- place.c --- */
 
 typedef struct
@@ -109,6 +115,18 @@
 void ca_siblings_tick (ca_gateway_t *gateway, uint64_t wall_us);
 void ca_siblings_finish (ca_gateway_t *gateway);
 
+/* Row of another entry; NULL if it is not known. */
+ca_sibling_t *ca_sibling_find (const ca_gateway_t *gateway, uint64_t id);
+
+/* Sends an envelope, with this entry as its sender. */
+void ca_sibling_send (ca_gateway_t *gateway, const ca_address_t *to,
+                      Camphor__Envelope *envelope);
+
+/* The k-th live entry, by their numbers, that reads the store;
+ * NULL for this entry itself, and where there are fewer. */
+const ca_sibling_t *ca_siblings_prover (const ca_gateway_t *gateway, uint32_t k,
+                                        bool *is_self);
+
 /* Entries heard of lately, this one included. */
 uint32_t ca_siblings_live (const ca_gateway_t *gateway);
 
--- a/packages/gateway/siblings.c
+++ b/packages/gateway/siblings.c
@@ -42,8 +42,8 @@
 
 /* --- Rows --- */
 
-static ca_sibling_t *
-sibling_find (const ca_gateway_t *gateway, uint64_t id)
+ca_sibling_t *
+ca_sibling_find (const ca_gateway_t *gateway, uint64_t id)
 {
   ca_sibling_t *sibling = NULL;
 
@@ -159,6 +159,44 @@
   return rank;
 }
 
+const ca_sibling_t *
+ca_siblings_prover (const ca_gateway_t *gateway, uint32_t k, bool *is_self)
+{
+  const ca_sibling_t *best = NULL;
+  uint64_t after = 0;
+
+  /* Few are asked for: one pass for each is cheap. */
+  for (uint32_t i = 0; i <= k; i++)
+    {
+      const ca_sibling_t *sibling;
+
+      best = NULL;
+      for (sibling = gateway->siblings; sibling != NULL;
+           sibling = sibling->hh.next)
+        {
+          if (sibling_is_live (gateway, sibling) && sibling->reads_store
+              && !sibling->leaving && sibling->id > after
+              && (best == NULL || sibling->id < best->id))
+            best = sibling;
+        }
+      if (!gateway->store_down && !gateway->stopping && gateway->id > after
+          && (best == NULL || gateway->id < best->id))
+        {
+          best = NULL;
+          after = gateway->id;
+          *is_self = true;
+          if (i == k)
+            return NULL;
+          continue;
+        }
+      *is_self = false;
+      if (best == NULL)
+        return NULL;
+      after = best->id;
+    }
+  return best;
+}
+
 void
 ca_siblings_work (ca_gateway_t *gateway, const char *service,
                   ca_service_work_t *work)
@@ -206,7 +244,7 @@
                     const ca_address_t *address)
 {
   uint64_t id = ca_gateway_id (name);
-  ca_sibling_t *sibling = sibling_find (gateway, id);
+  ca_sibling_t *sibling = ca_sibling_find (gateway, id);
 
   if (id == gateway->id)
     return;
@@ -218,6 +256,16 @@
 
 /* --- Sending --- */
 
+void
+ca_sibling_send (ca_gateway_t *gateway, const ca_address_t *to,
+                 Camphor__Envelope *envelope)
+{
+  envelope->version = 1;
+  envelope->from = gateway->id;
+  envelope->incarnation = gateway->incarnation;
+  gateway->ports.send_peer (gateway->ports.context, to, envelope);
+}
+
 static void
 sibling_draft_loads (const ca_gateway_t *gateway, sibling_draft_t *draft)
 {
@@ -356,16 +404,6 @@
   sibling_draft_strikes (gateway, draft);
 }
 
-static void
-sibling_send (ca_gateway_t *gateway, const ca_address_t *to,
-              Camphor__Envelope *envelope)
-{
-  envelope->version = 1;
-  envelope->from = gateway->id;
-  envelope->incarnation = gateway->incarnation;
-  gateway->ports.send_peer (gateway->ports.context, to, envelope);
-}
-
 static void
 sibling_pulse_all (ca_gateway_t *gateway, uint64_t wall_us)
 {
@@ -384,7 +422,7 @@
         continue;
       sibling->pulsed_us = gateway->now_us;
       draft.pulse.echo_us = sibling->stamp_us;
-      sibling_send (gateway, &sibling->address, &envelope);
+      ca_sibling_send (gateway, &sibling->address, &envelope);
     }
 }
 
@@ -492,7 +530,7 @@
 sibling_take_pulse (ca_gateway_t *gateway, const Camphor__Envelope *envelope,
                     Camphor__Pulse *pulse)
 {
-  ca_sibling_t *sibling = sibling_find (gateway, envelope->from);
+  ca_sibling_t *sibling = ca_sibling_find (gateway, envelope->from);
 
   if (sibling == NULL)
     sibling = sibling_add (gateway, envelope->from, pulse->name);
@@ -510,6 +548,11 @@
     camphor__pulse__free_unpacked (sibling->pulse, NULL);
   sibling->pulse = pulse;
   sibling->incarnation = envelope->incarnation;
+  if (strcmp (sibling->zone, pulse->zone) != 0)
+    {
+      free (sibling->zone);
+      sibling->zone = strdup (pulse->zone);
+    }
   sibling->address.ip = pulse->ip;
   sibling->address.port = (uint16_t)pulse->port;
   sibling->heard_us = gateway->now_us;
@@ -531,7 +574,7 @@
 static void
 sibling_answer_want (ca_gateway_t *gateway, const Camphor__Envelope *envelope)
 {
-  const ca_sibling_t *sibling = sibling_find (gateway, envelope->from);
+  const ca_sibling_t *sibling = ca_sibling_find (gateway, envelope->from);
   Camphor__Envelope answer = CAMPHOR__ENVELOPE__INIT;
   Camphor__CatalogText text = CAMPHOR__CATALOG_TEXT__INIT;
 
@@ -543,7 +586,7 @@
   text.text.len = gateway->catalog->text_bytes;
   answer.body_case = CAMPHOR__ENVELOPE__BODY_CATALOG_TEXT;
   answer.catalog_text = &text;
-  sibling_send (gateway, &sibling->address, &answer);
+  ca_sibling_send (gateway, &sibling->address, &answer);
 }
 
 void
@@ -566,6 +609,12 @@
                           camphor__pulse__unpack (NULL, bytes, packed));
       free (packed);
       return;
+    case CAMPHOR__ENVELOPE__BODY_PROOF_WANT:
+      ca_knowledge_answer_proof (gateway, envelope);
+      return;
+    case CAMPHOR__ENVELOPE__BODY_PROOF:
+      ca_knowledge_take_proof (gateway, envelope);
+      return;
     case CAMPHOR__ENVELOPE__BODY_CATALOG_WANT:
       sibling_answer_want (gateway, envelope);
       return;
--- a/packages/gateway/watch.c
+++ b/packages/gateway/watch.c
@@ -19,12 +19,14 @@
 
 void
 ca_watch_init (ca_watch_t *watch, const char *table, uint32_t wait_ms,
+               uint32_t pause_ms,
                void (*list) (void *context, ca_watch_t *watch),
                void (*feed) (void *context, ca_watch_t *watch), void *context)
 {
   memset (watch, 0, sizeof *watch);
   watch->table = table;
   watch->wait_ms = wait_ms;
+  watch->pause_ms = pause_ms;
   watch->list = list;
   watch->feed = feed;
   watch->context = context;
@@ -50,7 +52,7 @@
 
 void
 ca_watch_done (ca_watch_t *watch, uint64_t now_us, ca_watch_status_t status,
-               uint64_t version)
+               uint64_t version, bool changed)
 {
   uint64_t pause_us = WATCH_RETRY_FIRST_US;
 
@@ -65,7 +67,7 @@
       return;
     }
   watch->failures = 0;
-  watch->next_us = now_us;
+  watch->next_us = now_us + (changed ? watch->pause_ms * CA_US_PER_MS : 0);
   if (status == CA_WATCH_FORGOTTEN)
     {
       watch->listed = false;
--- a/packages/gateway/watch.h
+++ b/packages/gateway/watch.h
@@ -18,7 +18,8 @@
 typedef struct ca_watch
 {
   const char *table;
-  uint32_t wait_ms; /* at the store, for a change */
+  uint32_t wait_ms;  /* at the store, for a change */
+  uint32_t pause_ms; /* after a change, for more to gather: calls cost */
   void (*list) (void *context, struct ca_watch *watch);
   void (*feed) (void *context, struct ca_watch *watch);
   void *context;
@@ -33,6 +34,7 @@
 
 /* Initialises caller-owned memory. */
 void ca_watch_init (ca_watch_t *watch, const char *table, uint32_t wait_ms,
+                    uint32_t pause_ms,
                     void (*list) (void *context, ca_watch_t *watch),
                     void (*feed) (void *context, ca_watch_t *watch),
                     void *context);
@@ -40,9 +42,10 @@
 /* Makes the next call if it is due. */
 void ca_watch_tick (ca_watch_t *watch, uint64_t now_us);
 
-/* The call that was out has ended; `version` is the store's at its answer. */
+/* The call that was out has ended; `version` is the store's at its answer, and
+ * `changed` tells whether that brought any. */
 void ca_watch_done (ca_watch_t *watch, uint64_t now_us,
-                    ca_watch_status_t status, uint64_t version);
+                    ca_watch_status_t status, uint64_t version, bool changed);
 
 /* True while the store does not answer. */
 bool ca_watch_is_down (const ca_watch_t *watch);
--- a/packages/wire/peer.pb-c.c
+++ b/packages/wire/peer.pb-c.c
@@ -1087,6 +1087,96 @@
   assert(message->base.descriptor == &camphor__pulse__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   camphor__proof_want__init
+                     (Camphor__ProofWant         *message)
+{
+  static const Camphor__ProofWant init_value = CAMPHOR__PROOF_WANT__INIT;
+  *message = init_value;
+}
+size_t camphor__proof_want__get_packed_size
+                     (const Camphor__ProofWant *message)
+{
+  assert(message->base.descriptor == &camphor__proof_want__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t camphor__proof_want__pack
+                     (const Camphor__ProofWant *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &camphor__proof_want__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t camphor__proof_want__pack_to_buffer
+                     (const Camphor__ProofWant *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &camphor__proof_want__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Camphor__ProofWant *
+       camphor__proof_want__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Camphor__ProofWant *)
+     protobuf_c_message_unpack (&camphor__proof_want__descriptor,
+                                allocator, len, data);
+}
+void   camphor__proof_want__free_unpacked
+                     (Camphor__ProofWant *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &camphor__proof_want__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   camphor__proof__init
+                     (Camphor__Proof         *message)
+{
+  static const Camphor__Proof init_value = CAMPHOR__PROOF__INIT;
+  *message = init_value;
+}
+size_t camphor__proof__get_packed_size
+                     (const Camphor__Proof *message)
+{
+  assert(message->base.descriptor == &camphor__proof__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t camphor__proof__pack
+                     (const Camphor__Proof *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &camphor__proof__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t camphor__proof__pack_to_buffer
+                     (const Camphor__Proof *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &camphor__proof__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Camphor__Proof *
+       camphor__proof__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Camphor__Proof *)
+     protobuf_c_message_unpack (&camphor__proof__descriptor,
+                                allocator, len, data);
+}
+void   camphor__proof__free_unpacked
+                     (Camphor__Proof *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &camphor__proof__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   camphor__catalog_want__init
                      (Camphor__CatalogWant         *message)
 {
@@ -3435,6 +3525,108 @@
   (ProtobufCMessageInit) camphor__pulse__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor camphor__proof_want__field_descriptors[1] =
+{
+  {
+    "stamp_us",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Camphor__ProofWant, stamp_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned camphor__proof_want__field_indices_by_name[] = {
+  0,   /* field[0] = stamp_us */
+};
+static const ProtobufCIntRange camphor__proof_want__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor camphor__proof_want__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "camphor.ProofWant",
+  "ProofWant",
+  "Camphor__ProofWant",
+  "camphor",
+  sizeof(Camphor__ProofWant),
+  1,
+  camphor__proof_want__field_descriptors,
+  camphor__proof_want__field_indices_by_name,
+  1,  camphor__proof_want__number_ranges,
+  (ProtobufCMessageInit) camphor__proof_want__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor camphor__proof__field_descriptors[3] =
+{
+  {
+    "echo_us",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Camphor__Proof, echo_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "config_version",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Camphor__Proof, config_version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "config_age_us",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Camphor__Proof, config_age_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned camphor__proof__field_indices_by_name[] = {
+  2,   /* field[2] = config_age_us */
+  1,   /* field[1] = config_version */
+  0,   /* field[0] = echo_us */
+};
+static const ProtobufCIntRange camphor__proof__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor camphor__proof__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "camphor.Proof",
+  "Proof",
+  "Camphor__Proof",
+  "camphor",
+  sizeof(Camphor__Proof),
+  3,
+  camphor__proof__field_descriptors,
+  camphor__proof__field_indices_by_name,
+  1,  camphor__proof__number_ranges,
+  (ProtobufCMessageInit) camphor__proof__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor camphor__catalog_want__field_descriptors[1] =
 {
   {
@@ -3524,7 +3716,7 @@
   (ProtobufCMessageInit) camphor__catalog_text__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor camphor__envelope__field_descriptors[24] =
+static const ProtobufCFieldDescriptor camphor__envelope__field_descriptors[26] =
 {
   {
     "version",
@@ -3814,6 +4006,30 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "proof_want",
+    27,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Camphor__Envelope, body_case),
+    offsetof(Camphor__Envelope, proof_want),
+    &camphor__proof_want__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "proof",
+    28,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Camphor__Envelope, body_case),
+    offsetof(Camphor__Envelope, proof),
+    &camphor__proof__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned camphor__envelope__field_indices_by_name[] = {
   8,   /* field[8] = ack */
@@ -3836,6 +4052,8 @@
   4,   /* field[4] = members */
   7,   /* field[7] = ping */
   9,   /* field[9] = ping_request */
+  25,   /* field[25] = proof */
+  24,   /* field[24] = proof_want */
   21,   /* field[21] = pulse */
   13,   /* field[13] = reject */
   14,   /* field[14] = release */
@@ -3845,7 +4063,7 @@
 {
   { 1, 0 },
   { 10, 7 },
-  { 0, 24 }
+  { 0, 26 }
 };
 const ProtobufCMessageDescriptor camphor__envelope__descriptor =
 {
@@ -3855,7 +4073,7 @@
   "Camphor__Envelope",
   "camphor",
   sizeof(Camphor__Envelope),
-  24,
+  26,
   camphor__envelope__field_descriptors,
   camphor__envelope__field_indices_by_name,
   2,  camphor__envelope__number_ranges,
--- a/packages/wire/peer.pb-c.h
+++ b/packages/wire/peer.pb-c.h
@@ -39,6 +39,8 @@
 typedef struct Camphor__ServiceWork Camphor__ServiceWork;
 typedef struct Camphor__Strike Camphor__Strike;
 typedef struct Camphor__Pulse Camphor__Pulse;
+typedef struct Camphor__ProofWant Camphor__ProofWant;
+typedef struct Camphor__Proof Camphor__Proof;
 typedef struct Camphor__CatalogWant Camphor__CatalogWant;
 typedef struct Camphor__CatalogText Camphor__CatalogText;
 typedef struct Camphor__Envelope Camphor__Envelope;
@@ -464,6 +466,32 @@
     , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0 }
 
 
+/*
+ * Asks how new the receiver's configuration is proved to be; the answer's
+ * word is no older than the stamp that it echoes.
+ */
+struct  Camphor__ProofWant
+{
+  ProtobufCMessage base;
+  uint64_t stamp_us;
+};
+#define CAMPHOR__PROOF_WANT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&camphor__proof_want__descriptor) \
+    , 0 }
+
+
+struct  Camphor__Proof
+{
+  ProtobufCMessage base;
+  uint64_t echo_us;
+  uint64_t config_version;
+  uint64_t config_age_us;
+};
+#define CAMPHOR__PROOF__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&camphor__proof__descriptor) \
+    , 0, 0, 0 }
+
+
 struct  Camphor__CatalogWant
 {
   ProtobufCMessage base;
@@ -503,7 +531,9 @@
   CAMPHOR__ENVELOPE__BODY_FIND_REQUEST = 23,
   CAMPHOR__ENVELOPE__BODY_PULSE = 24,
   CAMPHOR__ENVELOPE__BODY_CATALOG_WANT = 25,
-  CAMPHOR__ENVELOPE__BODY_CATALOG_TEXT = 26
+  CAMPHOR__ENVELOPE__BODY_CATALOG_TEXT = 26,
+  CAMPHOR__ENVELOPE__BODY_PROOF_WANT = 27,
+  CAMPHOR__ENVELOPE__BODY_PROOF = 28
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(CAMPHOR__ENVELOPE__BODY__CASE)
 } Camphor__Envelope__BodyCase;
 
@@ -539,6 +569,8 @@
     Camphor__Pulse *pulse;
     Camphor__CatalogWant *catalog_want;
     Camphor__CatalogText *catalog_text;
+    Camphor__ProofWant *proof_want;
+    Camphor__Proof *proof;
   };
 };
 #define CAMPHOR__ENVELOPE__INIT \
@@ -1002,6 +1034,44 @@
 void   camphor__pulse__free_unpacked
                      (Camphor__Pulse *message,
                       ProtobufCAllocator *allocator);
+/* Camphor__ProofWant methods */
+void   camphor__proof_want__init
+                     (Camphor__ProofWant         *message);
+size_t camphor__proof_want__get_packed_size
+                     (const Camphor__ProofWant   *message);
+size_t camphor__proof_want__pack
+                     (const Camphor__ProofWant   *message,
+                      uint8_t             *out);
+size_t camphor__proof_want__pack_to_buffer
+                     (const Camphor__ProofWant   *message,
+                      ProtobufCBuffer     *buffer);
+Camphor__ProofWant *
+       camphor__proof_want__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   camphor__proof_want__free_unpacked
+                     (Camphor__ProofWant *message,
+                      ProtobufCAllocator *allocator);
+/* Camphor__Proof methods */
+void   camphor__proof__init
+                     (Camphor__Proof         *message);
+size_t camphor__proof__get_packed_size
+                     (const Camphor__Proof   *message);
+size_t camphor__proof__pack
+                     (const Camphor__Proof   *message,
+                      uint8_t             *out);
+size_t camphor__proof__pack_to_buffer
+                     (const Camphor__Proof   *message,
+                      ProtobufCBuffer     *buffer);
+Camphor__Proof *
+       camphor__proof__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   camphor__proof__free_unpacked
+                     (Camphor__Proof *message,
+                      ProtobufCAllocator *allocator);
 /* Camphor__CatalogWant methods */
 void   camphor__catalog_want__init
                      (Camphor__CatalogWant         *message);
@@ -1133,6 +1203,12 @@
 typedef void (*Camphor__Pulse_Closure)
                  (const Camphor__Pulse *message,
                   void *closure_data);
+typedef void (*Camphor__ProofWant_Closure)
+                 (const Camphor__ProofWant *message,
+                  void *closure_data);
+typedef void (*Camphor__Proof_Closure)
+                 (const Camphor__Proof *message,
+                  void *closure_data);
 typedef void (*Camphor__CatalogWant_Closure)
                  (const Camphor__CatalogWant *message,
                   void *closure_data);
@@ -1172,6 +1248,8 @@
 extern const ProtobufCMessageDescriptor camphor__service_work__descriptor;
 extern const ProtobufCMessageDescriptor camphor__strike__descriptor;
 extern const ProtobufCMessageDescriptor camphor__pulse__descriptor;
+extern const ProtobufCMessageDescriptor camphor__proof_want__descriptor;
+extern const ProtobufCMessageDescriptor camphor__proof__descriptor;
 extern const ProtobufCMessageDescriptor camphor__catalog_want__descriptor;
 extern const ProtobufCMessageDescriptor camphor__catalog_text__descriptor;
 extern const ProtobufCMessageDescriptor camphor__envelope__descriptor;
