Bear the loss of the next zone too while a wave of reclaims goes on

Change: from the first refusal or loss on, on-demand endpoints are ordered for the zone that has most left; quotas use 0.7 and 0.6 of their tolerances (test_quota holds the users' bound).

--- a/packages/gateway/fleet_plan.c
+++ b/packages/gateway/fleet_plan.c
@@ -75,6 +75,24 @@
   return best;
 }
 
+/* While a wave of reclaims is under way, the endpoints that it may take next:
+ * those of the zone that has most. */
+static uint32_t
+fleet_at_risk (const ca_fleet_state_t *state, const ca_fleet_want_t *wants)
+{
+  uint32_t most = 0;
+
+  if (state->reclaimable_price <= 0
+      || fleet_open_zones (state) == state->zone_count)
+    return 0;
+  for (uint32_t i = 0; i < state->zone_count; i++)
+    {
+      if (wants[i].reclaimable > most)
+        most = wants[i].reclaimable;
+    }
+  return most;
+}
+
 void
 ca_fleet_plan (const ca_fleet_state_t *state, uint32_t need,
                ca_fleet_want_t *wants)
@@ -101,6 +119,7 @@
         want->on_demand = state->min_endpoints - want->reclaimable;
       planned += want->on_demand + want->reclaimable;
     }
+  need += fleet_at_risk (state, wants);
   /* On demand for what the others do not carry, from the cheapest zone on. */
   while (planned < need && next < state->zone_count * state->max_endpoints)
     {
--- a/packages/gateway/quota.c
+++ b/packages/gateway/quota.c
@@ -26,8 +26,8 @@
 #define DEMAND_LAG_S 0.35
 
 /* Parts of the tolerances that are used; the rest is for the lag. */
-#define QUOTA_OVERRUN_USED 0.4
-#define QUOTA_ALLOWANCE_USED 0.4
+#define QUOTA_OVERRUN_USED 0.7
+#define QUOTA_ALLOWANCE_USED 0.6
 
 /* An entry that starts knows nothing of what was admitted before. */
 #define QUOTA_FIRST_LEVEL 0.3
