--- /dev/null
+++ b/tests/site/lib.sh
@@ -0,0 +1,123 @@
+# Starts a small site on loopback: store, endpoints, entries, each a process of
+# its own.  Every process started here is recorded and ended by its own id;
+# waits are on conditions, with a bound after which the script fails.
+#
+# Ports: BASE store, +1 proxy before it, +2 its control, +10.. endpoints,
+# +100+10*i entry i (callers, ready, peers, metrics).
+
+BUILD=${BUILD:-build}
+BASE=${BASE:-20000}
+WORK=${WORK:-$(mktemp -d)}
+RUNS=$WORK/runs
+WAIT_STEPS=${WAIT_STEPS:-200}
+STORE_ADDRESS=127.0.0.1:$BASE
+declare -A PID
+
+fail () {
+  echo "FAILED: $*" >&2
+  exit 1
+}
+
+# wait_for COMMAND...: runs it every 100 ms until it succeeds.
+wait_for () {
+  local step=0
+  until "$@" > /dev/null 2>&1; do
+    step=$((step + 1))
+    [ "$step" -lt "$WAIT_STEPS" ] || fail "condition never held: $*"
+    sleep 0.1
+  done
+}
+
+control () { # PORT JSON
+  curl -s -m 5 -X POST "http://127.0.0.1:$1/control" -d "$2" > /dev/null
+}
+
+start () { # NAME COMMAND...
+  local name=$1
+  shift
+  "$@" >> "$WORK/$name.log" 2>&1 &
+  PID[$name]=$!
+  disown
+}
+
+signal () { # SIGNAL NAME
+  kill -"$1" "${PID[$2]}" 2> /dev/null
+}
+
+is_running () { kill -0 "${PID[$1]}" 2> /dev/null; }
+
+end_all () {
+  local name
+  for name in "${!PID[@]}"; do
+    signal CONT "$name"
+    signal KILL "$name"
+  done
+  [ "${KEEP:-0}" = 1 ] || rm -rf "$WORK"
+}
+trap end_all EXIT
+
+start_store () { start store "$BUILD/tests/site/site-store" --port "$BASE"; }
+
+# put_config FILE: the operator's newest configuration.
+put_config () {
+  local value
+  value=$(base64 -w 0 < "$1")
+  curl -s -m 5 -f -X POST "http://127.0.0.1:$BASE/v1/rows-tx" -d \
+    "{\"expect\":[],\"write\":[{\"table_name\":\"op\",\"part\":\"\",\"key\":\"config\",\"value\":\"$value\"}],\"removals\":[]}" > /dev/null
+}
+
+start_endpoint () { # NUMBER SERVICE ZONE [LISTED-PORT]
+  local port=$((BASE + 10 + $1))
+  start "endpoint$1" "$BUILD/tests/site/site-replica" --id "i-$1" --service "$2" \
+    --zone "$3" --port "$port" --store "$BASE" --runs "$RUNS" \
+    --listed "${4:-$port}"
+}
+
+# Addresses of entry NUMBER.
+entry_port () { echo $((BASE + 100 + 10 * $1)); }
+
+write_settings () { # NUMBER ZONE
+  local port
+  port=$(entry_port "$1")
+  cat > "$WORK/entry$1.conf" <<END
+node_name=entry-$1
+zone=$2
+ip_address=127.0.0.1
+internal_port_range=$((port + 2)),$((port + 2))
+listen_addresses.frontend_addr=127.0.0.1:$port
+listen_addresses.ready=127.0.0.1:$((port + 1))
+platform.address=$STORE_ADDRESS
+cloud_api.address=127.0.0.1:$BASE
+cloud_api.duties=usage_reporting,autoscaling
+bounds.config_propagation_ms=2000
+bounds.revocation_strict=true
+bounds.revocation_ms=5000
+bounds.retry_budget_ratio=0.2
+bounds.retry_allowance=54
+bounds.retry_window_s=10
+bounds.quota_overrun=0.1
+bounds.quota_allowance=110000
+bounds.quota_window_s=8
+bounds.usage_window_s=1
+bounds.usage_delay_s=10
+bounds.lease_ms=3000
+bounds.grace_period_s=${GRACE_S:-8}
+END
+}
+
+start_entry () { # NUMBER ZONE
+  write_settings "$1" "$2"
+  CAMPHORARCH_BOOT=$WORK/entry$1.conf start "entry$1" \
+    "$BUILD/packages/daemon/camphorarchd" --on-platform=$(($(entry_port "$1") + 3))
+}
+
+is_ready () { # NUMBER
+  curl -s -m 2 -f "http://127.0.0.1:$(($(entry_port "$1") + 1))/v1/readiness"
+}
+
+metric () { # NUMBER NAME
+  curl -s -m 2 "http://127.0.0.1:$(($(entry_port "$1") + 3))/metrics" \
+    | sed -n "s/^$2 //p"
+}
+
+record () { curl -s -m 5 "http://127.0.0.1:$BASE/record"; }
--- /dev/null
+++ b/tests/site/proxy.c
@@ -0,0 +1,255 @@
+/* Loopback proxy that harms the connections which pass through it.
+ *
+ *   site-proxy --port N --to N --control N
+ *
+ * POST /control takes {"mode": NAME, "delay_ms": N}: "ok"; "delay" holds bytes
+ * back; "reset" resets all connections now and every new one; "silent" passes
+ * nothing on, in both directions, for connections that are open now; "mute"
+ * passes requests on and no answers. */
+#include "tests/site/site.h"
+
+#include <arpa/inet.h>
+#include <event2/bufferevent.h>
+#include <event2/listener.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+
+typedef struct pair
+{
+  struct bufferevent *near; /* the caller's side */
+  struct bufferevent *far;
+  bool silent;
+  TAILQ_ENTRY (pair) entries;
+} pair_t;
+
+typedef struct
+{
+  site_t site;
+  struct evconnlistener *listener;
+  uint16_t to;
+  char mode[16];
+  uint32_t delay_ms;
+  TAILQ_HEAD (, pair) pairs;
+} proxy_t;
+
+/* Bytes that are held back. */
+typedef struct
+{
+  pair_t *pair;
+  bool to_far;
+  struct evbuffer *bytes;
+  struct event *timer;
+} held_t;
+
+static proxy_t proxy;
+
+static void
+pair_free (pair_t *pair, bool reset)
+{
+  struct linger now = { 1, 0 };
+
+  if (reset)
+    {
+      setsockopt (bufferevent_getfd (pair->near), SOL_SOCKET, SO_LINGER, &now,
+                  sizeof now);
+      setsockopt (bufferevent_getfd (pair->far), SOL_SOCKET, SO_LINGER, &now,
+                  sizeof now);
+    }
+  TAILQ_REMOVE (&proxy.pairs, pair, entries);
+  bufferevent_free (pair->near);
+  bufferevent_free (pair->far);
+  free (pair);
+}
+
+static bool
+pair_is_open (const pair_t *wanted)
+{
+  const pair_t *pair;
+
+  TAILQ_FOREACH (pair, &proxy.pairs, entries)
+  {
+    if (pair == wanted)
+      return true;
+  }
+  return false;
+}
+
+static void
+on_held (evutil_socket_t fd, short what, void *context)
+{
+  held_t *held = context;
+
+  (void)fd;
+  (void)what;
+  if (pair_is_open (held->pair))
+    bufferevent_write_buffer (held->to_far ? held->pair->far : held->pair->near,
+                              held->bytes);
+  evbuffer_free (held->bytes);
+  event_free (held->timer);
+  free (held);
+}
+
+static void
+pair_pass (pair_t *pair, bool to_far)
+{
+  struct evbuffer *input
+      = bufferevent_get_input (to_far ? pair->near : pair->far);
+  struct timeval wait
+      = { proxy.delay_ms / 1000, (proxy.delay_ms % 1000) * 1000 };
+  held_t *held;
+
+  if (pair->silent || (strcmp (proxy.mode, "mute") == 0 && !to_far))
+    {
+      evbuffer_drain (input, evbuffer_get_length (input));
+      return;
+    }
+  if (strcmp (proxy.mode, "delay") != 0)
+    {
+      bufferevent_write_buffer (to_far ? pair->far : pair->near, input);
+      return;
+    }
+  held = calloc (1, sizeof *held);
+  held->pair = pair;
+  held->to_far = to_far;
+  held->bytes = evbuffer_new ();
+  evbuffer_add_buffer (held->bytes, input);
+  held->timer = evtimer_new (proxy.site.base, on_held, held);
+  event_add (held->timer, &wait);
+}
+
+static void
+on_near (struct bufferevent *stream, void *context)
+{
+  (void)stream;
+  pair_pass (context, true);
+}
+
+static void
+on_far (struct bufferevent *stream, void *context)
+{
+  (void)stream;
+  pair_pass (context, false);
+}
+
+/* What was read is passed on before an orderly end is. */
+static void
+on_flushed (struct bufferevent *stream, void *context)
+{
+  (void)stream;
+  pair_free (context, false);
+}
+
+static void
+on_event (struct bufferevent *stream, short what, void *context)
+{
+  pair_t *pair = context;
+  struct bufferevent *other = stream == pair->near ? pair->far : pair->near;
+
+  if (!(what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) || pair->silent)
+    return;
+  if ((what & BEV_EVENT_EOF)
+      && evbuffer_get_length (bufferevent_get_output (other)) > 0)
+    {
+      bufferevent_disable (stream, EV_READ);
+      bufferevent_setcb (other, NULL, on_flushed, on_event, pair);
+      return;
+    }
+  pair_free (pair, (what & BEV_EVENT_ERROR) != 0);
+}
+
+static void
+on_accept (struct evconnlistener *listener, evutil_socket_t fd,
+           struct sockaddr *from, int length, void *context)
+{
+  pair_t *pair = calloc (1, sizeof *pair);
+  struct sockaddr_in to;
+
+  (void)listener;
+  (void)from;
+  (void)length;
+  (void)context;
+  memset (&to, 0, sizeof to);
+  to.sin_family = AF_INET;
+  to.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  to.sin_port = htons (proxy.to);
+  pair->near = bufferevent_socket_new (
+      proxy.site.base, fd, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
+  pair->far = bufferevent_socket_new (
+      proxy.site.base, -1, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
+  TAILQ_INSERT_TAIL (&proxy.pairs, pair, entries);
+  bufferevent_setcb (pair->near, on_near, NULL, on_event, pair);
+  bufferevent_setcb (pair->far, on_far, NULL, on_event, pair);
+  if (bufferevent_socket_connect (pair->far, (struct sockaddr *)&to, sizeof to)
+          != 0
+      || strcmp (proxy.mode, "reset") == 0)
+    {
+      pair_free (pair, true);
+      return;
+    }
+  bufferevent_enable (pair->near, EV_READ | EV_WRITE);
+  bufferevent_enable (pair->far, EV_READ | EV_WRITE);
+}
+
+static void
+on_request (void *context, ca_http_inbound_t *request)
+{
+  json_t *body = site_body (request);
+  const char *mode = json_string_value (json_object_get (body, "mode"));
+  pair_t *pair;
+  pair_t *next;
+
+  (void)context;
+  strlcpy (proxy.mode, mode == NULL ? "ok" : mode, sizeof proxy.mode);
+  proxy.delay_ms
+      = (uint32_t)json_integer_value (json_object_get (body, "delay_ms"));
+  json_decref (body);
+  for (pair = TAILQ_FIRST (&proxy.pairs); pair != NULL; pair = next)
+    {
+      next = TAILQ_NEXT (pair, entries);
+      if (strcmp (proxy.mode, "silent") == 0)
+        pair->silent = true;
+      else if (strcmp (proxy.mode, "reset") == 0)
+        pair_free (pair, true);
+    }
+  site_answer (request, 200, json_object ());
+}
+
+static void
+on_gone (void *context, ca_http_inbound_t *request)
+{
+  (void)context;
+  (void)request;
+}
+
+int
+main (int argc, char **argv)
+{
+  ca_http_handler_t handler = { on_request, on_gone, NULL };
+  struct sockaddr_in at;
+
+  TAILQ_INIT (&proxy.pairs);
+  strlcpy (proxy.mode, "ok", sizeof proxy.mode);
+  proxy.to
+      = (uint16_t)strtoul (site_argument (argc, argv, "to", "0"), NULL, 10);
+  site_init (
+      &proxy.site,
+      (uint16_t)strtoul (site_argument (argc, argv, "control", "0"), NULL, 10),
+      &handler);
+  memset (&at, 0, sizeof at);
+  at.sin_family = AF_INET;
+  at.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  at.sin_port = htons (
+      (uint16_t)strtoul (site_argument (argc, argv, "port", "0"), NULL, 10));
+  proxy.listener
+      = evconnlistener_new_bind (proxy.site.base, on_accept, NULL,
+                                 LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, -1,
+                                 (struct sockaddr *)&at, sizeof at);
+  if (proxy.listener == NULL)
+    {
+      fprintf (stderr, "the port cannot be listened on\n");
+      return 1;
+    }
+  site_run (&proxy.site);
+  return 0;
+}
--- /dev/null
+++ b/tests/site/replica.c
@@ -0,0 +1,375 @@
+/* Stand-in of one endpoint of the platform.
+ *
+ *   site-replica --id ID --service S --zone Z --port N --store N --runs FILE
+ *                [--listed N]
+ *
+ * Lists itself in the store (at --listed instead of --port, for a proxy before
+ * it), answers as published, and appends a line to FILE for each run that
+ * begins: "run ID REQUEST KIND WORKSPACE KEY".  On SIGTERM it reports draining,
+ * serves on for a second, and ends.  POST /control takes {"fault": NAME,
+ * "next": N} for the next N requests: reject, error, reset, cut, lost, extra,
+ * unframed, encoded, unsigned. */
+#include "tests/site/site.h"
+
+#include <fcntl.h>
+#include <resolv.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/time.h>
+#include <unistd.h>
+
+#define REPLICA_EVENT_MS 4
+#define REPLICA_WORK_MS 3
+#define REPLICA_DRAIN_S 1
+#define REPLICA_BEAT_MS 500
+#define REPLICA_EVENTS 6
+
+typedef struct
+{
+  site_t site;
+  ca_http_pool_t pool;
+  const char *id;
+  const char *service;
+  const char *zone;
+  uint16_t listed;
+  uint16_t store;
+  int runs;
+  bool draining;
+  bool told; /* the store took the present state */
+  char fault[16];
+  int faults;
+  struct event *beat;
+  uint64_t born_ms;
+} replica_t;
+
+static replica_t replica;
+
+/* A request that runs. */
+typedef struct
+{
+  ca_http_inbound_t *request;
+  struct event *timer;
+  char id[64];
+  char fault[16];
+  uint32_t next;  /* event to send */
+  uint32_t count; /* 0: a plain answer */
+  bool begun;
+} run_t;
+
+/* --- The list --- */
+
+static ca_head_verdict_t
+on_put_head (void *context, const ca_http_head_t *head)
+{
+  (void)context;
+  if (head->status == 200)
+    replica.told = true;
+  return CA_HEAD_TAKE;
+}
+
+static void
+on_put_body (void *context, const char *bytes, size_t count)
+{
+  (void)context;
+  (void)bytes;
+  (void)count;
+}
+
+static void
+on_put_done (void *context, ca_sent_t sent)
+{
+  (void)context;
+  (void)sent;
+}
+
+static void
+put_entry (void)
+{
+  json_t *entry
+      = json_pack ("{s:s, s:o, s:s, s:s, s:i, s:s, s:i, s:i, s:I}", "service",
+                   replica.service, "address",
+                   json_sprintf ("127.0.0.1:%u", (unsigned)replica.listed),
+                   "zone", replica.zone, "version", "v1", "slots", 8, "state",
+                   replica.draining ? "draining" : "ready", "cold_remaining_ms",
+                   0, "sequence", 1, "born", (json_int_t)replica.born_ms);
+  char *text = json_dumps (entry, JSON_COMPACT);
+  char value[2048];
+  json_t *root;
+  char *body;
+
+  b64_ntop ((const unsigned char *)text, strlen (text), value, sizeof value);
+  root = json_pack ("{s:[], s:[{s:s, s:s, s:s, s:s}], s:[]}", "expect", "write",
+                    "table_name", "servers", "part", "", "key", replica.id,
+                    "value", value, "removals");
+  body = json_dumps (root, JSON_COMPACT);
+  ca_http_send_t send = { .address = site_loopback (replica.store),
+                          .method = "POST",
+                          .target = "/v1/rows-tx",
+                          .body = body,
+                          .body_bytes = strlen (body),
+                          .connect_ms = 300,
+                          .timeout_ms = 400,
+                          .on_head = on_put_head,
+                          .on_body = on_put_body,
+                          .on_done = on_put_done };
+  ca_http_send (&replica.pool, &send);
+  free (body);
+  free (text);
+  json_decref (root);
+  json_decref (entry);
+}
+
+static void
+on_beat (evutil_socket_t fd, short what, void *context)
+{
+  (void)fd;
+  (void)what;
+  (void)context;
+  if (!replica.told)
+    put_entry ();
+}
+
+/* --- Runs --- */
+
+static const char *
+header_of (const ca_http_inbound_t *request, const char *name)
+{
+  const char *value = ca_headers_find (&request->head->headers, name);
+
+  return value == NULL ? "-" : value;
+}
+
+static void
+note_run (const ca_http_inbound_t *request)
+{
+  char line[512];
+  int bytes = snprintf (line, sizeof line, "run %s %s %s %s %s\n", replica.id,
+                        header_of (request, "Camphorarch-Attempt-Id"),
+                        request->head->target,
+                        header_of (request, "Camphorarch-Tenant"),
+                        header_of (request, "Authorization"));
+
+  if (write (replica.runs, line, (size_t)bytes) != bytes)
+    abort ();
+}
+
+static void
+run_free (run_t *run)
+{
+  event_free (run->timer);
+  free (run);
+}
+
+static void
+run_headers (const run_t *run, ca_headers_t *headers)
+{
+  ca_headers_init (headers);
+  ca_headers_add (headers, "Camphorarch-Attempt-Id", run->id);
+  if (strcmp (run->fault, "unsigned") != 0)
+    ca_headers_printf (headers, "Camphorarch-Replica-Signature", "%s.%s",
+                       replica.id, run->id);
+  if (strcmp (run->fault, "encoded") == 0)
+    ca_headers_add (headers, "Content-Encoding", "gzip");
+  if (run->count > 0)
+    ca_headers_add (headers, "Content-Type", "text/event-stream");
+}
+
+static void
+run_answer_plain (run_t *run)
+{
+  ca_headers_t headers;
+  char body[256];
+  int bytes = snprintf (body, sizeof body, "answer to %s", run->id);
+  uint32_t status = strcmp (run->fault, "error") == 0 ? 500 : 200;
+
+  run_headers (run, &headers);
+  ca_http_answer (run->request, status, &headers, body, (size_t)bytes);
+  ca_headers_finish (&headers);
+}
+
+/* One event of a stream, or its end; false once it has ended. */
+static bool
+run_step_stream (run_t *run)
+{
+  char event[256];
+  int bytes;
+
+  if (!run->begun)
+    {
+      ca_headers_t headers;
+
+      run_headers (run, &headers);
+      ca_http_answer_begin (run->request, 200, &headers);
+      ca_headers_finish (&headers);
+      run->begun = true;
+    }
+  if (strcmp (run->fault, "cut") == 0 && run->next * 2 > run->count)
+    {
+      ca_http_answer_break (run->request);
+      return false;
+    }
+  if (run->next > run->count)
+    {
+      ca_http_answer_end (run->request);
+      return false;
+    }
+  bytes = snprintf (event, sizeof event, "id: %u\ndata: %s piece %u\n\n",
+                    run->next, run->id, run->next);
+  ca_http_answer_piece (run->request, event, (size_t)bytes);
+  run->next++;
+  return true;
+}
+
+static void
+run_step (evutil_socket_t fd, short what, void *context)
+{
+  run_t *run = context;
+  struct timeval wait = { 0, REPLICA_EVENT_MS * 1000 };
+
+  (void)fd;
+  (void)what;
+  if (strcmp (run->fault, "lost") == 0
+      || (strcmp (run->fault, "cut") == 0 && run->count == 0))
+    {
+      ca_http_answer_break (run->request);
+      run_free (run);
+      return;
+    }
+  if (run->count > 0 && run_step_stream (run))
+    {
+      event_add (run->timer, &wait);
+      return;
+    }
+  if (run->count == 0)
+    run_answer_plain (run);
+  run_free (run);
+}
+
+static void
+run_start (ca_http_inbound_t *request, const char *fault)
+{
+  run_t *run = calloc (1, sizeof *run);
+  struct timeval wait = { 0, REPLICA_WORK_MS * 1000 };
+  const char *last = ca_headers_find (&request->head->headers, "Last-Event-Id");
+
+  run->request = request;
+  strlcpy (run->id, header_of (request, "Camphorarch-Attempt-Id"),
+           sizeof run->id);
+  strlcpy (run->fault, fault, sizeof run->fault);
+  run->next = last == NULL ? 1 : (uint32_t)strtoul (last, NULL, 10) + 1;
+  if (ca_headers_find (&request->head->headers, "Camphorarch-Token-Usage")
+      != NULL)
+    run->count = REPLICA_EVENTS;
+  run->timer = evtimer_new (replica.site.base, run_step, run);
+  event_add (run->timer, &wait);
+  request->handler = run;
+  note_run (request);
+}
+
+static void
+reject (ca_http_inbound_t *request, uint32_t status)
+{
+  ca_headers_t headers;
+
+  ca_headers_init (&headers);
+  ca_headers_add (&headers, "Camphorarch-Attempt-Id",
+                  header_of (request, "Camphorarch-Attempt-Id"));
+  ca_headers_add (&headers, "Camphorarch-Not-Executed", "1");
+  ca_http_answer (request, status, &headers, "", 0);
+  ca_headers_finish (&headers);
+}
+
+static void
+serve_control (ca_http_inbound_t *request)
+{
+  json_t *body = site_body (request);
+  const char *fault = json_string_value (json_object_get (body, "fault"));
+
+  strlcpy (replica.fault, fault == NULL ? "" : fault, sizeof replica.fault);
+  replica.faults = (int)json_integer_value (json_object_get (body, "next"));
+  json_decref (body);
+  site_answer (request, 200, json_object ());
+}
+
+static void
+on_request (void *context, ca_http_inbound_t *request)
+{
+  const char *fault = "";
+
+  (void)context;
+  if (site_is_path (request, "/control"))
+    {
+      serve_control (request);
+      return;
+    }
+  if (strcmp (header_of (request, "Camphorarch-Expected-Replica"), replica.id)
+      != 0)
+    {
+      reject (request, 421);
+      return;
+    }
+  if (replica.faults > 0)
+    {
+      replica.faults--;
+      fault = replica.fault;
+    }
+  if (strcmp (fault, "reject") == 0)
+    reject (request, 503);
+  else if (strcmp (fault, "reset") == 0)
+    ca_http_answer_break (request);
+  else
+    run_start (request, fault);
+}
+
+static void
+on_gone (void *context, ca_http_inbound_t *request)
+{
+  (void)context;
+  if (request->handler != NULL)
+    run_free (request->handler);
+}
+
+/* --- Start and end --- */
+
+static void
+on_term (evutil_socket_t fd, short what, void *context)
+{
+  struct timeval wait = { REPLICA_DRAIN_S, 0 };
+
+  (void)fd;
+  (void)what;
+  (void)context;
+  replica.draining = true;
+  replica.told = false;
+  put_entry ();
+  event_base_loopexit (replica.site.base, &wait);
+}
+
+int
+main (int argc, char **argv)
+{
+  ca_http_handler_t handler = { on_request, on_gone, NULL };
+  struct timeval period = { 0, REPLICA_BEAT_MS * 1000 };
+  struct timeval now;
+  const char *port = site_argument (argc, argv, "port", "0");
+
+  gettimeofday (&now, NULL);
+  replica.born_ms = (uint64_t)now.tv_sec * 1000 + (uint64_t)now.tv_usec / 1000;
+  replica.id = site_argument (argc, argv, "id", "e");
+  replica.service = site_argument (argc, argv, "service", "s");
+  replica.zone = site_argument (argc, argv, "zone", "z1");
+  replica.listed = (uint16_t)strtoul (
+      site_argument (argc, argv, "listed", port), NULL, 10);
+  replica.store
+      = (uint16_t)strtoul (site_argument (argc, argv, "store", "0"), NULL, 10);
+  replica.runs = open (site_argument (argc, argv, "runs", "/dev/null"),
+                       O_WRONLY | O_APPEND | O_CREAT, 0600);
+  site_init (&replica.site, (uint16_t)strtoul (port, NULL, 10), &handler);
+  site_on_term (&replica.site, on_term, NULL);
+  ca_http_pool_init (&replica.pool, replica.site.base);
+  replica.beat = event_new (replica.site.base, -1, EV_PERSIST, on_beat, NULL);
+  event_add (replica.beat, &period);
+  put_entry ();
+  event_base_dispatch (replica.site.base);
+  return 0;
+}
--- /dev/null
+++ b/tests/site/site.h
@@ -0,0 +1,46 @@
+/* What the stand-ins of the users' platform share: a loopback server with JSON
+ * answers that ends on SIGTERM, and arguments of the form --name value. */
+#ifndef CA_TESTS_SITE_SITE_H
+#define CA_TESTS_SITE_SITE_H
+
+#include "http/client.h"
+#include "http/server.h"
+
+#include <jansson.h>
+
+typedef struct
+{
+  struct event_base *base;
+  ca_http_server_t server;
+  struct event *term;
+} site_t;
+
+/* Listens on 127.0.0.1; ends the process with a message if it cannot. */
+void site_init (site_t *site, uint16_t port, const ca_http_handler_t *handler);
+
+/* Runs until SIGTERM, or until `on_term` of site_on_term ends the loop. */
+void site_run (site_t *site);
+
+/* Replaces the end on SIGTERM. */
+void site_on_term (site_t *site, event_callback_fn on_term, void *context);
+
+/* Value of --name among the arguments; `absent` if it is not there. */
+const char *site_argument (int argc, char **argv, const char *name,
+                           const char *absent);
+
+/* Answers with JSON, and takes the reference. */
+void site_answer (ca_http_inbound_t *request, uint32_t status, json_t *body);
+
+/* Parsed body, or NULL; the caller owns the reference. */
+json_t *site_body (const ca_http_inbound_t *request);
+
+/* Value of a query parameter, not decoded; false if it is not there. */
+bool site_query (const ca_http_inbound_t *request, const char *name,
+                 char *value, size_t bytes);
+
+/* True if the path without its query is `path`. */
+bool site_is_path (const ca_http_inbound_t *request, const char *path);
+
+ca_address_t site_loopback (uint16_t port);
+
+#endif
--- /dev/null
+++ b/tests/site/store.c
@@ -0,0 +1,502 @@
+/* Stand-in of the platform's store and of the calls that are duties.
+ *
+ *   site-store --port N
+ *
+ * Rows with versions and a feed with waits, as published.  POST /control takes
+ * {"mode": "ok" | "busy" | "silent", "lose": N, "forget": true}: refusals, no
+ * answers, the answers of the next N writes lost, history dropped.  GET /record
+ * tells usage by window, orders, and each breach of the duties' rules. */
+#include "tests/site/site.h"
+
+#include <resolv.h>
+#include <stdlib.h>
+#include <string.h>
+#include <uthash.h>
+
+typedef struct row
+{
+  char *table;
+  char *key;
+  char *value; /* base64 */
+  uint64_t version;
+  bool deleted;
+  TAILQ_ENTRY (row) entries; /* oldest change first */
+} row_t;
+
+/* A feed that waits for a change. */
+typedef struct waiter
+{
+  ca_http_inbound_t *request;
+  char table[64];
+  uint64_t after;
+  struct event *timer;
+  TAILQ_ENTRY (waiter) entries;
+} waiter_t;
+
+typedef struct
+{
+  site_t site;
+  TAILQ_HEAD (, row) rows;
+  TAILQ_HEAD (, waiter) waiters;
+  uint64_t version;
+  uint64_t oldest; /* feeds from before this have lost their history */
+  const char *mode;
+  int lose;
+  json_t *usage;  /* window to counts */
+  json_t *orders; /* service, zone, kind to count */
+  json_t *breaches;
+  json_int_t usage_fence;
+  json_t *scale_fences;
+  json_t *fence_holders;
+} store_t;
+
+static store_t store;
+
+static uint64_t
+clock_ms (void)
+{
+  struct timespec now;
+
+  clock_gettime (CLOCK_MONOTONIC, &now);
+  return (uint64_t)now.tv_sec * 1000 + (uint64_t)now.tv_nsec / 1000000;
+}
+
+static row_t *
+row_find (const char *table, const char *key)
+{
+  row_t *row;
+
+  TAILQ_FOREACH (row, &store.rows, entries)
+  {
+    if (strcmp (row->table, table) == 0 && strcmp (row->key, key) == 0)
+      return row;
+  }
+  return NULL;
+}
+
+static json_t *
+row_json (const row_t *row)
+{
+  json_t *json
+      = json_pack ("{s:s, s:s, s:s, s:I}", "table_name", row->table, "part", "",
+                   "key", row->key, "row_version", (json_int_t)row->version);
+
+  if (row->deleted)
+    json_object_set_new (json, "deleted", json_true ());
+  else
+    json_object_set_new (json, "value", json_string (row->value));
+  return json;
+}
+
+static json_t *
+answer_rows (json_t *rows)
+{
+  return json_pack ("{s:o, s:b, s:I, s:I}", "rows", rows, "has_more", 0,
+                    "row_version", (json_int_t)store.version, "current_time_ms",
+                    (json_int_t)clock_ms ());
+}
+
+/* --- Reading --- */
+
+static int
+row_compare (const void *a, const void *b)
+{
+  return strcmp ((*(row_t *const *)a)->key, (*(row_t *const *)b)->key);
+}
+
+static void
+serve_get (ca_http_inbound_t *request)
+{
+  char table[64] = "";
+  char from[256] = "";
+  row_t *sorted[4096];
+  size_t count = 0;
+  row_t *row;
+  json_t *rows = json_array ();
+
+  site_query (request, "table_name", table, sizeof table);
+  site_query (request, "from", from, sizeof from);
+  TAILQ_FOREACH (row, &store.rows, entries)
+  {
+    if (strcmp (row->table, table) == 0 && !row->deleted && count < 4096
+        && strcmp (row->key, from) >= 0)
+      sorted[count++] = row;
+  }
+  qsort (sorted, count, sizeof sorted[0], row_compare);
+  for (size_t i = 0; i < count; i++)
+    json_array_append_new (rows, row_json (sorted[i]));
+  site_answer (request, 200, answer_rows (rows));
+}
+
+static json_t *
+changes_after (const char *table, uint64_t after)
+{
+  json_t *rows = json_array ();
+  row_t *row;
+
+  TAILQ_FOREACH (row, &store.rows, entries)
+  {
+    if (strcmp (row->table, table) == 0 && row->version > after)
+      json_array_append_new (rows, row_json (row));
+  }
+  return rows;
+}
+
+static void
+waiter_free (waiter_t *waiter)
+{
+  TAILQ_REMOVE (&store.waiters, waiter, entries);
+  if (waiter->timer != NULL)
+    event_free (waiter->timer);
+  free (waiter);
+}
+
+static void
+waiter_timeout (evutil_socket_t fd, short what, void *context)
+{
+  waiter_t *waiter = context;
+  ca_http_inbound_t *request = waiter->request;
+
+  (void)fd;
+  (void)what;
+  waiter_free (waiter);
+  site_answer (request, 200, answer_rows (json_array ()));
+}
+
+static void
+waiters_wake (void)
+{
+  waiter_t *waiter = TAILQ_FIRST (&store.waiters);
+
+  while (waiter != NULL)
+    {
+      waiter_t *next = TAILQ_NEXT (waiter, entries);
+      json_t *rows = changes_after (waiter->table, waiter->after);
+
+      if (json_array_size (rows) > 0 && waiter->timer != NULL)
+        {
+          ca_http_inbound_t *request = waiter->request;
+
+          waiter_free (waiter);
+          site_answer (request, 200, answer_rows (rows));
+        }
+      else
+        json_decref (rows);
+      waiter = next;
+    }
+}
+
+/* Holds a request: answered by the timer, or never if there is none. */
+static void
+waiter_add (ca_http_inbound_t *request, const char *table, uint64_t after,
+            uint32_t wait_ms, bool answered)
+{
+  waiter_t *waiter = calloc (1, sizeof *waiter);
+  struct timeval wait = { wait_ms / 1000, (wait_ms % 1000) * 1000 };
+
+  waiter->request = request;
+  waiter->after = after;
+  strlcpy (waiter->table, table, sizeof waiter->table);
+  request->handler = waiter;
+  if (answered)
+    {
+      waiter->timer = evtimer_new (store.site.base, waiter_timeout, waiter);
+      event_add (waiter->timer, &wait);
+    }
+  TAILQ_INSERT_TAIL (&store.waiters, waiter, entries);
+}
+
+static void
+serve_feed (ca_http_inbound_t *request)
+{
+  char table[64] = "";
+  char text[32] = "0";
+  uint64_t after;
+  json_t *rows;
+
+  site_query (request, "table_name", table, sizeof table);
+  site_query (request, "after_revision", text, sizeof text);
+  after = strtoull (text, NULL, 10);
+  if (after < store.oldest)
+    {
+      site_answer (request, 410, json_object ());
+      return;
+    }
+  rows = changes_after (table, after);
+  strlcpy (text, "0", sizeof text);
+  site_query (request, "wait_ms", text, sizeof text);
+  if (json_array_size (rows) > 0 || strtoul (text, NULL, 10) == 0)
+    {
+      site_answer (request, 200, answer_rows (rows));
+      return;
+    }
+  json_decref (rows);
+  waiter_add (request, table, after, (uint32_t)strtoul (text, NULL, 10), true);
+}
+
+/* --- Writing --- */
+
+static const char *
+text_of (const json_t *row, const char *name)
+{
+  const char *text = json_string_value (json_object_get (row, name));
+
+  return text == NULL ? "" : text;
+}
+
+static void
+row_put (const json_t *json, bool deleted)
+{
+  const char *table = text_of (json, "table_name");
+  const char *key = text_of (json, "key");
+  row_t *row = row_find (table, key);
+
+  if (row == NULL)
+    {
+      row = calloc (1, sizeof *row);
+      row->table = strdup (table);
+      row->key = strdup (key);
+    }
+  else
+    TAILQ_REMOVE (&store.rows, row, entries);
+  free (row->value);
+  row->value = strdup (text_of (json, "value"));
+  row->deleted = deleted;
+  row->version = store.version;
+  TAILQ_INSERT_TAIL (&store.rows, row, entries);
+}
+
+static bool
+expected (const json_t *list)
+{
+  size_t index;
+  json_t *json;
+
+  json_array_foreach (list, index, json)
+  {
+    const row_t *row
+        = row_find (text_of (json, "table_name"), text_of (json, "key"));
+    json_int_t version
+        = json_integer_value (json_object_get (json, "row_version"));
+
+    if ((row == NULL || row->deleted ? 0 : (json_int_t)row->version) != version)
+      return false;
+  }
+  return true;
+}
+
+static void
+serve_tx (ca_http_inbound_t *request)
+{
+  json_t *body = site_body (request);
+  size_t index;
+  json_t *json;
+
+  if (!expected (json_object_get (body, "expect")))
+    {
+      site_answer (request, 412, answer_rows (json_array ()));
+      json_decref (body);
+      return;
+    }
+  store.version++;
+  json_array_foreach (json_object_get (body, "write"), index, json)
+      row_put (json, false);
+  json_array_foreach (json_object_get (body, "removals"), index, json)
+      row_put (json, true);
+  json_decref (body);
+  if (store.lose > 0)
+    {
+      store.lose--;
+      waiter_add (request, "", 0, 0, false);
+    }
+  else
+    site_answer (request, 200, answer_rows (json_array ()));
+  waiters_wake ();
+}
+
+/* --- Duties --- */
+
+static void
+breach (const char *what, const json_t *body)
+{
+  char *text = json_dumps (body, JSON_COMPACT);
+
+  json_array_append_new (store.breaches, json_sprintf ("%s: %s", what, text));
+  free (text);
+}
+
+/* Two holders must not use one token. */
+static void
+check_holder (const ca_http_inbound_t *request, const json_t *body)
+{
+  const char *holder
+      = ca_headers_find (&request->head->headers, "Camphorarch-Duty-Holder");
+  const char *fence
+      = ca_headers_find (&request->head->headers, "Camphorarch-Fencing-Token");
+  const char *known;
+
+  if (holder == NULL || fence == NULL)
+    {
+      breach ("a duty without holder or token", body);
+      return;
+    }
+  known = json_string_value (json_object_get (store.fence_holders, fence));
+  if (known != NULL && strcmp (known, holder) != 0)
+    breach ("two holders with one token", body);
+  json_object_set_new (store.fence_holders, fence, json_string (holder));
+}
+
+static json_int_t
+fence_of (const ca_http_inbound_t *request)
+{
+  const char *fence
+      = ca_headers_find (&request->head->headers, "Camphorarch-Fencing-Token");
+
+  return fence == NULL ? 0 : strtoll (fence, NULL, 10);
+}
+
+static void
+serve_usage (ca_http_inbound_t *request)
+{
+  json_t *body = site_body (request);
+  json_t *counts = json_object_get (body, "counts");
+  char window[32];
+  json_t *known;
+
+  check_holder (request, body);
+  if (fence_of (request) < store.usage_fence)
+    {
+      site_answer (request, 409, json_object ());
+      json_decref (body);
+      return;
+    }
+  store.usage_fence = fence_of (request);
+  snprintf (
+      window, sizeof window, "%lld",
+      (long long)json_integer_value (json_object_get (body, "window_number")));
+  known = json_object_get (store.usage, window);
+  if (known != NULL && !json_equal (known, counts))
+    breach ("two reports for one window", body);
+  if (known == NULL)
+    json_object_set (store.usage, window, counts);
+  site_answer (request, 200, json_object ());
+  json_decref (body);
+}
+
+static void
+serve_scaling (ca_http_inbound_t *request)
+{
+  json_t *body = site_body (request);
+  char subject[256];
+  json_int_t fence = fence_of (request);
+
+  check_holder (request, body);
+  snprintf (subject, sizeof subject, "%s/%s/%s", text_of (body, "service"),
+            text_of (body, "zone"),
+            json_is_true (json_object_get (body, "spot_instances"))
+                ? "reclaimable"
+                : "on demand");
+  if (fence
+      < json_integer_value (json_object_get (store.scale_fences, subject)))
+    site_answer (request, 409, json_object ());
+  else
+    {
+      json_object_set_new (store.scale_fences, subject, json_integer (fence));
+      json_object_set (store.orders, subject,
+                       json_object_get (body, "desired_count"));
+      site_answer (request, 200, json_object ());
+    }
+  json_decref (body);
+}
+
+/* --- Control --- */
+
+static void
+serve_control (ca_http_inbound_t *request)
+{
+  static char mode[16];
+  json_t *body = site_body (request);
+  const char *wanted = json_string_value (json_object_get (body, "mode"));
+
+  if (wanted != NULL)
+    {
+      strlcpy (mode, wanted, sizeof mode);
+      store.mode = mode;
+    }
+  if (json_object_get (body, "lose") != NULL)
+    store.lose = (int)json_integer_value (json_object_get (body, "lose"));
+  if (json_is_true (json_object_get (body, "forget")))
+    store.oldest = ++store.version;
+  json_decref (body);
+  site_answer (request, 200, json_object ());
+}
+
+static void
+serve_record (ca_http_inbound_t *request)
+{
+  site_answer (request, 200,
+               json_pack ("{s:O, s:O, s:O}", "usage", store.usage, "orders",
+                          store.orders, "breaches", store.breaches));
+}
+
+typedef struct
+{
+  const char *path;
+  void (*serve) (ca_http_inbound_t *request);
+  bool faulty; /* refused or not answered as the mode says */
+} store_path_t;
+
+static const store_path_t store_paths[] = {
+  { "/v1/rows-get", serve_get, true },  { "/v1/rows-feed", serve_feed, true },
+  { "/v1/rows-tx", serve_tx, true },    { "/usage", serve_usage, false },
+  { "/scaling", serve_scaling, false }, { "/control", serve_control, false },
+  { "/record", serve_record, false },
+};
+
+static void
+on_request (void *context, ca_http_inbound_t *request)
+{
+  (void)context;
+  for (size_t i = 0; i < sizeof store_paths / sizeof store_paths[0]; i++)
+    {
+      if (!site_is_path (request, store_paths[i].path))
+        continue;
+      if (store_paths[i].faulty && strcmp (store.mode, "busy") == 0)
+        site_answer (request, 503, json_object ());
+      else if (store_paths[i].faulty && strcmp (store.mode, "silent") == 0)
+        waiter_add (request, "", 0, 0, false);
+      else
+        store_paths[i].serve (request);
+      return;
+    }
+  site_answer (request, 404, json_object ());
+}
+
+static void
+on_gone (void *context, ca_http_inbound_t *request)
+{
+  (void)context;
+  if (request->handler != NULL)
+    waiter_free (request->handler);
+}
+
+int
+main (int argc, char **argv)
+{
+  ca_http_handler_t handler = { on_request, on_gone, NULL };
+
+  TAILQ_INIT (&store.rows);
+  TAILQ_INIT (&store.waiters);
+  store.mode = "ok";
+  store.usage = json_object ();
+  store.orders = json_object ();
+  store.breaches = json_array ();
+  store.scale_fences = json_object ();
+  store.fence_holders = json_object ();
+  site_init (
+      &store.site,
+      (uint16_t)strtoul (site_argument (argc, argv, "port", "0"), NULL, 10),
+      &handler);
+  site_run (&store.site);
+  return 0;
+}
