Keep the counts of usage with the lease, for a restart of all entries

By its log the new holder reported the window with nothing. Change: the lease's row holds what all have counted and nobody has reported; a new holder takes that over, once, where every entry began after it was written.

--- a/packages/base/events.c
+++ b/packages/base/events.c
@@ -114,6 +114,9 @@
     NOTHING },
   { CA_EVENT_USAGE_REPORTED, CA_LEVEL_INFO, "usage_reported",
     "a window of usage was reported and accepted", NOTHING },
+  { CA_EVENT_USAGE_INHERITED, CA_LEVEL_INFO, "usage_inherited",
+    "all entries had restarted; counts of usage were read from the lease",
+    NOTHING },
 };
 
 static const char *const level_names[]
--- a/packages/gateway/duties.c
+++ b/packages/gateway/duties.c
@@ -27,6 +27,9 @@
 /* A window is reported this long after its end, when every pulse with its
  * counts has come. */
 #define USAGE_SETTLE_US (3 * CA_US_PER_S)
+/* Windows before the present one whose counts are kept with the lease, for a
+ * restart of all entries. */
+#define USAGE_RECORDED 3
 #define USAGE_RETRY_US (400 * CA_US_PER_MS)
 
 /* Sizes are looked at this often; an order without an answer may be carried
@@ -121,17 +124,50 @@
   return counts;
 }
 
+/* What all entries have counted and nobody has reported, by window. */
+static json_t *
+lease_recent_json (const ca_duties_t *duties)
+{
+  uint64_t last = ca_usage_window (duties->gateway, duties->gateway->now_us);
+  json_t *recent = json_object ();
+
+  for (uint64_t window = last > USAGE_RECORDED ? last - USAGE_RECORDED : 0;
+       window <= last; window++)
+    {
+      struct ca_usage_rows total;
+      const ca_usage_row_t *row;
+      json_t *counts = json_object ();
+      char name[32];
+
+      if (window <= duties->reported)
+        {
+          json_decref (counts);
+          continue;
+        }
+      TAILQ_INIT (&total);
+      ca_usage_total (duties->gateway, window, &total);
+      TAILQ_FOREACH (row, &total, entries)
+      json_object_set_new (counts, row->workspace, json_integer (row->count));
+      ca_usage_rows_finish (&total);
+      snprintf (name, sizeof name, "%" PRIu64, window);
+      json_object_set_new (recent, name, counts);
+    }
+  return recent;
+}
+
 /* Renews or takes the lease, with what is to be reported. */
 static void
 lease_write (ca_duties_t *duties, uint64_t fence)
 {
   json_t *row = json_pack (
-      "{s:s, s:I, s:I, s:I, s:I, s:I, s:o}", "holder",
+      "{s:s, s:I, s:I, s:I, s:I, s:I, s:o, s:I, s:o}", "holder",
       duties->gateway->options.name, "life",
       (json_int_t)duties->gateway->incarnation, "fence", (json_int_t)fence,
       "at_us", (json_int_t)lease_store_us (duties), "reported",
       (json_int_t)duties->reported, "window", (json_int_t)duties->window,
-      "counts", lease_counts_json (duties));
+      "counts", lease_counts_json (duties), "wall_us",
+      (json_int_t)ca_gateway_wall_us (duties->gateway, duties->gateway->now_us),
+      "recent", lease_recent_json (duties));
   char *text = json_dumps (row, JSON_COMPACT);
 
   duties->busy = true;
@@ -198,6 +234,33 @@
   duties->ports.read_lease (duties->ports.context);
 }
 
+/* Where every entry began after the row was written, nobody has the counts of
+ * before but the row: this entry counts them as its own, once. */
+static void
+lease_inherit_usage (ca_duties_t *duties, const json_t *row)
+{
+  uint64_t wall_us
+      = (uint64_t)json_integer_value (json_object_get (row, "wall_us"));
+  const char *window;
+  const char *workspace;
+  json_t *counts;
+  json_t *count;
+
+  if (duties->inherited
+      || !ca_siblings_all_began_after (duties->gateway, wall_us))
+    return;
+  duties->inherited = true;
+  json_object_foreach (json_object_get (row, "recent"), window, counts)
+  {
+    json_object_foreach (counts, workspace, count)
+        ca_usage_add (&duties->gateway->usage, strtoull (window, NULL, 10),
+                      workspace, (uint32_t)json_integer_value (count));
+  }
+  ca_gateway_note (duties->gateway, CA_EVENT_USAGE_INHERITED, NULL, NULL,
+                   "%zu windows of a lease written before all entries began",
+                   json_object_size (json_object_get (row, "recent")));
+}
+
 /* Takes over the report that the row holds. */
 static void
 lease_take_usage (ca_duties_t *duties, const json_t *row)
@@ -206,6 +269,7 @@
   json_t *count;
 
   ca_usage_rows_finish (&duties->counts);
+  lease_inherit_usage (duties, row);
   duties->reported
       = (uint64_t)json_integer_value (json_object_get (row, "reported"));
   duties->window
--- a/packages/gateway/duties.h
+++ b/packages/gateway/duties.h
@@ -92,6 +92,7 @@
   struct ca_usage_rows counts;
   bool recorded; /* window and counts are in the row */
   bool reporting;
+  bool inherited;     /* counts of a former lease's row were taken over */
   uint64_t report_us; /* next try */
   /* Fleet. */
   TAILQ_HEAD (, ca_order_row) orders;
--- a/packages/gateway/private.h
+++ b/packages/gateway/private.h
@@ -133,6 +133,10 @@
 /* True if a live entry says that it holds the lease on duties. */
 bool ca_siblings_have_leader (const ca_gateway_t *gateway);
 
+/* True if this entry and all live ones began after that time of day. */
+bool ca_siblings_all_began_after (const ca_gateway_t *gateway,
+                                  uint64_t wall_us);
+
 /* Live entries that read the store and come before this one. */
 uint32_t ca_siblings_rank (const ca_gateway_t *gateway);
 
--- a/packages/gateway/siblings.c
+++ b/packages/gateway/siblings.c
@@ -144,6 +144,19 @@
   return false;
 }
 
+bool
+ca_siblings_all_began_after (const ca_gateway_t *gateway, uint64_t wall_us)
+{
+  const ca_sibling_t *sibling;
+
+  for (sibling = gateway->siblings; sibling != NULL; sibling = sibling->hh.next)
+    {
+      if (sibling_is_live (gateway, sibling) && sibling->incarnation <= wall_us)
+        return false;
+    }
+  return gateway->incarnation > wall_us;
+}
+
 uint32_t
 ca_siblings_rank (const ca_gateway_t *gateway)
 {
