Let a restarted holder take over its own lease at once

Change: a row whose holder is this machine's former life is taken over without waiting; one machine is one holder, and the token rises as before.

--- a/packages/gateway/duties.c
+++ b/packages/gateway/duties.c
@@ -290,9 +290,9 @@
       = (uint64_t)json_integer_value (json_object_get (row, "at_us"));
   uint64_t fence
       = (uint64_t)json_integer_value (json_object_get (row, "fence"));
-  bool ours = holder != NULL
-              && strcmp (holder, duties->gateway->options.name) == 0
-              && life == duties->gateway->incarnation;
+  bool here = holder != NULL
+              && strcmp (holder, duties->gateway->options.name) == 0;
+  bool ours = here && life == duties->gateway->incarnation;
 
   duties->holder_fence = fence;
   if (ours && fence == duties->attempt_fence && duties->attempt_fence != 0)
@@ -304,7 +304,8 @@
         lease_write (duties, duties->fence);
       return;
     }
-  if (store_us < at_us + lease_length_us (duties))
+  /* A former life of this machine has ended, whatever its lease says. */
+  if (!here && store_us < at_us + lease_length_us (duties))
     return;
   lease_take_usage (duties, row);
   lease_write (duties, fence + 1);
