Size the fleet by what is asked; choose by chance where word of load is stale

And 5,325 of 21,224 plain requests were rejected by endpoints that all 72 entries thought to be free, by word 2.1 s old. Change: time asked of endpoints is counted before a refusal; pulses every 0.7 s at 72 entries; the staler the word of load, the more chance in the choice.

--- a/packages/gateway/exchange.c
+++ b/packages/gateway/exchange.c
@@ -279,12 +279,33 @@
   return wait_us > RETRY_MOST_US ? RETRY_MOST_US : wait_us;
 }
 
+/* Counts the time that the request asks of an endpoint, once, whether it is
+ * sent or refused for want of room: the fleet is sized by what is asked. */
+static void
+exchange_count_asked (ca_gateway_t *gateway, ca_exchange_t *exchange,
+                      uint32_t missing_tokens)
+{
+  ca_service_stats_t *stats
+      = ca_service_stats (gateway, exchange->service->name);
+
+  if (exchange->counted_asked || !exchange->service->is_engine)
+    return;
+  exchange->counted_asked = true;
+  ca_window_add (&stats->busy, gateway->now_us,
+                 missing_tokens / stats->read_tokens_per_ms * CA_US_PER_MS);
+}
+
 /* Sends the request to the best endpoint, waits for one, or gives up. */
 static void
 exchange_place (ca_gateway_t *gateway, ca_exchange_t *exchange)
 {
   ca_place_t place = ca_place (gateway, exchange);
 
+  exchange_count_asked (
+      gateway, exchange,
+      place.seat != NULL ? place.missing_tokens
+                         : exchange->prompt.tokens
+                               - ca_prompt_shared_tokens (&exchange->prompt));
   if (place.seat != NULL)
     {
       if (exchange_is_overloaded (exchange, &place, gateway->now_us))
@@ -370,18 +391,6 @@
     ca_usage_count (gateway, exchange->workspace->name, at_us);
 }
 
-static void
-exchange_count_busy (ca_gateway_t *gateway, const ca_exchange_t *exchange)
-{
-  ca_service_stats_t *stats
-      = ca_service_stats (gateway, exchange->service->name);
-
-  if (exchange->service->is_engine)
-    ca_window_add (&stats->busy, gateway->now_us,
-                   exchange->missing_tokens / stats->read_tokens_per_ms
-                       * CA_US_PER_MS);
-}
-
 /* An attempt that may have run ended without its answer. */
 static void
 exchange_cut (ca_gateway_t *gateway, ca_exchange_t *exchange, const char *what)
@@ -496,7 +505,6 @@
       exchange->phase = CA_EXCHANGE_STREAMING;
       exchange->phase_us = now_us;
       exchange_begin_run (gateway, exchange, now_us);
-      exchange_count_busy (gateway, exchange);
       ca_place_learn (gateway, exchange);
       exchange->seat->own.unread_tokens -= exchange->unread_tokens;
       exchange->unread_tokens = 0;
--- a/packages/gateway/gateway.h
+++ b/packages/gateway/gateway.h
@@ -108,6 +108,7 @@
   uint32_t avoided_count;
   uint64_t sent_us;
   bool lone;               /* its prompt was alone in line at the seat */
+  bool counted_asked;      /* its time was counted as asked for */
   uint32_t missing_tokens; /* that the seat was expected to read */
   /* Answer. */
   ca_answer_facts_t facts;
@@ -302,10 +303,11 @@
   bool leads;       /* holds the lease on duties */
   /* Siblings. */
   ca_sibling_t *siblings;
-  uint64_t pulse_us;
-  uint64_t share_us;      /* when quotas are next divided */
-  uint64_t shared_us;     /* and when they last were */
-  int64_t wall_offset_us; /* agreed time of day less our clock */
+  uint64_t pulse_us;        /* when the next pulses are due */
+  uint64_t pulse_period_us; /* between them */
+  uint64_t share_us;        /* when quotas are next divided */
+  uint64_t shared_us;       /* and when they last were */
+  int64_t wall_offset_us;   /* agreed time of day less our clock */
   int64_t own_wall_offset_us;
   bool wall_agreed; /* by enough entries to outvote one that is off */
   struct ca_usage_rows usage;
--- a/packages/gateway/place.c
+++ b/packages/gateway/place.c
@@ -37,6 +37,11 @@
  * to end. */
 #define PLACE_FULL_US 700000.0
 
+/* Word of load that is no older than this is taken whole; and the part of
+ * chance in every choice. */
+#define PLACE_TRUST_US (300 * CA_US_PER_MS)
+#define PLACE_CHANCE 0.05
+
 /* Plain endpoints queue a few requests beyond their slots. */
 #define PLACE_PLAIN_QUEUE 2.5
 
@@ -196,19 +201,34 @@
   return cost * (1 + 3 * seat->error_share);
 }
 
+/* How far what peers told of their load can be trusted: plain requests take
+ * some tens of ms, and word of them that is older than a few tells nothing. */
 static double
-place_plain_cost (const ca_gateway_t *gateway, const ca_seat_t *seat,
+place_trust (const ca_gateway_t *gateway)
+{
+  uint64_t period_us = gateway->pulse_period_us;
+
+  return period_us <= PLACE_TRUST_US ? 1 : (double)PLACE_TRUST_US / period_us;
+}
+
+/* With fresh word of all load, the least loaded; the staler it is, the more by
+ * chance and by this entry's own times, since all choose at once by the same
+ * word. */
+static double
+place_plain_cost (ca_gateway_t *gateway, const ca_seat_t *seat,
                   ca_place_t *place)
 {
+  double trust = place_trust (gateway);
   double slots = seat->slots > 0 ? seat->slots : 1;
-  double open = (double)seat->own.open + seat->peers.open;
-  double cost = open / slots;
+  double open = ((double)seat->own.open + seat->peers.open * trust) / slots;
+  double cost = open;
 
-  place->predicted_us = (uint64_t)(seat->latency_us * (1 + cost));
-  cost += place_zone_cost (gateway, seat, PLACE_ZONE_PLAIN);
-  cost += 2 * seat->error_share + 0.05 * drand48 ();
+  place->predicted_us = (uint64_t)(seat->latency_us * (1 + open));
+  cost += place_zone_cost (gateway, seat, PLACE_ZONE_PLAIN * trust);
+  cost += 2 * seat->error_share;
+  cost += (PLACE_CHANCE + (1 - trust)) * ca_gateway_random (gateway);
   /* A slow one counts for its time, against a tenth of a second. */
-  return cost + seat->latency_us / (100.0 * CA_US_PER_MS) * (0.2 + cost);
+  return cost + seat->latency_us / (100.0 * CA_US_PER_MS) * (0.2 + open);
 }
 
 /* The home of the request's session among the endpoints that fit. */
--- a/packages/gateway/siblings.c
+++ b/packages/gateway/siblings.c
@@ -7,7 +7,7 @@
 /* Pulses to each other entry; the period grows with their number, so that one
  * entry's messages a second stay bounded. */
 #define PULSE_PERIOD_US (300 * CA_US_PER_MS)
-#define PULSE_ENTRIES 10
+#define PULSE_ENTRIES 30
 
 /* An entry that is not heard is sent a pulse this often. */
 #define PULSE_SILENT_US (2 * CA_US_PER_S)
@@ -489,10 +489,10 @@
   gateway->own_wall_offset_us = (int64_t)wall_us - (int64_t)gateway->now_us;
   if (gateway->now_us < gateway->pulse_us)
     return;
-  gateway->pulse_us
-      = gateway->now_us
-        + PULSE_PERIOD_US * (entries > PULSE_ENTRIES ? entries : PULSE_ENTRIES)
-              / PULSE_ENTRIES;
+  gateway->pulse_period_us
+      = PULSE_PERIOD_US * (entries > PULSE_ENTRIES ? entries : PULSE_ENTRIES)
+        / PULSE_ENTRIES;
+  gateway->pulse_us = gateway->now_us + gateway->pulse_period_us;
   HASH_ITER (hh, gateway->siblings, sibling, next)
   {
     uint64_t since_us
