Send an order again that is not met, and count what is there until it is

Change: an order whose endpoints should have started and are not there is short: it is sent again, and the zone counts for what is there meanwhile.

--- a/packages/gateway/duties.c
+++ b/packages/gateway/duties.c
@@ -38,8 +38,8 @@
 #define ORDER_RETRY_US (1500 * CA_US_PER_MS)
 #define ORDER_LATE_US (13 * CA_US_PER_S)
 
-/* An accepted order counts like endpoints until they have started, and this
- * much longer. */
+/* An order counts like endpoints until they have started, and this much
+ * longer. */
 #define ORDER_BOOT_EXTRA_US (1500 * CA_US_PER_MS)
 
 /* None of a kind were to be had: asked again after this. */
@@ -495,6 +495,7 @@
   row->busy = true;
   row->sent = true;
   row->ordered = count;
+  row->ordered_us = now_us;
   row->again_us = now_us + ORDER_RETRY_US;
   ca_gateway_note (duties->gateway, CA_EVENT_FLEET_START, NULL, row->service,
                    "%u %s in %s under lease %" PRIu64, count,
@@ -514,8 +515,8 @@
   row->busy = false;
   if (status == CA_CALL_OK)
     {
-      row->accepted = order->count;
-      row->accepted_us = now_us;
+      /* New ones are to come: what was lost before is made up for. */
+      row->lost = false;
       return;
     }
   row->sent = false;
@@ -592,6 +593,38 @@
     }
 }
 
+/* What has become of the order for reclaimable endpoints in a zone.  An order
+ * is short when its endpoints should have started and are not there: they were
+ * reclaimed, or never came.  It is sent again, and until it is met the zone
+ * counts for what is there. */
+static void
+fleet_look (ca_duties_t *duties, const ca_service_t *service,
+            ca_order_row_t *row, ca_fleet_zone_t *zone)
+{
+  uint64_t now_us = duties->gateway->now_us;
+  uint64_t boot_us = service->boot_ms * CA_US_PER_MS + ORDER_BOOT_EXTRA_US;
+  bool booting = now_us - row->ordered_us < boot_us;
+
+  /* Fewer than before without an order: a reclaim. */
+  if (row->sent && zone->reclaimable < row->seen
+      && zone->reclaimable < row->ordered)
+    {
+      row->out_us = now_us + ORDER_OUT_US;
+      row->lost = true;
+    }
+  row->seen = zone->reclaimable;
+  if (zone->reclaimable >= row->ordered)
+    row->lost = false;
+  row->is_short = row->ordered_us != 0 && zone->reclaimable < row->ordered
+                  && (row->lost || !booting);
+  zone->reclaimable_out = now_us < row->out_us || row->is_short;
+  if (row->is_short && now_us >= row->out_us
+      && now_us - row->ordered_us > ORDER_OUT_US)
+    row->sent = false;
+  if (!row->is_short && booting && zone->reclaimable < row->ordered)
+    zone->reclaimable = row->ordered;
+}
+
 static void
 fleet_service (ca_duties_t *duties, const ca_service_t *service)
 {
@@ -625,16 +658,7 @@
       zone->price = service->prices[i].price;
       fleet_count (duties, service->name, service->prices[i].zone, zone,
                    &state.open);
-      /* Fewer than before without an order: a reclaim. */
-      if (row->sent && zone->reclaimable < row->seen
-          && zone->reclaimable < row->ordered)
-        row->out_us = now_us + ORDER_OUT_US;
-      row->seen = zone->reclaimable;
-      zone->reclaimable_out = now_us < row->out_us;
-      if (now_us - row->accepted_us
-              < service->boot_ms * CA_US_PER_MS + ORDER_BOOT_EXTRA_US
-          && zone->reclaimable < row->accepted)
-        zone->reclaimable = row->accepted;
+      fleet_look (duties, service, row, zone);
     }
   if (state.zone_count == 0)
     return;
@@ -647,9 +671,11 @@
       ca_order_row_t *fixed
           = fleet_row (duties, service->name, service->prices[i].zone, false);
 
-      if (!state.zones[i].reclaimable_out && state.reclaimable_price > 0)
+      if (now_us >= spot->out_us && state.reclaimable_price > 0)
         fleet_order (duties, spot,
-                     fleet_steady (duties, spot, wants[i].reclaimable));
+                     spot->is_short
+                         ? spot->ordered
+                         : fleet_steady (duties, spot, wants[i].reclaimable));
       fleet_order (duties, fixed,
                    fleet_steady (duties, fixed, wants[i].on_demand));
     }
--- a/packages/gateway/duties.h
+++ b/packages/gateway/duties.h
@@ -56,8 +56,9 @@
   uint32_t ordered;
   bool sent; /* `ordered` was sent by this holder */
   bool busy;
-  uint32_t accepted; /* by the platform, last */
-  uint64_t accepted_us;
+  uint64_t ordered_us; /* when `ordered` was last sent */
+  bool lost;           /* some were reclaimed since the last order */
+  bool is_short;       /* the last order is not met */
   uint64_t again_us;   /* when an order without an answer is repeated */
   uint64_t unsure_us;  /* until then an earlier order may still take effect */
   uint64_t out_us;     /* none to be had until then */
