--- a/packages/adapters/callers.c
+++ b/packages/adapters/callers.c
@@ -1,7 +1,7 @@
 /* The callers' routes, and what the core tells callers. */
 #include "adapters/callers.h"
 
-#include "adapters/clock_source.h"
+#include "base/clock_source.h"
 #include "core/tokens.h"
 
 #include <event2/buffer.h>
--- a/packages/adapters/engine.c
+++ b/packages/adapters/engine.c
@@ -1,7 +1,7 @@
 /* HTTP adapter of engines and services: legs, stop orders and probes. */
 #include "adapters/engine.h"
 
-#include "adapters/clock_source.h"
+#include "base/clock_source.h"
 #include "core/tokens.h"
 
 #include <inttypes.h>
--- a/packages/adapters/observer.c
+++ b/packages/adapters/observer.c
@@ -1,7 +1,7 @@
 /* Stamps events and writes them to the log and the time line. */
 #include "adapters/observer.h"
 
-#include "adapters/clock_source.h"
+#include "base/clock_source.h"
 
 #include <string.h>
 
--- a/packages/adapters/operators.c
+++ b/packages/adapters/operators.c
@@ -1,7 +1,7 @@
 /* The operators' routes. */
 #include "adapters/operators.h"
 
-#include "adapters/clock_source.h"
+#include "base/clock_source.h"
 
 #include <event2/buffer.h>
 #include <event2/keyvalq_struct.h>
--- a/packages/adapters/peers.c
+++ b/packages/adapters/peers.c
@@ -2,8 +2,8 @@
  * closed when idle; incoming ones are only read. */
 #include "adapters/peers.h"
 
-#include "adapters/clock_source.h"
 #include "base/clock.h"
+#include "base/clock_source.h"
 #include "wire/frame.h"
 
 #include <arpa/inet.h>
--- a/packages/adapters/platform.c
+++ b/packages/adapters/platform.c
@@ -1,7 +1,7 @@
 /* HTTP adapter of the platform's services. */
 #include "adapters/platform.h"
 
-#include "adapters/clock_source.h"
+#include "base/clock_source.h"
 
 #include <jansson.h>
 #include <stdlib.h>
--- a/packages/adapters/clock_source.c
+++ b/packages/base/clock_source.c
@@ -1,5 +1,5 @@
 /* Reads the machine's clocks. */
-#include "adapters/clock_source.h"
+#include "base/clock_source.h"
 
 #include "base/clock.h"
 
--- a/packages/adapters/clock_source.h
+++ b/packages/base/clock_source.h
@@ -1,6 +1,6 @@
 /* The machine's clocks. */
-#ifndef CA_ADAPTERS_CLOCK_SOURCE_H
-#define CA_ADAPTERS_CLOCK_SOURCE_H
+#ifndef CA_BASE_CLOCK_SOURCE_H
+#define CA_BASE_CLOCK_SOURCE_H
 
 #include <stdint.h>
 
--- a/packages/daemon/entry.c
+++ b/packages/daemon/entry.c
@@ -1,7 +1,7 @@
 /* Wires the core's ports to the adapters and passes time and signals. */
 #include "daemon/entry.h"
 
-#include "adapters/clock_source.h"
+#include "base/clock_source.h"
 
 #include <signal.h>
 #include <string.h>
--- a/packages/gateway/bucket.c
+++ b/packages/gateway/bucket.c
@@ -2,7 +2,6 @@
 #include "gateway/bucket.h"
 
 #define BUCKET_US_PER_S 1e6
-#define BUCKET_WAIT_MOST_US UINT64_C (60000000)
 
 static void
 bucket_fill (ca_bucket_t *bucket, uint64_t now_us)
@@ -37,22 +36,6 @@
   bucket->depth = depth;
 }
 
-static double
-bucket_threshold (const ca_bucket_t *bucket, double amount)
-{
-  return amount < bucket->depth ? amount : bucket->depth;
-}
-
-bool
-ca_bucket_take (ca_bucket_t *bucket, uint64_t now_us, double amount)
-{
-  bucket_fill (bucket, now_us);
-  if (bucket->level < bucket_threshold (bucket, amount))
-    return false;
-  bucket->level -= amount;
-  return true;
-}
-
 void
 ca_bucket_return (ca_bucket_t *bucket, double amount)
 {
@@ -60,17 +43,3 @@
   if (bucket->level > bucket->depth)
     bucket->level = bucket->depth;
 }
-
-uint64_t
-ca_bucket_wait_us (const ca_bucket_t *bucket, double amount)
-{
-  double missing = bucket_threshold (bucket, amount) - bucket->level;
-
-  if (missing <= 0)
-    return 0;
-  if (bucket->rate_per_s <= 0)
-    return BUCKET_WAIT_MOST_US;
-  missing = missing / bucket->rate_per_s * BUCKET_US_PER_S;
-  return missing > (double)BUCKET_WAIT_MOST_US ? BUCKET_WAIT_MOST_US
-                                               : (uint64_t)missing;
-}
--- a/packages/gateway/duties.c
+++ b/packages/gateway/duties.c
@@ -1,8 +1,5 @@
-/* The lease, and the two duties under it. */
-#include "gateway/duties.h"
-
-#include "gateway/fleet_plan.h"
-#include "gateway/private.h"
+/* The lease, under which the duties are done. */
+#include "gateway/duties_private.h"
 
 #include <inttypes.h>
 #include <jansson.h>
@@ -24,29 +21,9 @@
 #define LEASE_RANK_US (400 * CA_US_PER_MS)
 #define LEASE_RETRY_US (500 * CA_US_PER_MS)
 
-/* A window is reported this long after its end, when every pulse with its
- * counts has come. */
-#define USAGE_SETTLE_US (3 * CA_US_PER_S)
 /* Windows before the present one whose counts are kept with the lease, for a
  * restart of all entries. */
 #define USAGE_RECORDED 3
-#define USAGE_RETRY_US (400 * CA_US_PER_MS)
-
-/* Sizes are looked at this often; an order without an answer may be carried
- * out up to 12 s later, and is repeated. */
-#define PLAN_PERIOD_US (500 * CA_US_PER_MS)
-#define ORDER_RETRY_US (1500 * CA_US_PER_MS)
-#define ORDER_LATE_US (13 * CA_US_PER_S)
-
-/* An order counts like endpoints until they have started, and this much
- * longer. */
-#define ORDER_BOOT_EXTRA_US (1500 * CA_US_PER_MS)
-
-/* None of a kind were to be had: asked again after this. */
-#define ORDER_OUT_US (4 * CA_US_PER_S)
-
-/* Fewer endpoints are ordered only when fewer have done for this long. */
-#define SURPLUS_US (6 * CA_US_PER_S)
 
 void
 ca_duties_init (ca_duties_t *duties, ca_gateway_t *gateway,
@@ -97,9 +74,8 @@
   duties->recorded = false;
 }
 
-/* True if a call may go out under the lease. */
-static bool
-lease_is_valid (const ca_duties_t *duties)
+bool
+ca_lease_is_valid (const ca_duties_t *duties)
 {
   return duties->held && duties->gateway->now_us < duties->until_us;
 }
@@ -294,13 +270,12 @@
       = holder != NULL && strcmp (holder, duties->gateway->options.name) == 0;
   bool ours = here && life == duties->gateway->incarnation;
 
-  duties->holder_fence = fence;
   if (ours && fence == duties->attempt_fence && duties->attempt_fence != 0)
     {
       /* Our own write, whose answer was lost. */
       lease_take_usage (duties, row);
       lease_hold (duties, duties->attempt_us);
-      if (!lease_is_valid (duties))
+      if (!ca_lease_is_valid (duties))
         lease_write (duties, duties->fence);
       return;
     }
@@ -371,339 +346,18 @@
     }
 }
 
-/* A call was refused since a higher token is about. */
-static void
-lease_is_outdated (ca_duties_t *duties)
+void
+ca_lease_is_outdated (ca_duties_t *duties)
 {
   lease_lose (duties, "a call met a higher fencing token");
   duties->barred_us = duties->gateway->now_us + lease_length_us (duties);
 }
 
-/* --- Usage --- */
-
-static uint64_t
-usage_window_us (const ca_duties_t *duties)
-{
-  return duties->gateway->options.bounds.usage_window_s * CA_US_PER_S;
-}
-
-/* Latest window whose counts are all in. */
-static uint64_t
-usage_latest_settled (const ca_duties_t *duties)
-{
-  uint64_t wall_us
-      = ca_gateway_wall_us (duties->gateway, duties->gateway->now_us);
-
-  return (wall_us - USAGE_SETTLE_US) / usage_window_us (duties) - 1;
-}
-
-/* Begins the report of the next window: it goes into the row first. */
-static void
-usage_begin (ca_duties_t *duties)
-{
-  uint64_t settled = usage_latest_settled (duties);
-  uint64_t oldest = settled
-                    - duties->gateway->options.bounds.usage_delay_s
-                          / duties->gateway->options.bounds.usage_window_s;
-
-  if (duties->reported >= settled)
-    return;
-  if (duties->reported < oldest)
-    duties->reported = oldest;
-  if (duties->reported >= settled)
-    return;
-  duties->window = duties->reported + 1;
-  ca_usage_rows_finish (&duties->counts);
-  ca_usage_total (duties->gateway, duties->window, &duties->counts);
-  duties->recorded = false;
-  duties->next_us = 0;
-}
-
-static void
-usage_tick (ca_duties_t *duties)
-{
-  uint64_t now_us = duties->gateway->now_us;
-
-  if (!duties->reports || !lease_is_valid (duties) || duties->reporting)
-    return;
-  if (duties->window == 0)
-    usage_begin (duties);
-  if (duties->window == 0 || !duties->recorded || now_us < duties->report_us)
-    return;
-  duties->reporting = true;
-  duties->report_us = now_us + USAGE_RETRY_US;
-  duties->ports.report_usage (duties->ports.context, duties->fence,
-                              duties->window, &duties->counts);
-}
-
-void
-ca_duties_usage_done (ca_duties_t *duties, uint64_t now_us, uint64_t window,
-                      ca_call_status_t status)
-{
-  duties->gateway->now_us = now_us;
-  duties->reporting = false;
-  if (status == CA_CALL_CONFLICT)
-    {
-      lease_is_outdated (duties);
-      return;
-    }
-  if (status != CA_CALL_OK || window != duties->window)
-    return;
-  ca_gateway_note (duties->gateway, CA_EVENT_USAGE_REPORTED, NULL, NULL,
-                   "window %" PRIu64 " under lease %" PRIu64, window,
-                   duties->fence);
-  duties->reported = window;
-  duties->window = 0;
-  ca_usage_rows_finish (&duties->counts);
-}
-
-/* --- Fleet --- */
-
-static ca_order_row_t *
-fleet_row (ca_duties_t *duties, const char *service, const char *zone,
-           bool reclaimable)
-{
-  ca_order_row_t *row;
-
-  TAILQ_FOREACH (row, &duties->orders, entries)
-  {
-    if (row->reclaimable == reclaimable && strcmp (row->service, service) == 0
-        && strcmp (row->zone, zone) == 0)
-      return row;
-  }
-  row = calloc (1, sizeof *row);
-  row->service = strdup (service);
-  row->zone = strdup (zone);
-  row->reclaimable = reclaimable;
-  TAILQ_INSERT_TAIL (&duties->orders, row, entries);
-  return row;
-}
-
-/* Sends an order if it is due. */
-static void
-fleet_order (ca_duties_t *duties, ca_order_row_t *row, uint32_t count)
-{
-  uint64_t now_us = duties->gateway->now_us;
-  ca_scale_order_t order
-      = { row->service, row->zone, row->reclaimable, count, duties->fence };
-
-  if (row->busy || !lease_is_valid (duties))
-    return;
-  if (row->sent && row->ordered == count
-      && (row->unsure_us < now_us || now_us < row->again_us))
-    return;
-  row->busy = true;
-  row->sent = true;
-  row->before = row->ordered;
-  row->ordered = count;
-  row->ordered_us = now_us;
-  row->again_us = now_us + ORDER_RETRY_US;
-  ca_gateway_note (duties->gateway, CA_EVENT_FLEET_START, NULL, row->service,
-                   "%u %s in %s under lease %" PRIu64, count,
-                   row->reclaimable ? "reclaimable" : "on demand", row->zone,
-                   duties->fence);
-  duties->ports.order_scale (duties->ports.context, &order);
-}
-
-void
-ca_duties_scaled (ca_duties_t *duties, uint64_t now_us,
-                  const ca_scale_order_t *order, ca_call_status_t status)
-{
-  ca_order_row_t *row
-      = fleet_row (duties, order->service, order->zone, order->reclaimable);
-
-  duties->gateway->now_us = now_us;
-  row->busy = false;
-  if (status == CA_CALL_OK)
-    {
-      /* New ones are to come: what was lost before is made up for. */
-      row->lost = false;
-      return;
-    }
-  row->sent = false;
-  if (status == CA_CALL_UNKNOWN)
-    {
-      row->sent = true;
-      row->unsure_us = now_us + ORDER_LATE_US;
-      return;
-    }
-  row->ordered = row->before;
-  ca_gateway_note (duties->gateway, CA_EVENT_FLEET_REFUSED, NULL,
-                   order->service, "%u %s in %s", order->count,
-                   order->reclaimable ? "reclaimable" : "on demand",
-                   order->zone);
-  if (status == CA_CALL_CONFLICT && order->fence == duties->fence)
-    row->out_us = now_us + ORDER_OUT_US;
-}
-
-/* Less only after less has done for a while; more at once. */
-static uint32_t
-fleet_steady (ca_duties_t *duties, ca_order_row_t *row, uint32_t want)
-{
-  uint64_t now_us = duties->gateway->now_us;
-
-  if (!row->sent || want >= row->ordered)
-    {
-      row->surplus_us = 0;
-      return want;
-    }
-  if (row->surplus_us == 0)
-    row->surplus_us = now_us;
-  return now_us - row->surplus_us < SURPLUS_US ? row->ordered : want;
-}
-
-static void
-fleet_count (const ca_duties_t *duties, const char *service, const char *zone,
-             ca_fleet_zone_t *counts, double *open)
-{
-  const ca_seat_t *seat;
-
-  for (seat = duties->gateway->roster.seats; seat != NULL; seat = seat->hh.next)
-    {
-      if (!ca_seat_is_open (seat) || strcmp (seat->service, service) != 0
-          || strcmp (seat->zone, zone) != 0)
-        continue;
-      *open += (double)seat->own.open + seat->peers.open;
-      if (seat->reclaimable)
-        counts->reclaimable++;
-      else
-        counts->on_demand++;
-    }
-}
-
-/* A new holder finds what a former one ordered, and goes on from there. */
-static void
-fleet_adopt (ca_duties_t *duties, const ca_service_t *service,
-             const ca_fleet_state_t *state)
-{
-  uint32_t reclaimable = 0;
-
-  for (uint32_t i = 0; i < state->zone_count; i++)
-    reclaimable += state->zones[i].reclaimable;
-  for (uint32_t i = 0; reclaimable > 0 && i < state->zone_count; i++)
-    {
-      const char *zone = service->prices[i].zone;
-      ca_order_row_t *spot = fleet_row (duties, service->name, zone, true);
-      ca_order_row_t *fixed = fleet_row (duties, service->name, zone, false);
-
-      if (!spot->sent)
-        spot->ordered = state->zones[i].reclaimable;
-      if (!fixed->sent)
-        fixed->ordered = state->zones[i].on_demand;
-      spot->sent = true;
-      fixed->sent = true;
-    }
-}
-
-/* What has become of the order for reclaimable endpoints in a zone.  An order
- * is short when its endpoints should have started and are not there: they were
- * reclaimed, or never came.  It is sent again, and until it is met the zone
- * counts for what is there. */
-static void
-fleet_look (ca_duties_t *duties, const ca_service_t *service,
-            ca_order_row_t *row, ca_fleet_zone_t *zone)
-{
-  uint64_t now_us = duties->gateway->now_us;
-  uint64_t boot_us = service->boot_ms * CA_US_PER_MS + ORDER_BOOT_EXTRA_US;
-  bool booting = now_us - row->ordered_us < boot_us;
-
-  /* Fewer than before without an order: a reclaim. */
-  if (row->sent && zone->reclaimable < row->seen
-      && zone->reclaimable < row->ordered)
-    {
-      row->out_us = now_us + ORDER_OUT_US;
-      row->lost = true;
-    }
-  row->seen = zone->reclaimable;
-  if (zone->reclaimable >= row->ordered)
-    row->lost = false;
-  row->is_short = row->ordered_us != 0 && zone->reclaimable < row->ordered
-                  && (row->lost || !booting);
-  zone->reclaimable_out = now_us < row->out_us || row->is_short;
-  if (row->is_short && now_us >= row->out_us
-      && now_us - row->ordered_us > ORDER_OUT_US)
-    row->sent = false;
-  if (!row->is_short && booting && zone->reclaimable < row->ordered)
-    zone->reclaimable = row->ordered;
-}
-
-static void
-fleet_service (ca_duties_t *duties, const ca_service_t *service)
-{
-  ca_fleet_state_t state;
-  ca_fleet_want_t wants[CA_FLEET_ZONES];
-  ca_service_work_t work;
-  uint64_t now_us = duties->gateway->now_us;
-
-  memset (&state, 0, sizeof state);
-  memset (wants, 0, sizeof wants);
-  ca_siblings_work (duties->gateway, service->name, &work);
-  if (work.requests_per_s > 0 && duties->traffic_us == 0)
-    duties->traffic_us = now_us;
-  state.busy = work.busy;
-  state.held_tokens = work.held_tokens;
-  state.slots = service->slots;
-  state.cache_tokens = service->cache_tokens;
-  state.min_endpoints = service->min_endpoints;
-  state.max_endpoints = service->max_endpoints;
-  state.reclaimable_price = service->reclaimable_price;
-  state.traffic_known
-      = duties->traffic_us != 0
-        && now_us - duties->traffic_us > 2 * CA_WORK_SPAN_S * CA_US_PER_S;
-  for (uint32_t i = 0;
-       i < service->price_count && state.zone_count < CA_FLEET_ZONES; i++)
-    {
-      ca_fleet_zone_t *zone = &state.zones[state.zone_count++];
-      ca_order_row_t *row
-          = fleet_row (duties, service->name, service->prices[i].zone, true);
-
-      zone->price = service->prices[i].price;
-      fleet_count (duties, service->name, service->prices[i].zone, zone,
-                   &state.open);
-      fleet_look (duties, service, row, zone);
-    }
-  if (state.zone_count == 0)
-    return;
-  fleet_adopt (duties, service, &state);
-  ca_fleet_plan (&state, ca_fleet_need (&state), wants);
-  for (uint32_t i = 0; i < state.zone_count; i++)
-    {
-      ca_order_row_t *spot
-          = fleet_row (duties, service->name, service->prices[i].zone, true);
-      ca_order_row_t *fixed
-          = fleet_row (duties, service->name, service->prices[i].zone, false);
-
-      if (now_us >= spot->out_us && state.reclaimable_price > 0)
-        fleet_order (duties, spot,
-                     spot->is_short
-                         ? spot->ordered
-                         : fleet_steady (duties, spot, wants[i].reclaimable));
-      fleet_order (duties, fixed,
-                   fleet_steady (duties, fixed, wants[i].on_demand));
-    }
-}
-
-static void
-fleet_tick (ca_duties_t *duties)
-{
-  const ca_catalog_t *catalog = duties->gateway->catalog;
-
-  if (!duties->scales || !lease_is_valid (duties) || catalog == NULL
-      || duties->gateway->now_us < duties->plan_us)
-    return;
-  duties->plan_us = duties->gateway->now_us + PLAN_PERIOD_US;
-  for (uint32_t i = 0; i < catalog->service_count; i++)
-    {
-      if (catalog->services[i].scales)
-        fleet_service (duties, &catalog->services[i]);
-    }
-}
-
 void
 ca_duties_tick (ca_duties_t *duties, uint64_t now_us)
 {
   duties->gateway->now_us = now_us;
   lease_tick (duties);
-  usage_tick (duties);
-  fleet_tick (duties);
+  ca_usage_report_tick (duties);
+  ca_fleet_orders_tick (duties);
 }
--- a/packages/gateway/duties.h
+++ b/packages/gateway/duties.h
@@ -81,7 +81,6 @@
   bool known;       /* the row was read */
   uint64_t version; /* of the row */
   uint64_t fence;
-  uint64_t holder_fence;  /* in the row as last read */
   uint64_t until_us;      /* end of our lease, on our clock */
   uint64_t sent_us;       /* when the call that is out was sent */
   uint64_t next_us;       /* next call */
--- /dev/null
+++ b/packages/gateway/duties_private.h
@@ -0,0 +1,17 @@
+/* What the files of the duties share. */
+#ifndef CA_GATEWAY_DUTIES_PRIVATE_H
+#define CA_GATEWAY_DUTIES_PRIVATE_H
+
+#include "gateway/duties.h"
+#include "gateway/private.h"
+
+/* True if a call may go out under the lease. */
+bool ca_lease_is_valid (const ca_duties_t *duties);
+
+/* A call was refused since a higher token is about. */
+void ca_lease_is_outdated (ca_duties_t *duties);
+
+void ca_usage_report_tick (ca_duties_t *duties);
+void ca_fleet_orders_tick (ca_duties_t *duties);
+
+#endif
--- a/packages/http/client.c
+++ b/packages/http/client.c
@@ -1,6 +1,8 @@
 /* Client connections: made, used, kept and closed. */
 #include "http/client.h"
 
+#include "base/clock_source.h"
+
 #include <arpa/inet.h>
 #include <event2/bufferevent.h>
 #include <netinet/tcp.h>
@@ -55,15 +57,6 @@
   TAILQ_ENTRY (ca_http_channel) entries;
 };
 
-static uint64_t
-client_now_us (void)
-{
-  struct timespec now;
-
-  clock_gettime (CLOCK_BOOTTIME, &now);
-  return (uint64_t)now.tv_sec * 1000000 + (uint64_t)now.tv_nsec / 1000;
-}
-
 static uint64_t
 client_key (const ca_address_t *address)
 {
@@ -168,7 +161,7 @@
   TAILQ_INSERT_HEAD (&channel->host->idle, channel, entries);
   channel->host->idle_count++;
   channel->idle = true;
-  channel->idle_since_us = client_now_us ();
+  channel->idle_since_us = ca_clock_boot_us ();
   channel_set_timer (channel, (uint64_t)channel->idle_limit_ms * 1000);
   memset (&channel->call, 0, sizeof channel->call);
   ca_http_reader_next (&channel->reader);
@@ -270,7 +263,7 @@
 static void
 channel_arm_deadline (ca_http_sending_t *channel)
 {
-  uint64_t now_us = client_now_us ();
+  uint64_t now_us = ca_clock_boot_us ();
 
   if (channel->deadline_us == 0)
     event_del (channel->timer);
@@ -387,7 +380,7 @@
 
   if (channel == NULL || send->max_idle_ms == 0)
     return NULL;
-  idle_us = client_now_us () - channel->idle_since_us;
+  idle_us = ca_clock_boot_us () - channel->idle_since_us;
   if (idle_us > (uint64_t)send->max_idle_ms * 1000
       || idle_us > (uint64_t)channel->idle_limit_ms * 1000)
     return NULL;
@@ -432,7 +425,7 @@
   channel->deadline_us
       = send->timeout_ms == 0
             ? 0
-            : client_now_us () + (uint64_t)send->timeout_ms * 1000;
+            : ca_clock_boot_us () + (uint64_t)send->timeout_ms * 1000;
   channel_print_head (channel, send);
   if (!kept)
     {
--- a/packages/http/server.c
+++ b/packages/http/server.c
@@ -19,9 +19,6 @@
 /* Input held back while a request is being answered. */
 #define SERVER_READ_AHEAD_BYTES (64 * 1024)
 
-/* Output waiting for a client that does not read. */
-#define SERVER_OUTPUT_BYTES (1024 * 1024)
-
 /* Client connections whose peer no longer acknowledges are given up after
  * this; longer than the cut of a link that a stream may outlast. */
 #define SERVER_SILENT_MS 8000
@@ -204,15 +201,6 @@
   peer_reset ((ca_http_peer_t *)request);
 }
 
-bool
-ca_http_answer_is_congested (const ca_http_inbound_t *request)
-{
-  const ca_http_peer_t *peer = (const ca_http_peer_t *)request;
-
-  return evbuffer_get_length (bufferevent_get_output (peer->stream))
-         > SERVER_OUTPUT_BYTES;
-}
-
 /* An answer of the server's own, after which the connection closes. */
 static void
 peer_refuse (ca_http_peer_t *peer, uint32_t status)
@@ -260,7 +248,6 @@
   const ca_http_limits_t *limits = &peer->server->limits;
   struct evbuffer *input = bufferevent_get_input (peer->stream);
   bool had_begun = peer->reader.begun;
-  bool had_head = peer->reader.head_done;
 
   if (evbuffer_get_length (input) == 0)
     return;
@@ -290,7 +277,6 @@
     }
   else
     peer_set_timer (peer, limits->idle_ms);
-  (void)had_head;
 }
 
 static void
--- a/packages/http/server.h
+++ b/packages/http/server.h
@@ -81,8 +81,4 @@
 /* Resets the connection, so that nothing sent looks complete. */
 void ca_http_answer_break (ca_http_inbound_t *request);
 
-/* Opens or closes reading at the client's side of the flow: true while more
- * than the bound waits to be sent. */
-bool ca_http_answer_is_congested (const ca_http_inbound_t *request);
-
 #endif
--- a/tests/site/lib.sh
+++ b/tests/site/lib.sh
@@ -9,24 +9,10 @@
 BASE=${BASE:-20000}
 WORK=${WORK:-$(mktemp -d)}
 RUNS=$WORK/runs
-WAIT_STEPS=${WAIT_STEPS:-200}
 STORE_ADDRESS=127.0.0.1:$BASE
 declare -A PID
 
-fail () {
-  echo "FAILED: $*" >&2
-  exit 1
-}
-
-# wait_for COMMAND...: runs it every 100 ms until it succeeds.
-wait_for () {
-  local step=0
-  until "$@" > /dev/null 2>&1; do
-    step=$((step + 1))
-    [ "$step" -lt "$WAIT_STEPS" ] || fail "condition never held: $*"
-    sleep 0.1
-  done
-}
+. tests/wait.sh
 
 control () { # PORT JSON
   curl -s -m 5 -X POST "http://127.0.0.1:$1/control" -d "$2" > /dev/null
