--- a/tests/gateway/test_http.c
+++ b/tests/gateway/test_http.c
@@ -19,6 +19,9 @@
 
 #define LOOPBACK 0x7f000001
 
+/* Connections that the raw server holds. */
+#define RAW_OPEN 16
+
 /* A server that answers with given bytes and then closes, resets or stays. */
 typedef enum
 {
@@ -36,14 +39,25 @@
   then_t then;
   int requests;
   char got[4096];
+  struct bufferevent *open[RAW_OPEN];
 } raw_server_t;
 
+static void
+raw_free (raw_server_t *server, struct bufferevent *stream)
+{
+  for (size_t i = 0; i < RAW_OPEN; i++)
+    {
+      if (server->open[i] == stream)
+        server->open[i] = NULL;
+    }
+  bufferevent_free (stream);
+}
+
 static void
 raw_event (struct bufferevent *stream, short what, void *context)
 {
-  (void)context;
   if (what & (BEV_EVENT_EOF | BEV_EVENT_ERROR))
-    bufferevent_free (stream);
+    raw_free (context, stream);
 }
 
 static void
@@ -57,7 +71,7 @@
   if (server->then == THEN_RESET)
     setsockopt (bufferevent_getfd (stream), SOL_SOCKET, SO_LINGER, &now,
                 sizeof now);
-  bufferevent_free (stream);
+  raw_free (server, stream);
 }
 
 static void
@@ -89,6 +103,14 @@
   (void)listener;
   (void)from;
   (void)length;
+  for (size_t i = 0; i < RAW_OPEN; i++)
+    {
+      if (server->open[i] == NULL)
+        {
+          server->open[i] = stream;
+          break;
+        }
+    }
   bufferevent_setcb (stream, raw_read, raw_written, raw_event, server);
   bufferevent_enable (stream, EV_READ | EV_WRITE);
 }
@@ -120,6 +142,13 @@
 raw_end (raw_server_t *server)
 {
   evconnlistener_free (server->listener);
+  for (size_t i = 0; i < RAW_OPEN; i++)
+    {
+      if (server->open[i] != NULL)
+        bufferevent_free (server->open[i]);
+    }
+  /* What was freed is let go of in the loop. */
+  event_base_loop (server->base, EVLOOP_NONBLOCK);
   event_base_free (server->base);
 }
 
