Let an entry's last answer be written before a planned stop ends it

The loop was left as soon as no caller was counted, and a caller is not counted from the moment its answer is handed to evhttp, which writes it in a later pass. Ruled out: the platform path, which ends when its connections are closed. Change: the loop is left 0.3 s after nothing is open any more. Test: regress/test_rollout as it stands.

--- a/packages/daemon/entry.c
+++ b/packages/daemon/entry.c
@@ -154,7 +154,12 @@
   ca_observer_trace (&entry->observer, number, 0, 0, "", detail);
 }
 
-/* Ends the loop once a planned stop has nothing left to do. */
+/* The last answer is written by the loop after it has ended here: one pass
+ * suffices unless the caller does not read. */
+#define ENTRY_FLUSH_US (300 * CA_US_PER_MS)
+
+/* Ends the loop once a planned stop has nothing left to do and the last answer
+ * has had time to be written. */
 static void
 entry_check_stop (ca_entry_t *entry, uint64_t now_us)
 {
@@ -167,7 +172,14 @@
     }
   if (now_us - entry->stop_us >= entry->lame_duck_us)
     ca_callers_stop_listening (&entry->callers);
-  if (ca_core_stopped (&entry->core) && ca_callers_open (&entry->callers) == 0)
+  if (!ca_core_stopped (&entry->core) || ca_callers_open (&entry->callers) > 0)
+    {
+      entry->done_us = 0;
+      return;
+    }
+  if (entry->done_us == 0)
+    entry->done_us = now_us;
+  if (now_us - entry->done_us >= ENTRY_FLUSH_US)
     event_base_loopexit (entry->base, NULL);
 }
 
