--- a/packages/gateway/affinity.c
+++ b/packages/gateway/affinity.c
@@ -82,10 +82,9 @@
 }
 
 void
-ca_affinity_note (ca_seat_t *seat, uint64_t now_us, const ca_prompt_t *prompt,
+ca_affinity_note (ca_seat_t *seat, const ca_prompt_t *prompt,
                   uint64_t capacity_tokens)
 {
-  (void)now_us;
   /* The last part is the request's own and is not asked for again. */
   for (uint32_t i = 0; i + 1 < prompt->count; i++)
     affinity_touch (seat, &prompt->parts[i]);
--- a/packages/gateway/affinity.h
+++ b/packages/gateway/affinity.h
@@ -37,8 +37,8 @@
 
 /* Remembers that the prompt was read there; `capacity_tokens` bounds what the
  * endpoint is thought to keep. */
-void ca_affinity_note (ca_seat_t *seat, uint64_t now_us,
-                       const ca_prompt_t *prompt, uint64_t capacity_tokens);
+void ca_affinity_note (ca_seat_t *seat, const ca_prompt_t *prompt,
+                       uint64_t capacity_tokens);
 
 /* Tokens at the front of the prompt that this process has sent there. */
 uint32_t ca_affinity_known (const ca_seat_t *seat, const ca_prompt_t *prompt);
--- a/packages/gateway/exchange.c
+++ b/packages/gateway/exchange.c
@@ -212,7 +212,7 @@
   seat->own.held_tokens += exchange->held_tokens;
   stats->held_tokens += exchange->held_tokens;
   if (exchange->service->is_engine)
-    ca_affinity_note (seat, gateway->now_us, &exchange->prompt,
+    ca_affinity_note (seat, &exchange->prompt,
                       exchange->service->cache_tokens / 2);
   attempt.left_ms
       = (uint32_t)((exchange->deadline_us - gateway->now_us) / CA_US_PER_MS);
--- a/packages/gateway/roster.h
+++ b/packages/gateway/roster.h
@@ -27,10 +27,8 @@
   bool draining;
   bool reclaimable;
   uint32_t slots;
-  uint64_t born_ms;     /* start of this life, Unix milliseconds; 0 unknown */
-  uint64_t leaves_ms;   /* until it is taken away; 0 unknown */
-  uint32_t cold_ms;     /* it stays slow for this long */
-  const char *versions; /* software and weights, for the log */
+  uint64_t born_ms;   /* start of this life, Unix milliseconds; 0 unknown */
+  uint64_t leaves_ms; /* until it is taken away; 0 unknown */
 } ca_seat_entry_t;
 
 /* What peers have open at an endpoint, by their latest pulses. */
