Log what becomes of an interrupted run whose endpoint may have crashed

A suspected crash that was confirmed, expired or cleared left no line, and lines of failed attempts had no fingerprint, so copies of one request could not be put together. Change: events crash_counted, crash_unconfirmed and crashes_cleared; three counters; the fingerprint in attempt_failed and request_refused; request_quarantined's counter also counts on the platform. No decision changes.

--- a/packages/base/counters.c
+++ b/packages/base/counters.c
@@ -7,12 +7,31 @@
 #include <string.h>
 
 static const char *const count_names[CA_COUNT_KINDS] = {
-  "requests",     "answered",       "refused",           "attempts",
-  "retries",      "resumed",        "reattached",        "moved",
-  "adopted",      "tokens",         "recomputed_tokens", "prefix_hit_tokens",
-  "late_answers", "grants",         "rejects",           "store_reads",
-  "store_writes", "store_failures", "peer_messages",     "peer_bytes",
-  "quarantined",  "probes",
+  "requests",
+  "answered",
+  "refused",
+  "attempts",
+  "retries",
+  "resumed",
+  "reattached",
+  "moved",
+  "adopted",
+  "tokens",
+  "recomputed_tokens",
+  "prefix_hit_tokens",
+  "late_answers",
+  "grants",
+  "rejects",
+  "store_reads",
+  "store_writes",
+  "store_failures",
+  "peer_messages",
+  "peer_bytes",
+  "quarantined",
+  "probes",
+  "crashes_suspected",
+  "crashes_counted",
+  "crashes_unconfirmed",
 };
 
 static const char *const latency_names[CA_LATENCY_KINDS]
--- a/packages/base/events.c
+++ b/packages/base/events.c
@@ -76,6 +76,17 @@
   { CA_EVENT_REQUEST_QUARANTINED, CA_LEVEL_ERROR, "request_quarantined",
     "a request crashed an endpoint while alone on it; repeats are refused",
     "pass the fingerprint to the owners of the model" },
+  { CA_EVENT_CRASH_COUNTED, CA_LEVEL_WARNING, "crash_counted",
+    "an endpoint ended while it ran a request; the detail counts the endpoints "
+    "that ended under this fingerprint",
+    "look for the same fingerprint in attempt_failed lines" },
+  { CA_EVENT_CRASH_UNCONFIRMED, CA_LEVEL_INFO, "crash_unconfirmed",
+    "a run was interrupted, but its endpoint was not found to have ended",
+    NO_ACTION },
+  { CA_EVENT_CRASHES_CLEARED, CA_LEVEL_INFO, "crashes_cleared",
+    "a run with this fingerprint completed, so the crashes counted against it "
+    "were dropped",
+    NO_ACTION },
   { CA_EVENT_MEMBER_JOINED, CA_LEVEL_INFO, "member_joined",
     "an entry joined or returned", NO_ACTION },
   { CA_EVENT_MEMBER_SUSPECT, CA_LEVEL_INFO, "member_suspect",
--- a/packages/gateway/crash_tracker.c
+++ b/packages/gateway/crash_tracker.c
@@ -6,6 +6,7 @@
  * sent again. */
 #include "gateway/private.h"
 
+#include <inttypes.h>
 #include <stdlib.h>
 
 /* Crashed endpoints before a fingerprint is blocked. */
@@ -60,8 +61,9 @@
 /* Counts a crash of an endpoint instance, once per fingerprint. */
 static void
 crash_tracker_count (ca_gateway_t *gateway, uint64_t fingerprint,
-                     uint64_t instance)
+                     const ca_gateway_endpoint_t *endpoint)
 {
+  uint64_t instance = endpoint->hash ^ endpoint->started_ms;
   ca_crash_record_t *record = crash_tracker_find (gateway, fingerprint);
 
   if (record == NULL)
@@ -80,10 +82,17 @@
   if (record->count < CRASHES_MAX)
     record->instances[record->count] = instance;
   record->count++;
+  ca_counters_add (&gateway->counters, CA_COUNT_CRASHES_COUNTED, 1);
+  ca_gateway_log (gateway, CA_EVENT_CRASH_COUNTED, NULL, endpoint->id,
+                  "fingerprint %016" PRIx64
+                  ": %u endpoints seen by this entry, %u reported by peers",
+                  fingerprint, record->count,
+                  crash_tracker_peer_count (gateway, fingerprint));
   if (record->count == CRASHES_MAX)
     ca_gateway_log (gateway, CA_EVENT_REQUEST_QUARANTINED, NULL, NULL,
-                    "fingerprint %016llx blocked after it crashed %u endpoints",
-                    (unsigned long long)fingerprint, record->count);
+                    "fingerprint %016" PRIx64
+                    " blocked after it crashed %u endpoints",
+                    fingerprint, record->count);
 }
 
 void
@@ -95,6 +104,7 @@
   suspect->instance = exchange->endpoint->hash ^ exchange->endpoint->started_ms;
   suspect->at_us = gateway->now_us;
   TAILQ_INSERT_TAIL (&gateway->suspected_crashes, suspect, entries);
+  ca_counters_add (&gateway->counters, CA_COUNT_CRASHES_SUSPECTED, 1);
 }
 
 void
@@ -110,7 +120,7 @@
 
       if (suspect->instance == instance)
         {
-          crash_tracker_count (gateway, suspect->fingerprint, instance);
+          crash_tracker_count (gateway, suspect->fingerprint, endpoint);
           TAILQ_REMOVE (&gateway->suspected_crashes, suspect, entries);
           free (suspect);
         }
@@ -125,6 +135,9 @@
 
   if (record == NULL)
     return;
+  ca_gateway_log (gateway, CA_EVENT_CRASHES_CLEARED, NULL, NULL,
+                  "fingerprint %016" PRIx64 ": %u endpoints", fingerprint,
+                  record->count);
   HASH_DEL (gateway->crash_records, record);
   free (record);
 }
@@ -139,6 +152,11 @@
   while ((suspect = TAILQ_FIRST (&gateway->suspected_crashes)) != NULL
          && gateway->now_us - suspect->at_us > CRASH_CONFIRM_US)
     {
+      ca_counters_add (&gateway->counters, CA_COUNT_CRASHES_UNCONFIRMED, 1);
+      ca_gateway_log (gateway, CA_EVENT_CRASH_UNCONFIRMED, NULL, NULL,
+                      "fingerprint %016" PRIx64 ": no failed connection to "
+                      "endpoint instance %016" PRIx64 " in time",
+                      suspect->fingerprint, suspect->instance);
       TAILQ_REMOVE (&gateway->suspected_crashes, suspect, entries);
       free (suspect);
     }
--- a/packages/gateway/exchange.c
+++ b/packages/gateway/exchange.c
@@ -138,13 +138,13 @@
       exchange->workspace == NULL ? NULL : exchange->workspace->name,
       "%s: route %s, configuration version %" PRIu64 ", request age %" PRIu64
       " ms, %u sends, %u rejections, %u failed connections, retry after "
-      "%" PRIu64 " ms",
+      "%" PRIu64 " ms, fingerprint %016" PRIx64,
       exchange_refusals[reason].reason,
       exchange->route == NULL ? "-" : exchange->route->name,
       exchange->catalog == NULL ? 0 : exchange->catalog->version,
       exchange_age_ms (gateway, exchange), exchange->sends,
       exchange->rejections, exchange->connect_failures,
-      retry_after_us / CA_US_PER_MS);
+      retry_after_us / CA_US_PER_MS, exchange->fingerprint);
   exchange_release_endpoint (gateway, exchange);
   gateway->ports.refuse (gateway->ports.context, exchange, reason,
                          retry_after_us);
@@ -404,10 +404,11 @@
 {
   ca_gateway_log (
       gateway, CA_EVENT_ATTEMPT_FAILED, exchange->id, exchange->endpoint->id,
-      "%s: status %u, %" PRIu64 " ms after the send, last event %" PRIu64,
+      "%s: status %u, %" PRIu64 " ms after the send, last event %" PRIu64
+      ", fingerprint %016" PRIx64,
       reason, exchange->facts.status,
       (gateway->now_us - exchange->sent_us) / CA_US_PER_MS,
-      exchange->last_event);
+      exchange->last_event, exchange->fingerprint);
 }
 
 /* Counts the first run of a request for usage reporting. */
@@ -703,6 +704,7 @@
     }
   if (ca_crash_tracker_is_blocked (gateway, facts->fingerprint))
     {
+      ca_counters_add (&gateway->counters, CA_COUNT_QUARANTINED, 1);
       *wait_us = RETRY_AFTER_QUARANTINE_US;
       return CA_REFUSE_QUARANTINED;
     }
