Tests: a request that ends endpoints is sent on (failing)

A request under which three endpoints had ended goes on to others. Test: a fleet in virtual time. One request comes again every 0.7 s at any entry and ends each endpoint that runs it; other requests go on beside it. Once three have ended and 4 s have passed, it may reach three more.

--- /dev/null
+++ b/tests/gateway/crashing_fleet.c
@@ -0,0 +1,446 @@
+/* Fleet in virtual time in which one request ends every endpoint that runs it.
+ */
+#include "crashing_fleet.h"
+
+#include "cluster.h"
+#include "gateway/gateway.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/queue.h>
+
+#define ENTRIES_MAX 82
+#define ENDPOINTS_MAX 90
+#define ZONES 4
+#define WALL_US UINT64_C (1700000000000000)
+#define STEP_US (5 * CA_US_PER_MS)
+#define RUN_US (45 * CA_US_PER_S)
+#define WARM_US (3 * CA_US_PER_S)
+
+/* Bounds of the users' platform: endpoints that a request may end, further ones
+ * that it may reach, and the time that the entries have in between. */
+#define CRASHES_MAX 3
+#define RETRIES_MAX 3
+#define CONTACT_US (4 * CA_US_PER_S)
+
+#define FIRST_EVENT_US (100 * CA_US_PER_MS)
+#define STREAM_US (800 * CA_US_PER_MS)
+#define CONNECT_US (2 * CA_US_PER_MS)
+#define LIST_LAG_US (800 * CA_US_PER_MS)
+#define CRASHING_PERIOD_US (700 * CA_US_PER_MS)
+#define CRASHING_FINGERPRINT 77
+
+typedef struct run
+{
+  ca_exchange_t *exchange;
+  size_t entry;
+  size_t endpoint;
+  bool refused; /* the connection is */
+  bool streams;
+  uint64_t next_us; /* of its next step */
+  TAILQ_ENTRY (run) entries;
+} run_t;
+
+typedef struct
+{
+  bool up;
+  uint64_t back_us;
+  uint64_t listed_us; /* when its record is to be read; 0 if it was */
+  uint64_t started_ms;
+} endpoint_t;
+
+static struct
+{
+  const crashing_fleet_t *fleet;
+  ca_gateway_t gateways[ENTRIES_MAX];
+  endpoint_t endpoints[ENDPOINTS_MAX];
+  TAILQ_HEAD (, run) runs;
+  uint64_t now_us;
+  uint64_t seed;
+  uint64_t numbers;        /* of requests */
+  uint64_t ended;          /* endpoints, by the crashing request */
+  uint64_t third_ended_us; /* 0 until then */
+  uint64_t reached_late;   /* sends of it after the bound */
+  uint64_t others_blocked;
+} world;
+
+static const char config[]
+    = "{\"version\":1,\"routes\":["
+      "{\"name\":\"e\",\"host\":\"h\",\"prefix\":\"/e/\","
+      "\"route_kind\":\"streaming\",\"timeout_ms\":8000,"
+      "\"target_latency_ms\":1000,\"service\":\"e\",\"max_attempts\":1,"
+      "\"public\":true,\"sticky_sessions\":true}],\"services\":["
+      "{\"name\":\"e\",\"inference_engine\":"
+      "{\"slots\":64,\"kv_cache_tokens\":3000000}}],\"tenants\":[]}";
+
+static double
+uniform (void)
+{
+  world.seed = world.seed * UINT64_C (6364136223846793005)
+               + UINT64_C (1442695040888963407);
+  return (double)(world.seed >> 11) / (double)(UINT64_C (1) << 53);
+}
+
+static size_t
+random_below (size_t count)
+{
+  return (size_t)(uniform () * (double)count);
+}
+
+static void
+on_attempt (void *context, ca_exchange_t *exchange, const ca_attempt_t *attempt)
+{
+  run_t *run = calloc (1, sizeof *run);
+
+  (void)attempt;
+  run->exchange = exchange;
+  run->entry = (size_t)(uintptr_t)context;
+  run->endpoint = (size_t)atoi (exchange->endpoint->id + 1);
+  run->refused = !world.endpoints[run->endpoint].up;
+  run->next_us = world.now_us + (run->refused ? CONNECT_US : FIRST_EVENT_US);
+  TAILQ_INSERT_TAIL (&world.runs, run, entries);
+  if (!run->refused && exchange->fingerprint == CRASHING_FINGERPRINT
+      && world.third_ended_us != 0
+      && world.now_us > world.third_ended_us + CONTACT_US)
+    world.reached_late++;
+}
+
+static void
+run_free (run_t *run)
+{
+  TAILQ_REMOVE (&world.runs, run, entries);
+  free (run);
+}
+
+static void
+on_cancel (void *context, ca_exchange_t *exchange)
+{
+  run_t *run;
+
+  (void)context;
+  TAILQ_FOREACH (run, &world.runs, entries)
+  {
+    if (run->exchange == exchange)
+      {
+        run_free (run);
+        return;
+      }
+  }
+}
+
+static void
+on_exchange (void *context, ca_exchange_t *exchange)
+{
+  (void)context;
+  (void)exchange;
+}
+
+static void
+on_refuse (void *context, ca_exchange_t *exchange, ca_gateway_refusal_t reason,
+           uint64_t retry_after_us)
+{
+  (void)context;
+  (void)retry_after_us;
+  if (reason == CA_REFUSE_QUARANTINED
+      && exchange->fingerprint != CRASHING_FINGERPRINT)
+    world.others_blocked++;
+}
+
+static void
+on_send (void *context, const ca_address_t *to,
+         const Camphor__Envelope *envelope)
+{
+  (void)context;
+  cluster_deliver (&world.gateways[to->port], world.now_us, envelope);
+}
+
+static void
+on_log (void *context, const ca_log_event_t *event)
+{
+  if (getenv ("NOTES") != NULL && event->event >= CA_EVENT_REQUEST_SUSPECT
+      && event->event <= CA_EVENT_CRASHES_CLEARED)
+    print_message (
+        "%.2f s entry %zu %s %s: %s\n", (double)world.now_us / 1e6,
+        (size_t)(uintptr_t)context, ca_event_info (event->event)->name,
+        event->subject == NULL ? "-" : event->subject, event->detail);
+}
+
+static void
+list_endpoint (size_t entry, size_t index)
+{
+  char id[16];
+  char zone[16];
+  ca_endpoint_record_t record
+      = { .id = id,
+          .service = "e",
+          .zone = zone,
+          .address = { 2, (uint16_t)index },
+          .slots = 64,
+          .started_ms = world.endpoints[index].started_ms };
+
+  snprintf (id, sizeof id, "e%zu", index);
+  snprintf (zone, sizeof zone, "z%zu", index % ZONES);
+  ca_gateway_endpoint_listed (&world.gateways[entry], world.now_us, &record);
+}
+
+static void
+entry_start (size_t index)
+{
+  ca_gateway_ports_t ports = { .context = (void *)(uintptr_t)index,
+                               .attempt = on_attempt,
+                               .cancel = on_cancel,
+                               .deliver = on_exchange,
+                               .begin = on_exchange,
+                               .finish = on_exchange,
+                               .abort_stream = on_exchange,
+                               .refuse = on_refuse,
+                               .send_peer = on_send,
+                               .log = on_log };
+  ca_gateway_options_t options;
+  char zone[16];
+
+  snprintf (zone, sizeof zone, "z%zu", index % ZONES);
+  cluster_options (&options, index, zone);
+  options.seed = (uint32_t)index + 1;
+  options.bounds = (ca_bounds_t){ .propagation_ms = 3000,
+                                  .retry_ratio = 0.2,
+                                  .retry_allowance = 204,
+                                  .retry_window_ms = 10000,
+                                  .quota_window_ms = 8000,
+                                  .usage_window_s = 5,
+                                  .usage_delay_s = 10,
+                                  .lease_ms = 3000,
+                                  .grace_ms = 8000 };
+  ca_gateway_init (&world.gateways[index], &options, &ports, world.now_us,
+                   WALL_US + world.now_us + index);
+  cluster_add_peers (&world.gateways[index], world.fleet->entries);
+  cluster_configure (&world.gateways[index], world.now_us, config);
+  ca_gateway_list_begin (&world.gateways[index], world.now_us);
+  for (size_t i = 0; i < world.fleet->endpoints; i++)
+    list_endpoint (index, i);
+  ca_gateway_list_end (&world.gateways[index], world.now_us);
+}
+
+/* Ends an entry; its runs end with their connections. */
+static void
+entry_end (size_t index)
+{
+  run_t *run = TAILQ_FIRST (&world.runs);
+
+  while (run != NULL)
+    {
+      run_t *next = TAILQ_NEXT (run, entries);
+
+      if (run->entry == index)
+        run_free (run);
+      run = next;
+    }
+  ca_gateway_finish (&world.gateways[index]);
+}
+
+static void
+send_request (uint64_t fingerprint)
+{
+  char id[32];
+  ca_request_facts_t facts = { .id = id, .host = "h", .path = "/e/x" };
+
+  world.numbers++;
+  snprintf (id, sizeof id, "r%llu", (unsigned long long)world.numbers);
+  facts.fingerprint
+      = fingerprint == 0 ? CRASHING_FINGERPRINT + world.numbers : fingerprint;
+  facts.prompt.tokens = 200;
+  facts.prompt.output_tokens = 80;
+  ca_gateway_request (&world.gateways[random_below (world.fleet->entries)],
+                      world.now_us, &facts);
+}
+
+/* Ends an endpoint and interrupts what runs there. */
+static void
+endpoint_end (size_t index)
+{
+  endpoint_t *endpoint = &world.endpoints[index];
+  run_t *run = TAILQ_FIRST (&world.runs);
+
+  endpoint->up = false;
+  endpoint->back_us = world.now_us + world.fleet->down_us;
+  while (run != NULL)
+    {
+      run_t *next = TAILQ_NEXT (run, entries);
+
+      if (run->endpoint == index && !run->refused)
+        {
+          ca_exchange_t *exchange = run->exchange;
+          ca_gateway_t *gateway = &world.gateways[run->entry];
+
+          run_free (run);
+          ca_exchange_end (gateway, world.now_us, exchange, CA_END_INTERRUPTED);
+        }
+      run = next;
+    }
+}
+
+static void
+endpoint_crash (size_t index)
+{
+  world.ended++;
+  if (world.ended == CRASHES_MAX)
+    world.third_ended_us = world.now_us;
+  endpoint_end (index);
+}
+
+/* Takes the next step of a run: a refused connection, the first event, the end
+ * of the stream, or the end of the endpoint. */
+static void
+run_step (run_t *run)
+{
+  ca_gateway_t *gateway = &world.gateways[run->entry];
+  ca_exchange_t *exchange = run->exchange;
+  ca_answer_facts_t facts
+      = { .status = 200, .is_signed = true, .is_stream = true };
+
+  if (run->refused)
+    {
+      run_free (run);
+      ca_exchange_end (gateway, world.now_us, exchange, CA_END_UNREACHABLE);
+    }
+  else if (exchange->fingerprint == CRASHING_FINGERPRINT)
+    endpoint_crash (run->endpoint);
+  else if (run->streams)
+    {
+      run_free (run);
+      ca_exchange_end (gateway, world.now_us, exchange, CA_END_COMPLETE);
+    }
+  else
+    {
+      run->streams = true;
+      run->next_us = world.now_us + STREAM_US;
+      ca_exchange_head (gateway, world.now_us, exchange, &facts);
+      ca_exchange_event (gateway, world.now_us, exchange, true, 1);
+    }
+}
+
+static void
+step_runs (void)
+{
+  bool found = true;
+  run_t *run;
+
+  /* A step may end other runs, so the search starts again after each. */
+  while (found)
+    {
+      found = false;
+      TAILQ_FOREACH (run, &world.runs, entries)
+      {
+        if (run->next_us > world.now_us)
+          continue;
+        found = true;
+        run_step (run);
+        break;
+      }
+    }
+}
+
+/* Starts endpoints again, and lists them some time later. */
+static void
+step_endpoints (void)
+{
+  for (size_t i = 0; i < world.fleet->endpoints; i++)
+    {
+      endpoint_t *endpoint = &world.endpoints[i];
+
+      if (!endpoint->up && world.now_us >= endpoint->back_us)
+        {
+          endpoint->up = true;
+          endpoint->started_ms = (WALL_US + world.now_us) / CA_US_PER_MS;
+          endpoint->listed_us = world.now_us + LIST_LAG_US;
+        }
+      if (endpoint->listed_us == 0 || world.now_us < endpoint->listed_us)
+        continue;
+      endpoint->listed_us = 0;
+      for (size_t k = 0; k < world.fleet->entries; k++)
+        list_endpoint (k, i);
+    }
+}
+
+static void
+step_requests (void)
+{
+  double expected = world.fleet->requests_per_s * STEP_US / CA_US_PER_S;
+
+  for (; expected > 0; expected--)
+    {
+      if (uniform () < expected)
+        send_request (0);
+    }
+  if (world.now_us % CRASHING_PERIOD_US < STEP_US)
+    send_request (CRASHING_FINGERPRINT);
+}
+
+static void
+step_restarts (void)
+{
+  uint64_t period_us = world.fleet->restart_period_us;
+  size_t first;
+
+  if (period_us == 0 || world.now_us % period_us >= STEP_US)
+    return;
+  first = world.now_us / period_us * world.fleet->restart_count;
+  for (size_t i = 0; i < world.fleet->restart_count; i++)
+    {
+      entry_end ((first + i) % world.fleet->entries);
+      entry_start ((first + i) % world.fleet->entries);
+    }
+}
+
+static void
+world_run (const crashing_fleet_t *fleet, uint64_t seed)
+{
+  memset (&world, 0, sizeof world);
+  world.fleet = fleet;
+  world.seed = seed;
+  world.now_us = UINT64_C (1000000000);
+  TAILQ_INIT (&world.runs);
+  for (size_t i = 0; i < fleet->endpoints; i++)
+    {
+      world.endpoints[i].up = true;
+      world.endpoints[i].started_ms = WALL_US / CA_US_PER_MS;
+    }
+  for (size_t i = 0; i < fleet->entries; i++)
+    entry_start (i);
+  for (uint64_t start_us = world.now_us; world.now_us < start_us + RUN_US;
+       world.now_us += STEP_US)
+    {
+      step_endpoints ();
+      step_runs ();
+      if (world.now_us % CA_GATEWAY_TICK_US == 0)
+        {
+          for (size_t i = 0; i < fleet->entries; i++)
+            ca_gateway_tick (&world.gateways[i], world.now_us,
+                             WALL_US + world.now_us);
+        }
+      step_restarts ();
+      if (world.now_us >= start_us + WARM_US)
+        step_requests ();
+    }
+  for (size_t i = 0; i < fleet->entries; i++)
+    entry_end (i);
+  print_message ("%zu entries, %zu endpoints, seed %llu: %llu endpoints ended, "
+                 "%llu reached after the bound, %llu others blocked\n",
+                 fleet->entries, fleet->endpoints, (unsigned long long)seed,
+                 (unsigned long long)world.ended,
+                 (unsigned long long)world.reached_late,
+                 (unsigned long long)world.others_blocked);
+}
+
+void
+crashing_fleet_check (const crashing_fleet_t *fleet)
+{
+  for (uint64_t seed = 1; seed <= 3; seed++)
+    {
+      world_run (fleet, seed);
+      assert_true (world.ended >= CRASHES_MAX);
+      assert_true (world.reached_late <= RETRIES_MAX);
+      assert_int_equal (world.others_blocked, 0);
+    }
+}
--- /dev/null
+++ b/tests/gateway/crashing_fleet.h
@@ -0,0 +1,28 @@
+/* Fleet in virtual time in which one request ends every endpoint that runs it.
+ * The request comes again and again, at any entry, among other traffic. */
+#ifndef TESTS_GATEWAY_CRASHING_FLEET_H
+#define TESTS_GATEWAY_CRASHING_FLEET_H
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <cmocka.h>
+
+typedef struct
+{
+  size_t entries;
+  size_t endpoints;
+  double requests_per_s; /* at all entries together */
+  uint64_t down_us;      /* from the end of an endpoint to its next start */
+  uint64_t restart_period_us; /* between restarts of an entry; 0: none */
+  size_t restart_count;       /* entries restarted at a time */
+} crashing_fleet_t;
+
+/* Runs the fleet with several seeds.  Fails if the request reaches more
+ * endpoints than the platform allows once it has ended three of them and the
+ * entries have had time to learn of that, or if another request is blocked. */
+void crashing_fleet_check (const crashing_fleet_t *fleet);
+
+#endif
