Find out by a connection whether an interrupted run's endpoint has ended

Cause: an interrupted run counted as a crash only if a later request of the same entry failed to connect to that endpoint within 1.5 s. At 82 entries and 90 endpoints an entry sends some 7.5 requests a second and avoids an endpoint that has just failed, so most crashes were never counted. Change: 100 ms after an interruption the entry itself opens one connection to the endpoint and closes it; if that fails, the runs interrupted there count. One check covers all runs interrupted there, so its cost goes with the number of ended endpoints, not of requests or entries. A suspected crash holds a reference to its endpoint. The failed check also ejects the endpoint, as a failed connection does.

--- a/packages/gateway/crash_tracker.c
+++ b/packages/gateway/crash_tracker.c
@@ -1,9 +1,10 @@
 /* Detects requests that crash the endpoints that run them.
  *
  * An interrupted run counts as a crash only once the endpoint is also found
- * to be unreachable, since a lost response alone proves nothing.  Entries add
- * up their counts through heartbeats; a request with too many crashes is not
- * sent again. */
+ * to be unreachable, since a lost response alone proves nothing.  The entry
+ * tries a connection for that, as its other requests may go elsewhere.  Entries
+ * add up their counts through heartbeats; a request with too many crashes is
+ * not sent again. */
 #include "gateway/private.h"
 
 #include <inttypes.h>
@@ -20,6 +21,10 @@
  * to have crashed during it. */
 #define CRASH_CONFIRM_US (1500 * CA_US_PER_MS)
 
+/* Delay of the connection that is tried after an interrupted run.  A process
+ * that ends may close its connections before it stops listening. */
+#define CRASH_CHECK_DELAY_US (100 * CA_US_PER_MS)
+
 static ca_crash_record_t *
 crash_tracker_find (const ca_gateway_t *gateway, uint64_t fingerprint)
 {
@@ -63,7 +68,7 @@
 crash_tracker_count (ca_gateway_t *gateway, uint64_t fingerprint,
                      const ca_gateway_endpoint_t *endpoint)
 {
-  uint64_t instance = endpoint->hash ^ endpoint->started_ms;
+  uint64_t instance = ca_gateway_endpoint_instance (endpoint);
   ca_crash_record_t *record = crash_tracker_find (gateway, fingerprint);
 
   if (record == NULL)
@@ -95,14 +100,24 @@
                     fingerprint, record->count);
 }
 
+/* Drops a suspected crash and its reference to the endpoint. */
+static void
+crash_tracker_drop (ca_gateway_t *gateway, ca_suspected_crash_t *suspect)
+{
+  TAILQ_REMOVE (&gateway->suspected_crashes, suspect, entries);
+  ca_gateway_endpoint_release (&gateway->registry, suspect->endpoint);
+  free (suspect);
+}
+
 void
 ca_crash_tracker_suspect (ca_gateway_t *gateway, const ca_exchange_t *exchange)
 {
   ca_suspected_crash_t *suspect = calloc (1, sizeof *suspect);
 
   suspect->fingerprint = exchange->fingerprint;
-  suspect->instance = exchange->endpoint->hash ^ exchange->endpoint->started_ms;
+  suspect->endpoint = exchange->endpoint;
   suspect->at_us = gateway->now_us;
+  ca_gateway_endpoint_acquire (suspect->endpoint);
   TAILQ_INSERT_TAIL (&gateway->suspected_crashes, suspect, entries);
   ca_counters_add (&gateway->counters, CA_COUNT_CRASHES_SUSPECTED, 1);
 }
@@ -111,23 +126,57 @@
 ca_crash_tracker_confirm (ca_gateway_t *gateway,
                           const ca_gateway_endpoint_t *endpoint)
 {
-  uint64_t instance = endpoint->hash ^ endpoint->started_ms;
   ca_suspected_crash_t *suspect = TAILQ_FIRST (&gateway->suspected_crashes);
 
   while (suspect != NULL)
     {
       ca_suspected_crash_t *next = TAILQ_NEXT (suspect, entries);
 
-      if (suspect->instance == instance)
+      if (suspect->endpoint == endpoint)
         {
           crash_tracker_count (gateway, suspect->fingerprint, endpoint);
-          TAILQ_REMOVE (&gateway->suspected_crashes, suspect, entries);
-          free (suspect);
+          crash_tracker_drop (gateway, suspect);
         }
       suspect = next;
     }
 }
 
+/* Tries one connection to the endpoint for all runs interrupted there. */
+static void
+crash_tracker_check (ca_gateway_t *gateway, ca_suspected_crash_t *suspect)
+{
+  ca_gateway_endpoint_t *endpoint = suspect->endpoint;
+
+  for (; suspect != NULL; suspect = TAILQ_NEXT (suspect, entries))
+    {
+      if (suspect->endpoint == endpoint)
+        suspect->checked = true;
+    }
+  ca_counters_add (&gateway->counters, CA_COUNT_PROBES, 1);
+  gateway->ports.check_endpoint (gateway->ports.context, endpoint);
+}
+
+void
+ca_gateway_endpoint_checked (ca_gateway_t *gateway, uint64_t now_us,
+                             uint64_t instance, bool reachable)
+{
+  ca_suspected_crash_t *suspect;
+
+  gateway->now_us = now_us;
+  if (reachable)
+    return;
+  TAILQ_FOREACH (suspect, &gateway->suspected_crashes, entries)
+  {
+    ca_gateway_endpoint_t *endpoint = suspect->endpoint;
+
+    if (ca_gateway_endpoint_instance (endpoint) != instance)
+      continue;
+    ca_gateway_endpoint_failed (endpoint, now_us, true);
+    ca_crash_tracker_confirm (gateway, endpoint);
+    return;
+  }
+}
+
 void
 ca_crash_tracker_clear (ca_gateway_t *gateway, uint64_t fingerprint)
 {
@@ -153,13 +202,20 @@
          && gateway->now_us - suspect->at_us > CRASH_CONFIRM_US)
     {
       ca_counters_add (&gateway->counters, CA_COUNT_CRASHES_UNCONFIRMED, 1);
-      ca_gateway_log (gateway, CA_EVENT_CRASH_UNCONFIRMED, NULL, NULL,
-                      "fingerprint %016" PRIx64 ": no failed connection to "
-                      "endpoint instance %016" PRIx64 " in time",
-                      suspect->fingerprint, suspect->instance);
-      TAILQ_REMOVE (&gateway->suspected_crashes, suspect, entries);
-      free (suspect);
+      ca_gateway_log (gateway, CA_EVENT_CRASH_UNCONFIRMED, NULL,
+                      suspect->endpoint->id,
+                      "fingerprint %016" PRIx64
+                      ": no connection failed within %" PRIu64 " ms",
+                      suspect->fingerprint,
+                      (gateway->now_us - suspect->at_us) / CA_US_PER_MS);
+      crash_tracker_drop (gateway, suspect);
     }
+  TAILQ_FOREACH (suspect, &gateway->suspected_crashes, entries)
+  {
+    if (!suspect->checked
+        && gateway->now_us - suspect->at_us >= CRASH_CHECK_DELAY_US)
+      crash_tracker_check (gateway, suspect);
+  }
   HASH_ITER (hh, gateway->crash_records, record, next)
   {
     if (gateway->now_us - record->latest_us > CRASH_RETENTION_US)
@@ -177,12 +233,7 @@
   ca_crash_record_t *next;
 
   while (!TAILQ_EMPTY (&gateway->suspected_crashes))
-    {
-      ca_suspected_crash_t *suspect = TAILQ_FIRST (&gateway->suspected_crashes);
-
-      TAILQ_REMOVE (&gateway->suspected_crashes, suspect, entries);
-      free (suspect);
-    }
+    crash_tracker_drop (gateway, TAILQ_FIRST (&gateway->suspected_crashes));
   HASH_ITER (hh, gateway->crash_records, record, next)
   {
     HASH_DEL (gateway->crash_records, record);
--- a/packages/gateway/gateway.h
+++ b/packages/gateway/gateway.h
@@ -178,6 +178,9 @@
   void (*attempt) (void *context, ca_exchange_t *exchange,
                    const ca_attempt_t *attempt);
   void (*cancel) (void *context, ca_exchange_t *exchange);
+  /* Opens a connection to the endpoint and closes it again.  The adapter passes
+   * the result to ca_gateway_endpoint_checked. */
+  void (*check_endpoint) (void *context, const ca_gateway_endpoint_t *endpoint);
   void (*deliver) (void *context, ca_exchange_t *exchange);
   void (*begin) (void *context, ca_exchange_t *exchange);
   void (*finish) (void *context, ca_exchange_t *exchange);
@@ -281,8 +284,9 @@
 typedef struct ca_suspected_crash
 {
   uint64_t fingerprint;
-  uint64_t instance; /* hash of the endpoint instance */
+  ca_gateway_endpoint_t *endpoint; /* holds a reference */
   uint64_t at_us;
+  bool checked; /* a connection to the endpoint has been tried */
   TAILQ_ENTRY (ca_suspected_crash) entries;
 } ca_suspected_crash_t;
 
@@ -403,6 +407,11 @@
 bool ca_exchange_event (ca_gateway_t *gateway, uint64_t now_us,
                         ca_exchange_t *exchange, bool has_id, uint64_t id);
 
+/* Handles the result of the port `check_endpoint`.  `instance` is the one that
+ * ca_gateway_endpoint_instance gave for the endpoint when it was called. */
+void ca_gateway_endpoint_checked (ca_gateway_t *gateway, uint64_t now_us,
+                                  uint64_t instance, bool reachable);
+
 /* Handles the end of the attempt. */
 void ca_exchange_end (ca_gateway_t *gateway, uint64_t now_us,
                       ca_exchange_t *exchange, ca_attempt_end_t end);
--- a/packages/gateway/peers.c
+++ b/packages/gateway/peers.c
@@ -352,7 +352,7 @@
       if (endpoint->state == CA_GATEWAY_ENDPOINT_DRAINING
           && heartbeat->n_left_lives < HEARTBEAT_MAX_DRAINING)
         buffer->draining[heartbeat->n_left_lives++]
-            = endpoint->hash ^ endpoint->started_ms;
+            = ca_gateway_endpoint_instance (endpoint);
       if (endpoint->own_load.open == 0
           || heartbeat->n_loads == HEARTBEAT_MAX_LOADS)
         continue;
@@ -666,7 +666,7 @@
            endpoint = endpoint->hh.next)
         {
           if (endpoint->state != CA_GATEWAY_ENDPOINT_READY
-              || (endpoint->hash ^ endpoint->started_ms)
+              || ca_gateway_endpoint_instance (endpoint)
                      != heartbeat->left_lives[i])
             continue;
           endpoint->state = CA_GATEWAY_ENDPOINT_DRAINING;
--- a/packages/gateway/registry.c
+++ b/packages/gateway/registry.c
@@ -183,6 +183,12 @@
   return endpoint->state == CA_GATEWAY_ENDPOINT_READY;
 }
 
+uint64_t
+ca_gateway_endpoint_instance (const ca_gateway_endpoint_t *endpoint)
+{
+  return endpoint->hash ^ endpoint->started_ms;
+}
+
 void
 ca_gateway_endpoint_acquire (ca_gateway_endpoint_t *endpoint)
 {
--- a/packages/gateway/registry.h
+++ b/packages/gateway/registry.h
@@ -68,7 +68,7 @@
   /* Prompt parts that this entry has sent there. */
   TAILQ_HEAD (ca_affinity_parts, ca_affinity_part) parts;
   uint64_t part_tokens;
-  uint32_t references; /* exchanges that refer to it */
+  uint32_t references;
   struct ca_gateway_endpoint *next_retired;
   UT_hash_handle hh;
 } ca_gateway_endpoint_t;
@@ -103,7 +103,11 @@
 /* True if the endpoint accepts new requests. */
 bool ca_gateway_endpoint_is_open (const ca_gateway_endpoint_t *endpoint);
 
-/* Count the exchanges that refer to the endpoint. */
+/* Hash of the id and the start of the endpoint's process; differs from those of
+ * earlier and later processes under the same id. */
+uint64_t ca_gateway_endpoint_instance (const ca_gateway_endpoint_t *endpoint);
+
+/* Count the references to the endpoint. */
 void ca_gateway_endpoint_acquire (ca_gateway_endpoint_t *endpoint);
 void ca_gateway_endpoint_release (ca_registry_t *registry,
                                   ca_gateway_endpoint_t *endpoint);
--- a/tests/gateway/crashing_fleet.c
+++ b/tests/gateway/crashing_fleet.c
@@ -18,6 +18,8 @@
 #define RUN_US (45 * CA_US_PER_S)
 #define WARM_US (3 * CA_US_PER_S)
 
+#define CHECKS_MAX 1024
+
 /* Bounds of the users' platform: endpoints that a request may end, further ones
  * that it may reach, and the time that the entries have in between. */
 #define CRASHES_MAX 3
@@ -42,6 +44,15 @@
   TAILQ_ENTRY (run) entries;
 } run_t;
 
+/* A connection that tests whether an endpoint can be reached. */
+typedef struct
+{
+  size_t entry;
+  size_t endpoint;
+  uint64_t instance;
+  uint64_t ends_us;
+} check_t;
+
 typedef struct
 {
   bool up;
@@ -56,8 +67,11 @@
   ca_gateway_t gateways[ENTRIES_MAX];
   endpoint_t endpoints[ENDPOINTS_MAX];
   TAILQ_HEAD (, run) runs;
+  check_t checks[CHECKS_MAX];
+  size_t check_count;
   uint64_t now_us;
   uint64_t seed;
+  size_t next_restart;     /* entry */
   uint64_t numbers;        /* of requests */
   uint64_t ended;          /* endpoints, by the crashing request */
   uint64_t third_ended_us; /* 0 until then */
@@ -129,6 +143,18 @@
   }
 }
 
+static void
+on_check (void *context, const ca_gateway_endpoint_t *endpoint)
+{
+  check_t *check = &world.checks[world.check_count++];
+
+  assert_true (world.check_count < CHECKS_MAX);
+  check->entry = (size_t)(uintptr_t)context;
+  check->endpoint = (size_t)atoi (endpoint->id + 1);
+  check->instance = ca_gateway_endpoint_instance (endpoint);
+  check->ends_us = world.now_us + CONNECT_US;
+}
+
 static void
 on_exchange (void *context, ca_exchange_t *exchange)
 {
@@ -190,6 +216,7 @@
   ca_gateway_ports_t ports = { .context = (void *)(uintptr_t)index,
                                .attempt = on_attempt,
                                .cancel = on_cancel,
+                               .check_endpoint = on_check,
                                .deliver = on_exchange,
                                .begin = on_exchange,
                                .finish = on_exchange,
@@ -222,10 +249,36 @@
   ca_gateway_list_end (&world.gateways[index], world.now_us);
 }
 
+static void
+step_checks (void)
+{
+  for (size_t i = 0; i < world.check_count;)
+    {
+      check_t check = world.checks[i];
+
+      if (world.now_us < check.ends_us)
+        {
+          i++;
+          continue;
+        }
+      world.checks[i] = world.checks[--world.check_count];
+      ca_gateway_endpoint_checked (&world.gateways[check.entry], world.now_us,
+                                   check.instance,
+                                   world.endpoints[check.endpoint].up);
+    }
+}
+
 /* Ends an entry; its runs end with their connections. */
 static void
 entry_end (size_t index)
 {
+  for (size_t i = 0; i < world.check_count;)
+    {
+      if (world.checks[i].entry == index)
+        world.checks[i] = world.checks[--world.check_count];
+      else
+        i++;
+    }
   run_t *run = TAILQ_FIRST (&world.runs);
 
   while (run != NULL)
@@ -381,15 +434,15 @@
 step_restarts (void)
 {
   uint64_t period_us = world.fleet->restart_period_us;
-  size_t first;
 
   if (period_us == 0 || world.now_us % period_us >= STEP_US)
     return;
-  first = world.now_us / period_us * world.fleet->restart_count;
   for (size_t i = 0; i < world.fleet->restart_count; i++)
     {
-      entry_end ((first + i) % world.fleet->entries);
-      entry_start ((first + i) % world.fleet->entries);
+      entry_end (world.next_restart);
+      entry_start (world.next_restart);
+      if (++world.next_restart == world.fleet->entries)
+        world.next_restart = 0;
     }
 }
 
@@ -413,6 +466,7 @@
     {
       step_endpoints ();
       step_runs ();
+      step_checks ();
       if (world.now_us % CA_GATEWAY_TICK_US == 0)
         {
           for (size_t i = 0; i < fleet->entries; i++)
--- a/tests/gateway/script.c
+++ b/tests/gateway/script.c
@@ -15,6 +15,7 @@
  *   event ID [N]                 a complete event, with its id
  *   end ID complete|unreachable|interrupted|malformed
  *   disconnect ID                the caller closes its connection
+ *   checked ENDPOINT reachable|unreachable   result of a connection check
  *   peer NAME version=N age=MS [strikes=FP:N] [left=ID]   a peer's heartbeat
  *   stop                         SIGTERM
  *   ready                        prints the readiness
@@ -92,6 +93,12 @@
   printf ("%" PRIu64 " cancel %s\n", script_ms (context), exchange->id);
 }
 
+static void
+script_check_endpoint (void *context, const ca_gateway_endpoint_t *endpoint)
+{
+  printf ("%" PRIu64 " check %s\n", script_ms (context), endpoint->id);
+}
+
 static void
 script_end_request (script_t *script, const char *what,
                     const ca_exchange_t *exchange)
@@ -182,6 +189,7 @@
 static const ca_gateway_ports_t script_ports = {
   .attempt = script_attempt,
   .cancel = script_cancel,
+  .check_endpoint = script_check_endpoint,
   .deliver = script_deliver,
   .begin = script_begin,
   .finish = script_finish,
@@ -420,6 +428,17 @@
   script_request (script, words[1])->exchange = NULL;
 }
 
+static void
+script_checked (script_t *script, char **words)
+{
+  const ca_gateway_endpoint_t *endpoint
+      = ca_registry_find (&script->gateway.registry, words[1]);
+
+  ca_gateway_endpoint_checked (&script->gateway, script->now_us,
+                               ca_gateway_endpoint_instance (endpoint),
+                               strcmp (words[2], "reachable") == 0);
+}
+
 static void
 script_peer (script_t *script, char **words)
 {
@@ -500,6 +519,7 @@
   { "event", 2, script_event },
   { "end", 3, script_end },
   { "disconnect", 2, script_disconnect },
+  { "checked", 3, script_checked },
   { "peer", 2, script_peer },
   { "stop", 1, script_stop },
   { "ready", 1, script_ready },
