Merge the crashes that all entries have seen instead of adding up their counts

Cause: each entry kept its own count in memory, and a peer added up the counts in the latest heartbeats. The count went with the entry that had seen the crashes: at its restart the peers' sum fell again. Two entries that ran copies at one endpoint counted it twice. The class of fault: knowledge that all entries rely on, held by one of them. Change: a record is a set of crashed instances with their times. Heartbeats carry the set, and every entry merges what it receives into its own. Records with two crashes or more are passed on by all who know them, others by who saw the crash: after a change, and again when a peer starts or returns. A completed run is part of the record and removes the crashes before it, at all entries. The older field (count) is still sent and read, so that builds can be mixed. A completed run without a record costs nothing. Ruled out: keeping a former incarnation's count at each peer (each peer would then hold another sum).

--- a/packages/base/counters.c
+++ b/packages/base/counters.c
@@ -30,7 +30,7 @@
   "quarantined",
   "probes",
   "crashes_suspected",
-  "crashes_counted",
+  "crashes_confirmed",
   "crashes_unconfirmed",
 };
 
--- a/packages/gateway/crash_tracker.c
+++ b/packages/gateway/crash_tracker.c
@@ -2,21 +2,26 @@
  *
  * An interrupted run counts as a crash only once the endpoint is also found
  * to be unreachable, since a lost response alone proves nothing.  The entry
- * tries a connection for that, as its other requests may go elsewhere.  Entries
- * add up their counts through heartbeats; a request with too many crashes is
- * not sent again. */
+ * tries a connection for that, as its other requests may go elsewhere.
+ *
+ * All entries hold the same set of crashes by fingerprint, merged from
+ * heartbeats, so that none is lost with the entry that saw it and none counts
+ * twice.  A completed run refutes the crashes before it: a request that merely
+ * ran where endpoints crashed for another reason completes elsewhere. */
 #include "gateway/private.h"
 
 #include <inttypes.h>
 #include <stdlib.h>
-
-/* Crashed endpoints before a fingerprint is blocked. */
-#define CRASHES_MAX 3
+#include <xxhash.h>
 
 /* Crash records expire after this, which is longer than callers keep
  * repeating a crashing request. */
 #define CRASH_RETENTION_US (120 * CA_US_PER_S)
 
+/* Maximum number of records; beyond it, the oldest with one crash is dropped.
+ */
+#define CRASH_RECORDS_MAX 4096
+
 /* An endpoint found unreachable this soon after an interrupted run is taken
  * to have crashed during it. */
 #define CRASH_CONFIRM_US (1500 * CA_US_PER_MS)
@@ -25,6 +30,11 @@
  * that ends may close its connections before it stops listening. */
 #define CRASH_CHECK_DELAY_US (100 * CA_US_PER_MS)
 
+/* Records are reported for this long after a change, and for this many
+ * heartbeats at least; those with several crashes for as long as they exist. */
+#define CRASH_REPORT_US (5 * CA_US_PER_S)
+#define CRASH_REPORT_HEARTBEATS 3
+
 static ca_crash_record_t *
 crash_tracker_find (const ca_gateway_t *gateway, uint64_t fingerprint)
 {
@@ -35,69 +45,146 @@
   return record;
 }
 
-/* Crashes reported in the latest heartbeats of all peers. */
-static uint32_t
-crash_tracker_peer_count (const ca_gateway_t *gateway, uint64_t fingerprint)
+bool
+ca_crash_tracker_is_blocked (const ca_gateway_t *gateway, uint64_t fingerprint)
 {
-  const ca_peer_t *peer;
-  uint32_t count = 0;
+  const ca_crash_record_t *record = crash_tracker_find (gateway, fingerprint);
 
-  for (peer = gateway->peers; peer != NULL; peer = peer->hh.next)
-    {
-      for (size_t i = 0;
-           peer->heartbeat != NULL && i < peer->heartbeat->n_strikes; i++)
-        {
-          if (peer->heartbeat->strikes[i]->fingerprint == fingerprint)
-            count += peer->heartbeat->strikes[i]->count;
-        }
-    }
-  return count;
+  return record != NULL && record->count >= CA_CRASHES_MAX;
 }
 
-bool
-ca_crash_tracker_is_blocked (const ca_gateway_t *gateway, uint64_t fingerprint)
+static void
+crash_tracker_remove (ca_gateway_t *gateway, ca_crash_record_t *record)
 {
-  const ca_crash_record_t *record = crash_tracker_find (gateway, fingerprint);
-  uint32_t own = record == NULL ? 0 : record->count;
+  HASH_DEL (gateway->crash_records, record);
+  free (record);
+}
+
+static void
+crash_tracker_limit (ca_gateway_t *gateway)
+{
+  ca_crash_record_t *record = gateway->crash_records;
+
+  if (HASH_COUNT (gateway->crash_records) < CRASH_RECORDS_MAX)
+    return;
+  while (record->count > 1 && record->hh.next != NULL)
+    record = record->hh.next;
+  crash_tracker_remove (gateway, record);
+}
 
-  return own + crash_tracker_peer_count (gateway, fingerprint) >= CRASHES_MAX;
+/* Returns the record of a fingerprint, created on first use. */
+static ca_crash_record_t *
+crash_tracker_record (ca_gateway_t *gateway, uint64_t fingerprint)
+{
+  ca_crash_record_t *record = crash_tracker_find (gateway, fingerprint);
+
+  if (record != NULL)
+    return record;
+  crash_tracker_limit (gateway);
+  record = calloc (1, sizeof *record);
+  record->fingerprint = fingerprint;
+  HASH_ADD (hh, gateway->crash_records, fingerprint, sizeof record->fingerprint,
+            record);
+  return record;
 }
 
-/* Counts a crash of an endpoint instance, once per fingerprint. */
+/* True if a completed run refutes a crash at this time. */
+static bool
+crash_tracker_is_refuted (const ca_crash_record_t *record, uint64_t at_us)
+{
+  return record->completed_us != 0 && at_us <= record->completed_us;
+}
+
+/* Applies the time of a completed run and removes the crashes that it refutes.
+ */
 static void
-crash_tracker_count (ca_gateway_t *gateway, uint64_t fingerprint,
-                     const ca_gateway_endpoint_t *endpoint)
+crash_tracker_clear (ca_gateway_t *gateway, ca_crash_record_t *record,
+                     uint64_t completed_us)
+{
+  uint32_t kept = 0;
+
+  if (completed_us <= record->completed_us)
+    return;
+  record->completed_us = completed_us;
+  record->changed_us = gateway->now_us;
+  if (completed_us > record->latest_us)
+    record->latest_us = completed_us;
+  for (uint32_t i = 0; i < record->count; i++)
+    {
+      if (!crash_tracker_is_refuted (record, record->crashes[i].at_us))
+        record->crashes[kept++] = record->crashes[i];
+    }
+  if (kept < record->count)
+    ca_gateway_log (gateway, CA_EVENT_CRASHES_CLEARED, NULL, NULL,
+                    "fingerprint %016" PRIx64 ": %u endpoints of %u",
+                    record->fingerprint, record->count - kept, record->count);
+  record->count = kept;
+  if (record->own_count > kept)
+    record->own_count = kept;
+}
+
+void
+ca_crash_tracker_completed (ca_gateway_t *gateway, uint64_t fingerprint)
 {
-  uint64_t instance = ca_gateway_endpoint_instance (endpoint);
   ca_crash_record_t *record = crash_tracker_find (gateway, fingerprint);
 
-  if (record == NULL)
+  if (record != NULL)
+    crash_tracker_clear (gateway, record, gateway->now_us);
+}
+
+/* Adds a crash unless it is known, or a run has completed since.  True if it is
+ * new. */
+static bool
+crash_tracker_add (ca_gateway_t *gateway, ca_crash_record_t *record,
+                   uint64_t instance, uint64_t at_us)
+{
+  if (crash_tracker_is_refuted (record, at_us))
     {
-      record = calloc (1, sizeof *record);
-      record->fingerprint = fingerprint;
-      HASH_ADD (hh, gateway->crash_records, fingerprint,
-                sizeof record->fingerprint, record);
+      /* The reporter does not know of the completed run. */
+      record->changed_us = gateway->now_us;
+      return false;
     }
-  record->latest_us = gateway->now_us;
-  for (uint32_t i = 0; i < record->count && i < CRASHES_MAX; i++)
+  for (uint32_t i = 0; i < record->count; i++)
     {
-      if (record->instances[i] == instance)
-        return;
+      if (record->crashes[i].instance != instance)
+        continue;
+      if (at_us < record->crashes[i].at_us)
+        record->crashes[i].at_us = at_us;
+      return false;
     }
-  if (record->count < CRASHES_MAX)
-    record->instances[record->count] = instance;
-  record->count++;
-  ca_counters_add (&gateway->counters, CA_COUNT_CRASHES_COUNTED, 1);
-  ca_gateway_log (gateway, CA_EVENT_CRASH_COUNTED, NULL, endpoint->id,
-                  "fingerprint %016" PRIx64
-                  ": %u endpoints seen by this entry, %u reported by peers",
-                  fingerprint, record->count,
-                  crash_tracker_peer_count (gateway, fingerprint));
-  if (record->count == CRASHES_MAX)
+  if (record->count == CA_CRASHES_MAX)
+    return false;
+  record->crashes[record->count++]
+      = (ca_endpoint_crash_t){ .instance = instance, .at_us = at_us };
+  if (at_us > record->latest_us)
+    record->latest_us = at_us;
+  if (record->count == CA_CRASHES_MAX)
     ca_gateway_log (gateway, CA_EVENT_REQUEST_QUARANTINED, NULL, NULL,
                     "fingerprint %016" PRIx64
-                    " blocked after it crashed %u endpoints",
-                    fingerprint, record->count);
+                    " blocked after it crashed %u endpoints, %u of them seen "
+                    "by this entry",
+                    record->fingerprint, record->count, record->own_count);
+  return true;
+}
+
+/* Counts a crash of an endpoint that this entry has seen. */
+static void
+crash_tracker_count (ca_gateway_t *gateway, const ca_suspected_crash_t *suspect)
+{
+  ca_crash_record_t *record
+      = crash_tracker_record (gateway, suspect->fingerprint);
+
+  ca_counters_add (&gateway->counters, CA_COUNT_CRASHES_CONFIRMED, 1);
+  if (!crash_tracker_add (gateway, record,
+                          ca_gateway_endpoint_instance (suspect->endpoint),
+                          suspect->at_us))
+    return;
+  record->own_count++;
+  record->changed_us = gateway->now_us;
+  ca_gateway_log (gateway, CA_EVENT_CRASH_COUNTED, NULL, suspect->endpoint->id,
+                  "fingerprint %016" PRIx64
+                  ": %u endpoints, %u of them seen by this entry",
+                  suspect->fingerprint, record->count, record->own_count);
 }
 
 /* Drops a suspected crash and its reference to the endpoint. */
@@ -134,7 +221,7 @@
 
       if (suspect->endpoint == endpoint)
         {
-          crash_tracker_count (gateway, suspect->fingerprint, endpoint);
+          crash_tracker_count (gateway, suspect);
           crash_tracker_drop (gateway, suspect);
         }
       suspect = next;
@@ -177,18 +264,130 @@
   }
 }
 
+static bool
+crash_tracker_is_reported (const ca_gateway_t *gateway,
+                           const ca_crash_record_t *record)
+{
+  uint64_t span_us = CRASH_REPORT_HEARTBEATS * gateway->heartbeat_period_us;
+
+  if (span_us < CRASH_REPORT_US)
+    span_us = CRASH_REPORT_US;
+  return record->count > 1
+         || (record->changed_us != 0
+             && gateway->now_us - record->changed_us < span_us);
+}
+
+static uint32_t
+crash_tracker_age_ms (const ca_gateway_t *gateway, uint64_t at_us)
+{
+  return (uint32_t)((gateway->now_us - at_us) / CA_US_PER_MS);
+}
+
+/* The local time of what a peer reports with this age.  The local clock starts
+ * with the machine and may be younger; 0 stands for no time. */
+static uint64_t
+crash_tracker_time_us (const ca_gateway_t *gateway, uint32_t age_ms)
+{
+  uint64_t age_us = age_ms * CA_US_PER_MS;
+
+  return gateway->now_us > age_us ? gateway->now_us - age_us : 1;
+}
+
+static void
+crash_tracker_fill_row (const ca_gateway_t *gateway,
+                        const ca_crash_record_t *record, ca_crash_row_t *row)
+{
+  camphor__strike__init (&row->row);
+  row->row.fingerprint = record->fingerprint;
+  row->row.count = record->own_count;
+  row->row.instances = row->instances;
+  row->row.n_instances = record->count;
+  row->row.ages_ms = row->ages_ms;
+  row->row.n_ages_ms = record->count;
+  for (uint32_t i = 0; i < record->count; i++)
+    {
+      row->instances[i] = record->crashes[i].instance;
+      row->ages_ms[i]
+          = crash_tracker_age_ms (gateway, record->crashes[i].at_us);
+    }
+  row->row.completed = record->completed_us != 0;
+  if (row->row.completed)
+    row->row.completed_age_ms
+        = crash_tracker_age_ms (gateway, record->completed_us);
+}
+
+size_t
+ca_crash_tracker_report (const ca_gateway_t *gateway, ca_crash_row_t *rows,
+                         size_t max)
+{
+  const ca_crash_record_t *record;
+  size_t single = 0;
+  size_t count = 0;
+
+  for (record = gateway->crash_records; record != NULL && count < max;
+       record = record->hh.next)
+    {
+      if (record->count > 1)
+        crash_tracker_fill_row (gateway, record, &rows[count++]);
+      else if (crash_tracker_is_reported (gateway, record))
+        single++;
+    }
+  /* Of the others, the latest if there is not room for all. */
+  for (record = gateway->crash_records; record != NULL && count < max;
+       record = record->hh.next)
+    {
+      if (record->count > 1 || !crash_tracker_is_reported (gateway, record))
+        continue;
+      if (single-- <= max - count)
+        crash_tracker_fill_row (gateway, record, &rows[count++]);
+    }
+  return count;
+}
+
 void
-ca_crash_tracker_clear (ca_gateway_t *gateway, uint64_t fingerprint)
+ca_crash_tracker_report_again (ca_gateway_t *gateway)
 {
-  ca_crash_record_t *record = crash_tracker_find (gateway, fingerprint);
+  ca_crash_record_t *record;
 
-  if (record == NULL)
-    return;
-  ca_gateway_log (gateway, CA_EVENT_CRASHES_CLEARED, NULL, NULL,
-                  "fingerprint %016" PRIx64 ": %u endpoints", fingerprint,
-                  record->count);
-  HASH_DEL (gateway->crash_records, record);
-  free (record);
+  for (record = gateway->crash_records; record != NULL;
+       record = record->hh.next)
+    {
+      if (record->own_count > 0)
+        record->changed_us = gateway->now_us;
+    }
+}
+
+/* Merges a row of an older version, which has a count but no instances. */
+static void
+crash_tracker_merge_count (ca_gateway_t *gateway, uint64_t peer,
+                           ca_crash_record_t *record, uint32_t count)
+{
+  for (uint32_t i = 0; i < count && i < CA_CRASHES_MAX; i++)
+    crash_tracker_add (gateway, record,
+                       XXH3_64bits_withSeed (&peer, sizeof peer, i),
+                       gateway->now_us);
+}
+
+void
+ca_crash_tracker_merge (ca_gateway_t *gateway, uint64_t peer,
+                        const Camphor__Pulse *heartbeat)
+{
+  for (size_t i = 0; i < heartbeat->n_strikes; i++)
+    {
+      const Camphor__Strike *row = heartbeat->strikes[i];
+      ca_crash_record_t *record
+          = crash_tracker_record (gateway, row->fingerprint);
+
+      if (row->completed)
+        crash_tracker_clear (
+            gateway, record,
+            crash_tracker_time_us (gateway, row->completed_age_ms));
+      for (size_t k = 0; k < row->n_instances && k < row->n_ages_ms; k++)
+        crash_tracker_add (gateway, record, row->instances[k],
+                           crash_tracker_time_us (gateway, row->ages_ms[k]));
+      if (row->n_instances == 0 && !row->completed)
+        crash_tracker_merge_count (gateway, peer, record, row->count);
+    }
 }
 
 void
@@ -219,10 +418,7 @@
   HASH_ITER (hh, gateway->crash_records, record, next)
   {
     if (gateway->now_us - record->latest_us > CRASH_RETENTION_US)
-      {
-        HASH_DEL (gateway->crash_records, record);
-        free (record);
-      }
+      crash_tracker_remove (gateway, record);
   }
 }
 
@@ -235,8 +431,5 @@
   while (!TAILQ_EMPTY (&gateway->suspected_crashes))
     crash_tracker_drop (gateway, TAILQ_FIRST (&gateway->suspected_crashes));
   HASH_ITER (hh, gateway->crash_records, record, next)
-  {
-    HASH_DEL (gateway->crash_records, record);
-    free (record);
-  }
+  crash_tracker_remove (gateway, record);
 }
--- a/packages/gateway/exchange.c
+++ b/packages/gateway/exchange.c
@@ -492,7 +492,7 @@
   exchange->sends++;
   exchange->runs++;
   exchange_begin_run (gateway, exchange, exchange->sent_us);
-  ca_crash_tracker_clear (gateway, exchange->fingerprint);
+  ca_crash_tracker_completed (gateway, exchange->fingerprint);
   if (!failed)
     ca_gateway_endpoint_succeeded (exchange->endpoint,
                                    gateway->now_us - exchange->sent_us);
@@ -577,7 +577,7 @@
   exchange->sends++;
   exchange->runs++;
   exchange_begin_run (gateway, exchange, exchange->sent_us);
-  ca_crash_tracker_clear (gateway, exchange->fingerprint);
+  ca_crash_tracker_completed (gateway, exchange->fingerprint);
   exchange_record_response (gateway, exchange);
   exchange_release_endpoint (gateway, exchange);
   if (!exchange->head_sent)
--- a/packages/gateway/gateway.h
+++ b/packages/gateway/gateway.h
@@ -270,13 +270,27 @@
   UT_hash_handle hh;
 } ca_peer_t;
 
-/* Request that was open at endpoints when they crashed. */
+/* Crashed endpoints before a request is blocked. */
+#define CA_CRASHES_MAX 3
+
+/* Crash of an endpoint instance while it ran a request. */
+typedef struct
+{
+  uint64_t instance;
+  uint64_t at_us;
+} ca_endpoint_crash_t;
+
+/* Crashes under requests with one fingerprint since the last completed run, as
+ * far as known from this entry and its peers. */
 typedef struct ca_crash_record
 {
   uint64_t fingerprint;
+  ca_endpoint_crash_t crashes[CA_CRASHES_MAX];
   uint32_t count;
-  uint64_t instances[4]; /* hashes of the crashed instances */
-  uint64_t latest_us;
+  uint32_t own_count;    /* of them, seen by this entry */
+  uint64_t completed_us; /* latest completed run; 0 if none is known */
+  uint64_t latest_us;    /* latest crash or completed run */
+  uint64_t changed_us;   /* is to be reported to peers since then */
   UT_hash_handle hh;
 } ca_crash_record_t;
 
--- a/packages/gateway/peers.c
+++ b/packages/gateway/peers.c
@@ -46,7 +46,7 @@
   Camphor__UsageCount *usage_rows[HEARTBEAT_MAX_USAGE_ROWS];
   Camphor__ServiceWork work[HEARTBEAT_MAX_SERVICES];
   Camphor__ServiceWork *work_rows[HEARTBEAT_MAX_SERVICES];
-  Camphor__Strike strikes[HEARTBEAT_MAX_CRASH_RECORDS];
+  ca_crash_row_t crash_rows[HEARTBEAT_MAX_CRASH_RECORDS];
   Camphor__Strike *strike_rows[HEARTBEAT_MAX_CRASH_RECORDS];
   uint64_t draining[HEARTBEAT_MAX_DRAINING];
 } peer_heartbeat_buffer_t;
@@ -448,22 +448,13 @@
 peer_fill_crash_records (const ca_gateway_t *gateway,
                          peer_heartbeat_buffer_t *buffer)
 {
-  const ca_crash_record_t *crash_record;
   Camphor__Pulse *heartbeat = &buffer->heartbeat;
 
   heartbeat->strikes = buffer->strike_rows;
-  for (crash_record = gateway->crash_records;
-       crash_record != NULL
-       && heartbeat->n_strikes < HEARTBEAT_MAX_CRASH_RECORDS;
-       crash_record = crash_record->hh.next)
-    {
-      Camphor__Strike *row = &buffer->strikes[heartbeat->n_strikes];
-
-      buffer->strike_rows[heartbeat->n_strikes++] = row;
-      camphor__strike__init (row);
-      row->fingerprint = crash_record->fingerprint;
-      row->count = crash_record->count;
-    }
+  heartbeat->n_strikes = ca_crash_tracker_report (gateway, buffer->crash_rows,
+                                                  HEARTBEAT_MAX_CRASH_RECORDS);
+  for (size_t i = 0; i < heartbeat->n_strikes; i++)
+    buffer->strike_rows[i] = &buffer->crash_rows[i].row;
 }
 
 /* Builds the heartbeat that is the same for all peers. */
@@ -690,6 +681,10 @@
   if (peer->received_us == 0)
     ca_gateway_log (gateway, CA_EVENT_MEMBER_JOINED, NULL, heartbeat->name,
                     "zone %s", heartbeat->zone);
+  if (!peer_is_live (gateway, peer)
+      || peer->incarnation != envelope->incarnation)
+    ca_crash_tracker_report_again (gateway);
+  ca_crash_tracker_merge (gateway, envelope->from, heartbeat);
   peer_count_loads (gateway, peer, false);
   /* What a peer admitted before its first heartbeat here may be old, so it is
    * not subtracted. */
--- a/packages/gateway/private.h
+++ b/packages/gateway/private.h
@@ -106,8 +106,28 @@
 void ca_crash_tracker_suspect (ca_gateway_t *gateway,
                                const ca_exchange_t *exchange);
 
-/* Drops the crashes counted against a fingerprint. */
-void ca_crash_tracker_clear (ca_gateway_t *gateway, uint64_t fingerprint);
+/* Records a completed run: it clears the earlier crashes of its fingerprint. */
+void ca_crash_tracker_completed (ca_gateway_t *gateway, uint64_t fingerprint);
+
+/* Row of a heartbeat with the storage of its arrays. */
+typedef struct
+{
+  Camphor__Strike row;
+  uint64_t instances[CA_CRASHES_MAX];
+  uint32_t ages_ms[CA_CRASHES_MAX];
+} ca_crash_row_t;
+
+/* Fills in the records to be reported to peers, `max` at most; returns their
+ * number. */
+size_t ca_crash_tracker_report (const ca_gateway_t *gateway,
+                                ca_crash_row_t *rows, size_t max);
+
+/* Merges the records in a peer's heartbeat. */
+void ca_crash_tracker_merge (ca_gateway_t *gateway, uint64_t peer,
+                             const Camphor__Pulse *heartbeat);
+
+/* Reports this entry's own crashes again, since a peer may have missed them. */
+void ca_crash_tracker_report_again (ca_gateway_t *gateway);
 
 /* Counts the interrupted runs at an endpoint as crashes, since it cannot be
  * reached. */
--- a/packages/wire/peer.pb-c.c
+++ b/packages/wire/peer.pb-c.c
@@ -3292,7 +3292,7 @@
   (ProtobufCMessageInit) camphor__service_work__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor camphor__strike__field_descriptors[2] =
+static const ProtobufCFieldDescriptor camphor__strike__field_descriptors[6] =
 {
   {
     "fingerprint",
@@ -3318,15 +3318,67 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "instances",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Camphor__Strike, n_instances),
+    offsetof(Camphor__Strike, instances),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ages_ms",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Camphor__Strike, n_ages_ms),
+    offsetof(Camphor__Strike, ages_ms),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "completed",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Camphor__Strike, completed),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "completed_age_ms",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Camphor__Strike, completed_age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned camphor__strike__field_indices_by_name[] = {
+  3,   /* field[3] = ages_ms */
+  4,   /* field[4] = completed */
+  5,   /* field[5] = completed_age_ms */
   1,   /* field[1] = count */
   0,   /* field[0] = fingerprint */
+  2,   /* field[2] = instances */
 };
 static const ProtobufCIntRange camphor__strike__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor camphor__strike__descriptor =
 {
@@ -3336,7 +3388,7 @@
   "Camphor__Strike",
   "camphor",
   sizeof(Camphor__Strike),
-  2,
+  6,
   camphor__strike__field_descriptors,
   camphor__strike__field_indices_by_name,
   1,  camphor__strike__number_ranges,
--- a/packages/wire/peer.pb-c.h
+++ b/packages/wire/peer.pb-c.h
@@ -72,7 +72,7 @@
 
 
 /*
- * An endpoint life (address and boot number) that gets no new work.
+ * An endpoint instance (address and boot number) that gets no new requests.
  */
 struct  Camphor__EndpointUpdate
 {
@@ -102,7 +102,7 @@
 
 
 /*
- * `join` asks for every member that the receiver knows.
+ * `join` requests all rows of the receiver's membership table.
  */
 struct  Camphor__Ping
 {
@@ -138,7 +138,7 @@
 
 
 /*
- * A front's wish for a slot at an endpoint of a shard.
+ * A coordinator's request for a slot at an endpoint of a shard.
  */
 struct  Camphor__Ask
 {
@@ -216,7 +216,7 @@
 
 
 /*
- * Every grant a front still holds at endpoints of the receiver's shards.
+ * All grants that a coordinator holds at endpoints of the receiver's shards.
  */
 struct  Camphor__Holds
 {
@@ -254,7 +254,8 @@
 
 
 /*
- * Every intent newer than `after`; whoever holds `after` reaches `revision`.
+ * All intents newer than `after`: they bring an entry that has revision `after`
+ * to `revision`.
  */
 struct  Camphor__ConfigDelta
 {
@@ -270,7 +271,8 @@
 
 
 /*
- * The whole state of a running request, from a leaving front to a peer.
+ * The complete state of a running request, from a stopping coordinator to a
+ * peer.
  */
 struct  Camphor__HandOver
 {
@@ -332,7 +334,7 @@
 
 
 /*
- * What a workspace's callers ask of one entry, for the shares of its quota.
+ * Demand of a workspace at one entry, used to divide the workspace's quota.
  */
 struct  Camphor__WorkspaceDemand
 {
@@ -340,7 +342,7 @@
   char *workspace;
   double asked_per_s;
   /*
-   * in all, since the entry's start
+   * total since the entry's start
    */
   double admitted;
 };
@@ -350,7 +352,7 @@
 
 
 /*
- * What one entry has open at one endpoint.
+ * Requests that one entry has open at one endpoint.
  */
 struct  Camphor__SeatLoad
 {
@@ -366,7 +368,7 @@
 
 
 /*
- * Requests of a workspace that began to run in a window, through one entry.
+ * Number of a workspace's requests that one entry started in a window.
  */
 struct  Camphor__UsageCount
 {
@@ -381,14 +383,14 @@
 
 
 /*
- * Work that reaches one entry for a service in its zone.
+ * Load that one entry receives for a service in its zone.
  */
 struct  Camphor__ServiceWork
 {
   ProtobufCMessage base;
   char *service;
   /*
-   * endpoints' worth of time that it takes
+   * load as a number of fully busy endpoints
    */
   double busy_share;
   double held_tokens;
@@ -400,21 +402,39 @@
 
 
 /*
- * A request that was open at endpoints when they ended.
+ * A request that was open at endpoints when they crashed.
  */
 struct  Camphor__Strike
 {
   ProtobufCMessage base;
   uint64_t fingerprint;
+  /*
+   * crashes seen by the sender itself
+   */
   uint32_t count;
+  /*
+   * endpoint instances that crashed, any entry
+   */
+  size_t n_instances;
+  uint64_t *instances;
+  /*
+   * since these crashes, in the same order
+   */
+  size_t n_ages_ms;
+  uint32_t *ages_ms;
+  /*
+   * a run has completed, somewhere
+   */
+  protobuf_c_boolean completed;
+  uint32_t completed_age_ms;
 };
 #define CAMPHOR__STRIKE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&camphor__strike__descriptor) \
-    , 0, 0 }
+    , 0, 0, 0,NULL, 0,NULL, 0, 0 }
 
 
 /*
- * State of one entry, sent to each other entry again and again.
+ * Heartbeat: the state of one entry, sent to every peer periodically.
  */
 struct  Camphor__Pulse
 {
@@ -428,17 +448,17 @@
    */
   uint64_t stamp_us;
   /*
-   * latest stamp that the sender had from the receiver
+   * latest stamp received from the receiver
    */
   uint64_t echo_us;
   /*
-   * the sender's time of day
+   * the sender's wall clock
    */
   uint64_t wall_ms;
   protobuf_c_boolean config_known;
   uint64_t config_version;
   /*
-   * since it was proved to be the newest
+   * since it was validated as the newest
    */
   uint64_t config_age_us;
   protobuf_c_boolean leaving;
@@ -453,17 +473,17 @@
   size_t n_strikes;
   Camphor__Strike **strikes;
   /*
-   * endpoints that are leaving
+   * endpoint instances that are leaving
    */
   size_t n_left_lives;
   uint64_t *left_lives;
   protobuf_c_boolean reads_store;
   /*
-   * holds the lease on duties
+   * holds the leader lease
    */
   protobuf_c_boolean leads;
   /*
-   * what was told of usage before still stands
+   * the usage reported before is still valid
    */
   protobuf_c_boolean omits_usage;
 };
@@ -473,8 +493,8 @@
 
 
 /*
- * Asks how new the receiver's configuration is proved to be; the answer's
- * word is no older than the stamp that it echoes.
+ * Requests the version of the receiver's configuration and the time since it
+ * was validated.  The state in the reply is not older than the echoed stamp.
  */
 struct  Camphor__ProofWant
 {
@@ -499,7 +519,7 @@
 
 
 /*
- * A row of a table that is followed, as the store has it.
+ * A row of a watched table, as stored.
  */
 struct  Camphor__TableRow
 {
@@ -508,7 +528,7 @@
   ProtobufCBinaryData value;
   protobuf_c_boolean deleted;
   /*
-   * the store gave no value that can be decoded
+   * the stored value cannot be decoded
    */
   protobuf_c_boolean unreadable;
 };
@@ -518,14 +538,14 @@
 
 
 /*
- * What the sender knows of a table that the store keeps: `rows` are all its
- * changes after version `after`, up to `until`.
+ * Update of a table of the store: `rows` are all changes after version `after`
+ * up to `until`.
  */
 struct  Camphor__TableWord
 {
   ProtobufCMessage base;
   /*
-   * number of the followed table
+   * number of the watched table
    */
   uint32_t table;
   uint64_t after;
@@ -535,7 +555,7 @@
    */
   uint64_t stamp_us;
   /*
-   * since the store last answered that there is no more
+   * since the store last reported no further changes
    */
   uint64_t age_us;
   size_t n_rows;
