A recently completed run refutes crashes, so that a wave blocks no sound request

Cause: a wave ends several endpoints that run copies of the same request. Each is counted as a crash under it, and the completed runs around that moment were not remembered, as there was no record yet. Change: an entry remembers its latest completed runs by fingerprint (1,024 slots, 16 KB) and applies them to crashes that it hears of later; a completed run refutes crashes up to 10 s after it. A request that ends every endpoint never completes.

--- a/packages/gateway/crash_tracker.c
+++ b/packages/gateway/crash_tracker.c
@@ -6,8 +6,9 @@
  *
  * All entries hold the same set of crashes by fingerprint, merged from
  * heartbeats, so that none is lost with the entry that saw it and none counts
- * twice.  A completed run refutes the crashes before it: a request that merely
- * ran where endpoints crashed for another reason completes elsewhere. */
+ * twice.  A completed run refutes the crashes before it and shortly after it: a
+ * request that merely ran where endpoints crashed for another reason completes
+ * elsewhere. */
 #include "gateway/private.h"
 
 #include <inttypes.h>
@@ -30,6 +31,10 @@
  * that ends may close its connections before it stops listening. */
 #define CRASH_CHECK_DELAY_US (100 * CA_US_PER_MS)
 
+/* A completed run refutes crashes up to this long after it.  A wave of crashes
+ * may end all runs of a frequent request at once. */
+#define CRASH_REFUTED_US (10 * CA_US_PER_S)
+
 /* Records are reported for this long after a change, and for this many
  * heartbeats at least; those with several crashes for as long as they exist. */
 #define CRASH_REPORT_US (5 * CA_US_PER_S)
@@ -92,7 +97,8 @@
 static bool
 crash_tracker_is_refuted (const ca_crash_record_t *record, uint64_t at_us)
 {
-  return record->completed_us != 0 && at_us <= record->completed_us;
+  return record->completed_us != 0
+         && at_us <= record->completed_us + CRASH_REFUTED_US;
 }
 
 /* Applies the time of a completed run and removes the crashes that it refutes.
@@ -123,11 +129,20 @@
     record->own_count = kept;
 }
 
+static ca_completed_run_t *
+crash_tracker_completed_run (ca_gateway_t *gateway, uint64_t fingerprint)
+{
+  return &gateway->completed_runs[fingerprint % CA_COMPLETED_RUNS];
+}
+
 void
 ca_crash_tracker_completed (ca_gateway_t *gateway, uint64_t fingerprint)
 {
   ca_crash_record_t *record = crash_tracker_find (gateway, fingerprint);
+  ca_completed_run_t *run = crash_tracker_completed_run (gateway, fingerprint);
 
+  run->fingerprint = fingerprint;
+  run->at_us = gateway->now_us;
   if (record != NULL)
     crash_tracker_clear (gateway, record, gateway->now_us);
 }
@@ -138,6 +153,11 @@
 crash_tracker_add (ca_gateway_t *gateway, ca_crash_record_t *record,
                    uint64_t instance, uint64_t at_us)
 {
+  const ca_completed_run_t *run
+      = crash_tracker_completed_run (gateway, record->fingerprint);
+
+  if (run->fingerprint == record->fingerprint)
+    crash_tracker_clear (gateway, record, run->at_us);
   if (crash_tracker_is_refuted (record, at_us))
     {
       /* The reporter does not know of the completed run. */
--- a/packages/gateway/gateway.h
+++ b/packages/gateway/gateway.h
@@ -294,6 +294,15 @@
   UT_hash_handle hh;
 } ca_crash_record_t;
 
+/* Latest completed runs by fingerprint, one per slot. */
+#define CA_COMPLETED_RUNS 1024
+
+typedef struct
+{
+  uint64_t fingerprint;
+  uint64_t at_us;
+} ca_completed_run_t;
+
 /* Interrupted run whose endpoint may have crashed. */
 typedef struct ca_suspected_crash
 {
@@ -331,6 +340,7 @@
   ca_service_stats_t *services;
   ca_quota_t *quotas;
   ca_crash_record_t *crash_records;
+  ca_completed_run_t completed_runs[CA_COMPLETED_RUNS];
   TAILQ_HEAD (, ca_suspected_crash) suspected_crashes;
   bool stopping;
   uint64_t stop_us; /* start of the stop */
--- a/tests/gateway/crashing_fleet.c
+++ b/tests/gateway/crashing_fleet.c
@@ -32,6 +32,8 @@
 #define LIST_LAG_US (800 * CA_US_PER_MS)
 #define CRASHING_PERIOD_US (700 * CA_US_PER_MS)
 #define CRASHING_FINGERPRINT 77
+#define HOT_FINGERPRINT 78
+#define FIRST_FINGERPRINT 1000
 
 typedef struct run
 {
@@ -300,8 +302,7 @@
 
   world.numbers++;
   snprintf (id, sizeof id, "r%llu", (unsigned long long)world.numbers);
-  facts.fingerprint
-      = fingerprint == 0 ? CRASHING_FINGERPRINT + world.numbers : fingerprint;
+  facts.fingerprint = fingerprint;
   facts.prompt.tokens = 200;
   facts.prompt.output_tokens = 80;
   ca_gateway_request (&world.gateways[random_below (world.fleet->entries)],
@@ -423,13 +424,32 @@
 
   for (; expected > 0; expected--)
     {
-      if (uniform () < expected)
-        send_request (0);
+      if (uniform () >= expected)
+        continue;
+      if (uniform () < world.fleet->hot_share)
+        send_request (HOT_FINGERPRINT);
+      else
+        send_request (FIRST_FINGERPRINT + world.numbers);
     }
-  if (world.now_us % CRASHING_PERIOD_US < STEP_US)
+  if (!world.fleet->sound && world.now_us % CRASHING_PERIOD_US < STEP_US)
     send_request (CRASHING_FINGERPRINT);
 }
 
+/* Ends some endpoints at once, for another reason than a request. */
+static void
+step_waves (void)
+{
+  uint64_t period_us = world.fleet->wave_period_us;
+
+  if (period_us == 0 || world.now_us % period_us >= STEP_US)
+    return;
+  for (size_t i = 0; i < world.fleet->endpoints; i++)
+    {
+      if (world.endpoints[i].up && uniform () < world.fleet->wave_share)
+        endpoint_end (i);
+    }
+}
+
 static void
 step_restarts (void)
 {
@@ -474,6 +494,7 @@
                              WALL_US + world.now_us);
         }
       step_restarts ();
+      step_waves ();
       if (world.now_us >= start_us + WARM_US)
         step_requests ();
     }
@@ -493,7 +514,7 @@
   for (uint64_t seed = 1; seed <= 3; seed++)
     {
       world_run (fleet, seed);
-      assert_true (world.ended >= CRASHES_MAX);
+      assert_true (fleet->sound || world.ended >= CRASHES_MAX);
       assert_true (world.reached_late <= RETRIES_MAX);
       assert_int_equal (world.others_blocked, 0);
     }
--- a/tests/gateway/crashing_fleet.h
+++ b/tests/gateway/crashing_fleet.h
@@ -5,6 +5,7 @@
 
 #include <setjmp.h>
 #include <stdarg.h>
+#include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
 
@@ -15,9 +16,13 @@
   size_t entries;
   size_t endpoints;
   double requests_per_s; /* at all entries together */
+  double hot_share;      /* of the requests: the same one, which is sound */
   uint64_t down_us;      /* from the end of an endpoint to its next start */
-  uint64_t restart_period_us; /* between restarts of an entry; 0: none */
+  uint64_t restart_period_us; /* between restarts of entries; 0: none */
   size_t restart_count;       /* entries restarted at a time */
+  uint64_t wave_period_us;    /* between waves of crashes; 0: none */
+  double wave_share;          /* of the endpoints, which end at once */
+  bool sound;                 /* no request ends endpoints */
 } crashing_fleet_t;
 
 /* Runs the fleet with several seeds.  Fails if the request reaches more
