An endpoint's server error does not refute crashes

A request that had crashed endpoints went on to further ones once some endpoint had answered a copy of it with a 500. Cause: any signed answer dropped the crashes counted against the fingerprint. An endpoint that fails part of its requests answers 500 without running them. Change: only an answer below 500 is a completed run. Tests: scripts/crashes-and-errors. Before: q3 was sent to a2 at 400 ms after three crashes; now it is refused as quarantined. The second part shows that a completed run still refutes. The other gateway scripts pass.

--- a/packages/gateway/exchange.c
+++ b/packages/gateway/exchange.c
@@ -492,10 +492,12 @@
   exchange->sends++;
   exchange->runs++;
   exchange_begin_run (gateway, exchange, exchange->sent_us);
-  ca_crash_tracker_completed (gateway, exchange->fingerprint);
   if (!failed)
-    ca_gateway_endpoint_succeeded (exchange->endpoint,
-                                   gateway->now_us - exchange->sent_us);
+    {
+      ca_crash_tracker_completed (gateway, exchange->fingerprint);
+      ca_gateway_endpoint_succeeded (exchange->endpoint,
+                                     gateway->now_us - exchange->sent_us);
+    }
   else
     ca_gateway_endpoint_failed (exchange->endpoint, gateway->now_us, false);
   if (failed && exchange_is_repeatable (exchange)
