Recognise copies of a request by its workspace, not by its key

A request that had crashed three endpoints went on to a fourth when it came with another key of the same workspace, as it does after a change of keys. Cause: the fingerprint covered the key. Evidence: regress/test_crashing_request, real processes, first run on: 'entry 1 let the request through with another key'; its parts before that (three entries that see one crash each, then all refuse) passed. Change: the adapter hashes method, target and body; the gateway adds the workspace. What a route that is split among services picks by stays as it was. The endpoint stand-in can end on a path. Gateway tests pass; quarantine's peer now reports for workspace w1, whose key the script uses.

--- a/packages/gateway/exchange.c
+++ b/packages/gateway/exchange.c
@@ -9,6 +9,7 @@
 #include <inttypes.h>
 #include <stdlib.h>
 #include <string.h>
+#include <xxhash.h>
 
 /* Requests with a key are refused this long before the revocation bound, to
  * cover the transfer and the run of the last request admitted. */
@@ -51,6 +52,9 @@
 #define RETRY_AFTER_MAX_US (2 * CA_US_PER_S)
 #define RETRY_AFTER_QUARANTINE_US (30 * CA_US_PER_S)
 
+/* Entries of all versions must pick the same service for a request. */
+#define SPLIT_KEY_SEED 2
+
 /* Request priority sent to engines: a route's own priority is added to this,
  * up to the maximum. */
 #define PRIORITY_BASE 3
@@ -666,6 +670,25 @@
          > gateway->options.bounds.grace_ms * CA_US_PER_MS;
 }
 
+uint64_t
+ca_request_fingerprint (uint64_t content, const char *workspace)
+{
+  if (workspace == NULL)
+    return content;
+  return content ^ XXH3_64bits (workspace, strlen (workspace));
+}
+
+/* Hash by which a route that is split among services picks one. */
+static uint64_t
+exchange_split_hash (const ca_request_facts_t *facts)
+{
+  if (facts->key == NULL)
+    return facts->fingerprint;
+  return facts->fingerprint
+         ^ XXH3_64bits_withSeed (facts->key, strlen (facts->key),
+                                 SPLIT_KEY_SEED);
+}
+
 /* Checks whether the request is admitted.  Returns CA_REFUSE_COUNT if it is,
  * otherwise the reason for refusal; sets `wait_us` to the Retry-After time. */
 static ca_gateway_refusal_t
@@ -691,7 +714,7 @@
       return CA_REFUSE_STOPPING;
     }
   exchange->service = &exchange->catalog->services[ca_route_pick_service (
-      exchange->route, facts->fingerprint)];
+      exchange->route, exchange_split_hash (facts))];
   if (!exchange->route->is_public && exchange->catalog->workspace_count > 0)
     {
       if (bounds->strict_revocation
@@ -704,7 +727,10 @@
       if (exchange->workspace == NULL)
         return may_be_outdated ? CA_REFUSE_STALE : CA_REFUSE_NO_KEY;
     }
-  if (ca_crash_tracker_is_blocked (gateway, facts->fingerprint))
+  if (exchange->workspace != NULL)
+    exchange->fingerprint = ca_request_fingerprint (facts->fingerprint,
+                                                    exchange->workspace->name);
+  if (ca_crash_tracker_is_blocked (gateway, exchange->fingerprint))
     {
       ca_counters_add (&gateway->counters, CA_COUNT_QUARANTINED, 1);
       *wait_us = RETRY_AFTER_QUARANTINE_US;
--- a/packages/gateway/gateway.h
+++ b/packages/gateway/gateway.h
@@ -84,8 +84,8 @@
 /* A request from its arrival to its final response. */
 typedef struct ca_exchange
 {
-  char id[64]; /* chosen by the caller */
-  uint64_t fingerprint;
+  char id[64];           /* chosen by the caller */
+  uint64_t fingerprint;  /* of the content and the workspace */
   ca_catalog_t *catalog; /* that admitted it; holds a reference */
   const ca_route_t *route;
   const ca_service_t *service;
@@ -124,9 +124,9 @@
   const char *id;
   const char *host;
   const char *path;
-  const char *key; /* NULL if none */
-  uint64_t fingerprint;
-  uint32_t wait_ms; /* longest wait of the caller; 0 if not given */
+  const char *key;      /* NULL if none */
+  uint64_t fingerprint; /* of the content, without the caller */
+  uint32_t wait_ms;     /* longest wait of the caller; 0 if not given */
   bool has_cost;
   ca_prompt_t prompt;
   void *adapter_data;
@@ -414,6 +414,10 @@
                     const struct ca_watch *watch, uint64_t after,
                     Camphor__TableRow **rows, size_t count);
 
+/* Fingerprint of a request, by which its copies are recognised: of its content
+ * and of its workspace, NULL if it has none.  A workspace's keys may change. */
+uint64_t ca_request_fingerprint (uint64_t content, const char *workspace);
+
 /* Admits a request.  The gateway owns the exchange and frees it after the
  * port call that ends it.  Returns NULL if it has ended already. */
 ca_exchange_t *ca_gateway_request (ca_gateway_t *gateway, uint64_t now_us,
--- a/tests/gateway/script.c
+++ b/tests/gateway/script.c
@@ -16,7 +16,8 @@
  *   end ID complete|unreachable|interrupted|malformed
  *   disconnect ID                the caller closes its connection
  *   checked ENDPOINT reachable|unreachable   result of a connection check
- *   peer NAME version=N age=MS [strikes=FP:N] [left=ID]   a peer's heartbeat
+ *   peer NAME version=N age=MS [strikes=FP:N] [left=ID]   a peer's heartbeat;
+ *           the crashes are under requests of workspace w1
  *   stop                         SIGTERM
  *   ready                        prints the readiness
  * The response head stays in effect until the next head of that request. */
@@ -466,7 +467,8 @@
     }
   if (reported != NULL)
     {
-      strike.fingerprint = strtoull (reported, &end, 10);
+      strike.fingerprint
+          = ca_request_fingerprint (strtoull (reported, &end, 10), "w1");
       strike.count = (uint32_t)strtoul (end + 1, NULL, 10);
       heartbeat.strikes = strikes;
       heartbeat.n_strikes = 1;
--- a/tests/site/lib.sh
+++ b/tests/site/lib.sh
@@ -60,7 +60,7 @@
   local port=$((BASE + 10 + $1))
   start "endpoint$1" "$BUILD/tests/site/site-replica" --id "i-$1" --service "$2" \
     --zone "$3" --port "$port" --store "$BASE" --runs "$RUNS" \
-    --listed "${4:-$port}"
+    --listed "${4:-$port}" --ends-on "${ENDS_ON:-}"
 }
 
 # First port of entry NUMBER; the others follow it.
--- a/tests/site/replica.c
+++ b/tests/site/replica.c
@@ -1,14 +1,15 @@
 /* Stand-in for one endpoint of the platform.
  *
  *   site-replica --id ID --service S --zone Z --port N --store N --runs FILE
- *                [--listed N]
+ *                [--listed N] [--ends-on TEXT]
  *
  * Registers itself in the store (with port --listed instead of --port, for a
  * proxy in front of it), responds as the users' pages specify, and appends a
  * line to FILE for each run that starts: "run ID REQUEST PATH WORKSPACE KEY".
- * On SIGTERM it reports draining, serves for another second, and exits.  POST
- * /control takes {"fault": NAME, "next": N} for the next N requests: reject,
- * error, reset, cut, lost, encoded, unsigned. */
+ * A run whose path contains TEXT ends the process at its start.  On SIGTERM it
+ * reports draining, serves for another second, and exits.  POST /control takes
+ * {"fault": NAME, "next": N} for the next N requests: reject, error, reset,
+ * cut, lost, encoded, unsigned. */
 #include "tests/site/site.h"
 
 #include <fcntl.h>
@@ -31,6 +32,7 @@
   const char *id;
   const char *service;
   const char *zone;
+  const char *ends_on;
   uint16_t listed_port;
   uint16_t store;
   int runs_fd;
@@ -264,6 +266,9 @@
   event_add (run->timer, &wait);
   request->user_data = run;
   log_run (request);
+  if (replica.ends_on[0] != '\0'
+      && strstr (request->head->target, replica.ends_on) != NULL)
+    _exit (1);
 }
 
 /* Refuses a request as not executed. */
@@ -359,6 +364,7 @@
   replica.id = site_argument (argc, argv, "id", "e");
   replica.service = site_argument (argc, argv, "service", "s");
   replica.zone = site_argument (argc, argv, "zone", "z1");
+  replica.ends_on = site_argument (argc, argv, "ends-on", "");
   replica.listed_port = (uint16_t)strtoul (
       site_argument (argc, argv, "listed", port), NULL, 10);
   replica.store
