Count each process of an endpoint that a request crashes, also before it is listed

What callers saw: a request that ends endpoints ended more than three, since crashes at one address counted once (seen in a failed run of regress/test_crashing_request). Cause: an endpoint that restarts serves again before its record with the new start is read, up to a heartbeat and the list's delay later. Crashes were told apart by the listed instance alone. Evidence: that run's logs: entry 1 counts i-5 at 465.105 s; i-5 is started again and ends under entry 3 at 465.353 s, which still lists its former start (the new one is read at 465.566 s) and leaves no crash_counted line. Change: a run that was sent after the known crash of its instance ran in a later process, whose hash follows from the former one's, so that all entries get the same. Tests: scripts/crashes-at-restarted-endpoint. Before: q4 was sent after three crashes; now it is refused. Three copies in one process still count once. The crash tests pass.

--- a/packages/gateway/crash_tracker.c
+++ b/packages/gateway/crash_tracker.c
@@ -147,14 +147,26 @@
     crash_tracker_clear (gateway, record, gateway->now_us);
 }
 
+static ca_endpoint_crash_t *
+crash_tracker_find_crash (ca_crash_record_t *record, uint64_t process)
+{
+  for (uint32_t i = 0; i < record->count; i++)
+    {
+      if (record->crashes[i].process == process)
+        return &record->crashes[i];
+    }
+  return NULL;
+}
+
 /* Adds a crash unless it is known, or a run has completed since.  True if it is
  * new. */
 static bool
 crash_tracker_add (ca_gateway_t *gateway, ca_crash_record_t *record,
-                   uint64_t instance, uint64_t at_us)
+                   uint64_t process, uint64_t at_us)
 {
   const ca_completed_run_t *run
       = crash_tracker_completed_run (gateway, record->fingerprint);
+  ca_endpoint_crash_t *crash;
 
   if (run->fingerprint == record->fingerprint)
     crash_tracker_clear (gateway, record, run->at_us);
@@ -164,18 +176,17 @@
       record->changed_us = gateway->now_us;
       return false;
     }
-  for (uint32_t i = 0; i < record->count; i++)
+  crash = crash_tracker_find_crash (record, process);
+  if (crash != NULL)
     {
-      if (record->crashes[i].instance != instance)
-        continue;
-      if (at_us < record->crashes[i].at_us)
-        record->crashes[i].at_us = at_us;
+      if (at_us < crash->at_us)
+        crash->at_us = at_us;
       return false;
     }
   if (record->count == CA_CRASHES_MAX)
     return false;
   record->crashes[record->count++]
-      = (ca_endpoint_crash_t){ .instance = instance, .at_us = at_us };
+      = (ca_endpoint_crash_t){ .process = process, .at_us = at_us };
   if (at_us > record->latest_us)
     record->latest_us = at_us;
   if (record->count == CA_CRASHES_MAX)
@@ -187,6 +198,23 @@
   return true;
 }
 
+/* Hash of the process that a run was sent to.  It is that of the instance, or
+ * a later one if the instance had crashed before: an endpoint may serve again
+ * before its new start is listed.  All entries that know of the earlier crash
+ * get the same hash. */
+static uint64_t
+crash_tracker_process (ca_crash_record_t *record,
+                       const ca_suspected_crash_t *suspect)
+{
+  uint64_t process = ca_gateway_endpoint_instance (suspect->endpoint);
+  const ca_endpoint_crash_t *crash;
+
+  while ((crash = crash_tracker_find_crash (record, process)) != NULL
+         && crash->at_us < suspect->sent_us)
+    process = XXH3_64bits (&process, sizeof process);
+  return process;
+}
+
 /* Counts a crash of an endpoint that this entry has seen. */
 static void
 crash_tracker_count (ca_gateway_t *gateway, const ca_suspected_crash_t *suspect)
@@ -196,7 +224,7 @@
 
   ca_counters_add (&gateway->counters, CA_COUNT_CRASHES_CONFIRMED, 1);
   if (!crash_tracker_add (gateway, record,
-                          ca_gateway_endpoint_instance (suspect->endpoint),
+                          crash_tracker_process (record, suspect),
                           suspect->at_us))
     return;
   record->own_count++;
@@ -223,6 +251,7 @@
 
   suspect->fingerprint = exchange->fingerprint;
   suspect->endpoint = exchange->endpoint;
+  suspect->sent_us = exchange->sent_us;
   suspect->at_us = gateway->now_us;
   ca_gateway_endpoint_acquire (suspect->endpoint);
   TAILQ_INSERT_TAIL (&gateway->suspected_crashes, suspect, entries);
@@ -326,7 +355,7 @@
   row->row.n_ages_ms = record->count;
   for (uint32_t i = 0; i < record->count; i++)
     {
-      row->instances[i] = record->crashes[i].instance;
+      row->instances[i] = record->crashes[i].process;
       row->ages_ms[i]
           = crash_tracker_age_ms (gateway, record->crashes[i].at_us);
     }
--- a/packages/gateway/gateway.h
+++ b/packages/gateway/gateway.h
@@ -273,10 +273,10 @@
 /* Crashed endpoints before a request is blocked. */
 #define CA_CRASHES_MAX 3
 
-/* Crash of an endpoint instance while it ran a request. */
+/* Crash of an endpoint process while it ran a request. */
 typedef struct
 {
-  uint64_t instance;
+  uint64_t process; /* see crash_tracker_process */
   uint64_t at_us;
 } ca_endpoint_crash_t;
 
@@ -308,7 +308,8 @@
 {
   uint64_t fingerprint;
   ca_gateway_endpoint_t *endpoint; /* holds a reference */
-  uint64_t at_us;
+  uint64_t sent_us;                /* start of the run */
+  uint64_t at_us;                  /* its interruption */
   bool checked; /* a connection to the endpoint has been tried */
   TAILQ_ENTRY (ca_suspected_crash) entries;
 } ca_suspected_crash_t;
--- a/packages/wire/peer.pb-c.h
+++ b/packages/wire/peer.pb-c.h
@@ -413,7 +413,7 @@
    */
   uint32_t count;
   /*
-   * endpoint instances that crashed, any entry
+   * endpoint processes that crashed, any entry
    */
   size_t n_instances;
   uint64_t *instances;
