A new start listed for an endpoint also shows that it has crashed

A request that ends endpoints which are started again at once is never blocked. Cause: the connection that is tried 100 ms after the interruption reaches the new process, so the crash counts as unconfirmed. Change: when an endpoint is listed with another start, runs that were interrupted there within the last 5 s count; a suspected crash is kept for that long. Tests: scripts/crashes-of-quick-restarts. Before: q4 was sent after three crashes, each followed by a reachable check and a new start; now it is refused, and an interruption whose endpoint goes on unchanged still does not count. The gateway scripts pass.

--- a/packages/gateway/crash_tracker.c
+++ b/packages/gateway/crash_tracker.c
@@ -1,8 +1,9 @@
 /* Detects requests that crash the endpoints that run them.
  *
  * An interrupted run counts as a crash only once the endpoint is also found
- * to be unreachable, since a lost response alone proves nothing.  The entry
- * tries a connection for that, as its other requests may go elsewhere.
+ * to be unreachable, or listed with a new start, since a lost response alone
+ * proves nothing.  The entry tries a connection for that, as its other requests
+ * may go elsewhere.
  *
  * All entries hold the same set of crashes by fingerprint, merged from
  * heartbeats, so that none is lost with the entry that saw it and none counts
@@ -27,6 +28,10 @@
  * to have crashed during it. */
 #define CRASH_CONFIRM_US (1500 * CA_US_PER_MS)
 
+/* The same for an endpoint that is listed with a new start: it may be back
+ * before the connection is tried.  Its record takes a moment to arrive. */
+#define CRASH_LISTED_US (5 * CA_US_PER_S)
+
 /* Delay of the connection that is tried after an interrupted run.  A process
  * that ends may close its connections before it stops listening. */
 #define CRASH_CHECK_DELAY_US (100 * CA_US_PER_MS)
@@ -192,9 +197,8 @@
   if (record->count == CA_CRASHES_MAX)
     ca_gateway_log (gateway, CA_EVENT_REQUEST_QUARANTINED, NULL, NULL,
                     "fingerprint %016" PRIx64
-                    " blocked after it crashed %u endpoints, %u of them seen "
-                    "by this entry",
-                    record->fingerprint, record->count, record->own_count);
+                    " blocked after it crashed %u endpoints",
+                    record->fingerprint, record->count);
   return true;
 }
 
@@ -258,9 +262,10 @@
   ca_counters_add (&gateway->counters, CA_COUNT_CRASHES_SUSPECTED, 1);
 }
 
-void
-ca_crash_tracker_confirm (ca_gateway_t *gateway,
-                          const ca_gateway_endpoint_t *endpoint)
+/* Counts the runs interrupted at an endpoint within the last `span_us`. */
+static void
+crash_tracker_confirm (ca_gateway_t *gateway,
+                       const ca_gateway_endpoint_t *endpoint, uint64_t span_us)
 {
   ca_suspected_crash_t *suspect = TAILQ_FIRST (&gateway->suspected_crashes);
 
@@ -268,7 +273,8 @@
     {
       ca_suspected_crash_t *next = TAILQ_NEXT (suspect, entries);
 
-      if (suspect->endpoint == endpoint)
+      if (suspect->endpoint == endpoint
+          && gateway->now_us - suspect->at_us <= span_us)
         {
           crash_tracker_count (gateway, suspect);
           crash_tracker_drop (gateway, suspect);
@@ -277,6 +283,20 @@
     }
 }
 
+void
+ca_crash_tracker_unreachable (ca_gateway_t *gateway,
+                              const ca_gateway_endpoint_t *endpoint)
+{
+  crash_tracker_confirm (gateway, endpoint, CRASH_CONFIRM_US);
+}
+
+void
+ca_crash_tracker_replaced (ca_gateway_t *gateway,
+                           const ca_gateway_endpoint_t *endpoint)
+{
+  crash_tracker_confirm (gateway, endpoint, CRASH_LISTED_US);
+}
+
 /* Tries one connection to the endpoint for all runs interrupted there. */
 static void
 crash_tracker_check (ca_gateway_t *gateway, ca_suspected_crash_t *suspect)
@@ -308,7 +328,7 @@
     if (ca_gateway_endpoint_instance (endpoint) != instance)
       continue;
     ca_gateway_endpoint_failed (endpoint, now_us, true);
-    ca_crash_tracker_confirm (gateway, endpoint);
+    ca_crash_tracker_unreachable (gateway, endpoint);
     return;
   }
 }
@@ -447,15 +467,15 @@
   ca_crash_record_t *next;
 
   while ((suspect = TAILQ_FIRST (&gateway->suspected_crashes)) != NULL
-         && gateway->now_us - suspect->at_us > CRASH_CONFIRM_US)
+         && gateway->now_us - suspect->at_us > CRASH_LISTED_US)
     {
       ca_counters_add (&gateway->counters, CA_COUNT_CRASHES_UNCONFIRMED, 1);
-      ca_gateway_log (gateway, CA_EVENT_CRASH_UNCONFIRMED, NULL,
-                      suspect->endpoint->id,
-                      "fingerprint %016" PRIx64
-                      ": no connection failed within %" PRIu64 " ms",
-                      suspect->fingerprint,
-                      (gateway->now_us - suspect->at_us) / CA_US_PER_MS);
+      ca_gateway_log (
+          gateway, CA_EVENT_CRASH_UNCONFIRMED, NULL, suspect->endpoint->id,
+          "fingerprint %016" PRIx64
+          ": reachable, and no new start listed within %" PRIu64 " ms",
+          suspect->fingerprint,
+          (gateway->now_us - suspect->at_us) / CA_US_PER_MS);
       crash_tracker_drop (gateway, suspect);
     }
   TAILQ_FOREACH (suspect, &gateway->suspected_crashes, entries)
--- a/packages/gateway/exchange.c
+++ b/packages/gateway/exchange.c
@@ -602,7 +602,7 @@
       exchange_log_failure (gateway, exchange, "unreachable");
       exchange->connect_failures++;
       ca_gateway_endpoint_failed (exchange->endpoint, now_us, true);
-      ca_crash_tracker_confirm (gateway, exchange->endpoint);
+      ca_crash_tracker_unreachable (gateway, exchange->endpoint);
       exchange_avoid (exchange, exchange->endpoint);
       exchange_retry (gateway, exchange, false);
       return;
--- a/packages/gateway/private.h
+++ b/packages/gateway/private.h
@@ -129,10 +129,12 @@
 /* Reports this entry's own crashes again, since a peer may have missed them. */
 void ca_crash_tracker_report_again (ca_gateway_t *gateway);
 
-/* Counts the interrupted runs at an endpoint as crashes, since it cannot be
- * reached. */
-void ca_crash_tracker_confirm (ca_gateway_t *gateway,
-                               const ca_gateway_endpoint_t *endpoint);
+/* Count the latest interrupted runs at an endpoint as crashes, since it cannot
+ * be reached, or since another process is listed under its id. */
+void ca_crash_tracker_unreachable (ca_gateway_t *gateway,
+                                   const ca_gateway_endpoint_t *endpoint);
+void ca_crash_tracker_replaced (ca_gateway_t *gateway,
+                                const ca_gateway_endpoint_t *endpoint);
 void ca_crash_tracker_tick (ca_gateway_t *gateway);
 void ca_crash_tracker_finish (ca_gateway_t *gateway);
 
--- a/packages/gateway/registry.c
+++ b/packages/gateway/registry.c
@@ -104,6 +104,18 @@
          && strcmp (endpoint->service, record->service) == 0;
 }
 
+const ca_gateway_endpoint_t *
+ca_registry_replaced (const ca_registry_t *registry,
+                      const ca_endpoint_record_t *record)
+{
+  const ca_gateway_endpoint_t *endpoint
+      = ca_registry_find (registry, record->id);
+
+  if (endpoint == NULL || registry_is_same_instance (endpoint, record))
+    return NULL;
+  return endpoint;
+}
+
 bool
 ca_registry_put (ca_registry_t *registry, uint64_t now_us,
                  const ca_endpoint_record_t *record)
--- a/packages/gateway/registry.h
+++ b/packages/gateway/registry.h
@@ -82,6 +82,12 @@
 void ca_registry_init (ca_registry_t *registry);
 void ca_registry_finish (ca_registry_t *registry);
 
+/* The listed endpoint that this record would replace as another instance under
+ * its id; NULL if there is none. */
+const ca_gateway_endpoint_t *
+ca_registry_replaced (const ca_registry_t *registry,
+                      const ca_endpoint_record_t *record);
+
 /* Adds or updates an endpoint; true if this changes where requests may go. */
 bool ca_registry_put (ca_registry_t *registry, uint64_t now_us,
                       const ca_endpoint_record_t *record);
--- a/packages/gateway/state_sync.c
+++ b/packages/gateway/state_sync.c
@@ -104,7 +104,12 @@
 ca_gateway_endpoint_listed (ca_gateway_t *gateway, uint64_t now_us,
                             const ca_endpoint_record_t *record)
 {
+  const ca_gateway_endpoint_t *replaced
+      = ca_registry_replaced (&gateway->registry, record);
+
   gateway->now_us = now_us;
+  if (replaced != NULL)
+    ca_crash_tracker_replaced (gateway, replaced);
   if (!ca_registry_put (&gateway->registry, now_us, record))
     return;
   ca_gateway_log (gateway,
