Suspect a crash also when a run is given up without a response

A request under which whole machines are lost is never blocked. Cause: only an interrupted connection made a suspect. A lost machine interrupts none: the run ends at its deadline, or the caller gives up. Change: a run that ends so after 500 ms without a first event or response is suspected; the connection that is tried decides, as before. Tests: scripts/crashes-in-silence. Before: no check, q4 sent; now the endpoints are checked and q4 is refused; a run given up at once is not suspected. No other gateway script changed.

--- a/packages/gateway/exchange.c
+++ b/packages/gateway/exchange.c
@@ -36,6 +36,10 @@
  * error. */
 #define ATTEMPT_MIN_US (40 * CA_US_PER_MS)
 
+/* A run without a first event or response for this long may have lost its
+ * endpoint. */
+#define RUN_SILENT_US (500 * CA_US_PER_MS)
+
 /* Longest wait for an endpoint: a fraction of the latency objective, or this
  * long when a started stream is to be resumed. */
 #define WAIT_SHARE 0.5
@@ -465,6 +469,16 @@
   exchange_retry (gateway, exchange, false);
 }
 
+/* Suspects a crash if the run that is given up has brought nothing for long:
+ * the loss of a machine interrupts no connection. */
+static void
+exchange_give_up_run (ca_gateway_t *gateway, const ca_exchange_t *exchange)
+{
+  if (exchange->phase == CA_EXCHANGE_SENT
+      && gateway->now_us - exchange->sent_us >= RUN_SILENT_US)
+    ca_crash_tracker_suspect (gateway, exchange);
+}
+
 /* True if enough time is left before the deadline for another attempt. */
 static bool
 exchange_has_time (const ca_gateway_t *gateway, const ca_exchange_t *exchange)
@@ -635,6 +649,7 @@
     {
       if (exchange->phase == CA_EXCHANGE_SENT && !exchange->service->is_engine)
         exchange_begin_run (gateway, exchange, exchange->sent_us);
+      exchange_give_up_run (gateway, exchange);
       gateway->ports.cancel (gateway->ports.context, exchange);
     }
   exchange_release_endpoint (gateway, exchange);
@@ -798,6 +813,7 @@
       exchange->sends++;
       exchange->runs++;
       exchange_begin_run (gateway, exchange, exchange->sent_us);
+      exchange_give_up_run (gateway, exchange);
       gateway->ports.cancel (gateway->ports.context, exchange);
     }
   if (exchange->head_sent)
