Notice a crash when the endpoint's new start is listed, not at the run's deadline

Where endpoints end without closing connections, a request that ends them reached 43 more after the bound. Cause: such a run stays open until its deadline, 8 s later. By then the endpoint is back: the connection that is tried succeeds, and the new start was listed before the run became suspect. Change: a listed new start makes suspects of the runs still open there that were sent before that start, and counts them. The runs stay open: a response may be on its way, and if one completes it refutes the crash. A run sent after the new start ran in the new process; without that condition, test_restarts_of_half_the_entries_in_waves blocked two sound requests. Tried and dropped: ending these runs at once. scripts/endpoint-leaving holds that a response is still delivered then.

--- a/packages/gateway/crash_tracker.c
+++ b/packages/gateway/crash_tracker.c
@@ -262,10 +262,16 @@
   ca_counters_add (&gateway->counters, CA_COUNT_CRASHES_SUSPECTED, 1);
 }
 
-/* Counts the runs interrupted at an endpoint within the last `span_us`. */
 static void
-crash_tracker_confirm (ca_gateway_t *gateway,
-                       const ca_gateway_endpoint_t *endpoint, uint64_t span_us)
+crash_tracker_confirm (ca_gateway_t *gateway, ca_suspected_crash_t *suspect)
+{
+  crash_tracker_count (gateway, suspect);
+  crash_tracker_drop (gateway, suspect);
+}
+
+void
+ca_crash_tracker_unreachable (ca_gateway_t *gateway,
+                              const ca_gateway_endpoint_t *endpoint)
 {
   ca_suspected_crash_t *suspect = TAILQ_FIRST (&gateway->suspected_crashes);
 
@@ -274,27 +280,28 @@
       ca_suspected_crash_t *next = TAILQ_NEXT (suspect, entries);
 
       if (suspect->endpoint == endpoint
-          && gateway->now_us - suspect->at_us <= span_us)
-        {
-          crash_tracker_count (gateway, suspect);
-          crash_tracker_drop (gateway, suspect);
-        }
+          && gateway->now_us - suspect->at_us <= CRASH_CONFIRM_US)
+        crash_tracker_confirm (gateway, suspect);
       suspect = next;
     }
 }
 
-void
-ca_crash_tracker_unreachable (ca_gateway_t *gateway,
-                              const ca_gateway_endpoint_t *endpoint)
-{
-  crash_tracker_confirm (gateway, endpoint, CRASH_CONFIRM_US);
-}
-
 void
 ca_crash_tracker_replaced (ca_gateway_t *gateway,
-                           const ca_gateway_endpoint_t *endpoint)
+                           const ca_gateway_endpoint_t *endpoint,
+                           uint64_t started_ms)
 {
-  crash_tracker_confirm (gateway, endpoint, CRASH_LISTED_US);
+  ca_suspected_crash_t *suspect = TAILQ_FIRST (&gateway->suspected_crashes);
+
+  while (suspect != NULL)
+    {
+      ca_suspected_crash_t *next = TAILQ_NEXT (suspect, entries);
+
+      if (suspect->endpoint == endpoint
+          && ca_gateway_is_before (gateway, suspect->sent_us, started_ms))
+        crash_tracker_confirm (gateway, suspect);
+      suspect = next;
+    }
 }
 
 /* Tries one connection to the endpoint for all runs interrupted there. */
--- a/packages/gateway/exchange.c
+++ b/packages/gateway/exchange.c
@@ -841,6 +841,21 @@
     }
 }
 
+void
+ca_exchanges_suspect_replaced (ca_gateway_t *gateway,
+                               const ca_gateway_endpoint_t *endpoint,
+                               uint64_t started_ms)
+{
+  const ca_exchange_t *exchange;
+
+  TAILQ_FOREACH (exchange, &gateway->exchanges, entries)
+  {
+    if (exchange->endpoint == endpoint
+        && ca_gateway_is_before (gateway, exchange->sent_us, started_ms))
+      ca_crash_tracker_suspect (gateway, exchange);
+  }
+}
+
 void
 ca_exchanges_finish (ca_gateway_t *gateway)
 {
--- a/packages/gateway/gateway.c
+++ b/packages/gateway/gateway.c
@@ -90,6 +90,13 @@
   return (uint64_t)((int64_t)at_us + gateway->wall_offset_us);
 }
 
+bool
+ca_gateway_is_before (const ca_gateway_t *gateway, uint64_t at_us,
+                      uint64_t wall_ms)
+{
+  return ca_gateway_wall_us (gateway, at_us) / CA_US_PER_MS < wall_ms;
+}
+
 bool
 ca_gateway_ready (const ca_gateway_t *gateway)
 {
--- a/packages/gateway/private.h
+++ b/packages/gateway/private.h
@@ -19,6 +19,12 @@
 /* exchange.c */
 
 void ca_exchanges_tick (ca_gateway_t *gateway);
+
+/* Suspects the open runs at an endpoint that were sent before its process was
+ * replaced.  They stay open, since a response may still be on its way. */
+void ca_exchanges_suspect_replaced (ca_gateway_t *gateway,
+                                    const ca_gateway_endpoint_t *endpoint,
+                                    uint64_t started_ms);
 void ca_exchanges_finish (ca_gateway_t *gateway);
 
 /* state_sync.c */
@@ -129,12 +135,18 @@
 /* Reports this entry's own crashes again, since a peer may have missed them. */
 void ca_crash_tracker_report_again (ca_gateway_t *gateway);
 
-/* Count the latest interrupted runs at an endpoint as crashes, since it cannot
- * be reached, or since another process is listed under its id. */
+/* Count the latest suspected crashes at an endpoint, since it cannot be
+ * reached, or since a process that started after the run is listed under its
+ * id. */
 void ca_crash_tracker_unreachable (ca_gateway_t *gateway,
                                    const ca_gateway_endpoint_t *endpoint);
 void ca_crash_tracker_replaced (ca_gateway_t *gateway,
-                                const ca_gateway_endpoint_t *endpoint);
+                                const ca_gateway_endpoint_t *endpoint,
+                                uint64_t started_ms);
+
+/* True if the time of day at `at_us` was before `wall_ms`. */
+bool ca_gateway_is_before (const ca_gateway_t *gateway, uint64_t at_us,
+                           uint64_t wall_ms);
 void ca_crash_tracker_tick (ca_gateway_t *gateway);
 void ca_crash_tracker_finish (ca_gateway_t *gateway);
 
--- a/packages/gateway/registry.c
+++ b/packages/gateway/registry.c
@@ -111,7 +111,8 @@
   const ca_gateway_endpoint_t *endpoint
       = ca_registry_find (registry, record->id);
 
-  if (endpoint == NULL || registry_is_same_instance (endpoint, record))
+  if (endpoint == NULL || endpoint->started_ms == 0
+      || record->started_ms <= endpoint->started_ms)
     return NULL;
   return endpoint;
 }
--- a/packages/gateway/registry.h
+++ b/packages/gateway/registry.h
@@ -82,8 +82,8 @@
 void ca_registry_init (ca_registry_t *registry);
 void ca_registry_finish (ca_registry_t *registry);
 
-/* The listed endpoint that this record would replace as another instance under
- * its id; NULL if there is none. */
+/* The listed endpoint whose process has ended according to this record, which
+ * has a later start under the same id; NULL if there is none. */
 const ca_gateway_endpoint_t *
 ca_registry_replaced (const ca_registry_t *registry,
                       const ca_endpoint_record_t *record);
--- a/packages/gateway/state_sync.c
+++ b/packages/gateway/state_sync.c
@@ -109,7 +109,10 @@
 
   gateway->now_us = now_us;
   if (replaced != NULL)
-    ca_crash_tracker_replaced (gateway, replaced);
+    {
+      ca_exchanges_suspect_replaced (gateway, replaced, record->started_ms);
+      ca_crash_tracker_replaced (gateway, replaced, record->started_ms);
+    }
   if (!ca_registry_put (&gateway->registry, now_us, record))
     return;
   ca_gateway_log (gateway,
--- a/tests/gateway/crashing_fleet.h
+++ b/tests/gateway/crashing_fleet.h
@@ -22,7 +22,10 @@
   size_t restart_count;       /* entries restarted at a time */
   uint64_t wave_period_us;    /* between waves of crashes; 0: none */
   double wave_share;          /* of the endpoints, which end at once */
-  bool sound;                 /* no request ends endpoints */
+  uint64_t cut_period_us; /* a zone is cut off in its first half; 0: never */
+  bool silent;            /* endpoints end without closing connections */
+  bool only_in_touch; /* entries started within the bound may not know yet */
+  bool sound;         /* no request ends endpoints */
 } crashing_fleet_t;
 
 /* Runs the fleet with several seeds.  Fails if the request reaches more
