Divide the retry allowance among all known entries, not only those heard from

Cause: each entry takes an equal part of the allowance, and counted only the entries that it had heard from within 2 s. Zones that are cut off from each other each divided the whole allowance among themselves. Change: the parts are by the number of entries that the store lists or that were heard from within the retention time of 40 s. An entry that has just started knows them from the store too.

--- a/packages/gateway/peers.c
+++ b/packages/gateway/peers.c
@@ -312,6 +312,12 @@
   return count;
 }
 
+uint32_t
+ca_peers_known_count (const ca_gateway_t *gateway)
+{
+  return HASH_COUNT (gateway->peers) + 1;
+}
+
 void
 ca_gateway_add_peer (ca_gateway_t *gateway, const char *name,
                      const ca_address_t *address)
--- a/packages/gateway/private.h
+++ b/packages/gateway/private.h
@@ -217,6 +217,10 @@
 /* Number of live entries, this one included. */
 uint32_t ca_peers_live_count (const ca_gateway_t *gateway);
 
+/* Number of entries that may be running, this one included: all that the store
+ * has listed or that have sent a message within the retention time. */
+uint32_t ca_peers_known_count (const ca_gateway_t *gateway);
+
 /* True if a live peer reports that it holds the leader's lease. */
 bool ca_peers_have_leader (const ca_gateway_t *gateway);
 
--- a/packages/gateway/quota.c
+++ b/packages/gateway/quota.c
@@ -10,7 +10,8 @@
  * still serving.
  *
  * The retry budget needs no communication: each entry applies the ratio to
- * its own requests. */
+ * its own requests, and takes an equal part of the allowance.  An entry that is
+ * not heard from keeps its part, as it may be partitioned and still serving. */
 #include "gateway/private.h"
 
 #include <stdlib.h>
@@ -411,7 +412,7 @@
 {
   const ca_bounds_t *bounds = &gateway->options.bounds;
   ca_service_stats_t *stats = ca_service_stats (gateway, service);
-  uint32_t entries = ca_peers_live_count (gateway);
+  uint32_t entries = ca_peers_known_count (gateway);
   double budget;
 
   if (entries < RETRY_ENTRIES_MIN)
