Do not pass on the time of a completed run for ever

Cause: every entry took the latest reported time of a completed run and passed it on anew. Each report adds the delay of a message, so the time crept forward, the report never ended, and crashes after it would have been refuted. Evidence: gateway/test_crash_reports, eight entries and a delay of 50 ms: 20 s after the run 1,848 heartbeats in 10 s carry the record. Change: a time that is less than 250 ms later counts as the same, and a completed run is reported only by an entry that drops crashes for it or hears of a crash that it refutes. Result: no such heartbeat; three crashes 30 s after the run block the request at all entries; a completed run still clears the crashes everywhere. The other crash tests pass.

--- a/packages/gateway/crash_tracker.c
+++ b/packages/gateway/crash_tracker.c
@@ -45,6 +45,10 @@
 #define CRASH_REPORT_US (5 * CA_US_PER_S)
 #define CRASH_REPORT_HEARTBEATS 3
 
+/* A reported time of a completed run that is less than this later than the
+ * known one is the same: each report adds the delay of a message. */
+#define CRASH_REPORT_DELAY_US (250 * CA_US_PER_MS)
+
 static ca_crash_record_t *
 crash_tracker_find (const ca_gateway_t *gateway, uint64_t fingerprint)
 {
@@ -117,7 +121,6 @@
   if (completed_us <= record->completed_us)
     return;
   record->completed_us = completed_us;
-  record->changed_us = gateway->now_us;
   if (completed_us > record->latest_us)
     record->latest_us = completed_us;
   for (uint32_t i = 0; i < record->count; i++)
@@ -125,10 +128,12 @@
       if (!crash_tracker_is_refuted (record, record->crashes[i].at_us))
         record->crashes[kept++] = record->crashes[i];
     }
-  if (kept < record->count)
-    ca_gateway_log (gateway, CA_EVENT_CRASHES_CLEARED, NULL, NULL,
-                    "fingerprint %016" PRIx64 ": %u endpoints of %u",
-                    record->fingerprint, record->count - kept, record->count);
+  if (kept == record->count)
+    return;
+  ca_gateway_log (gateway, CA_EVENT_CRASHES_CLEARED, NULL, NULL,
+                  "fingerprint %016" PRIx64 ": %u endpoints of %u",
+                  record->fingerprint, record->count - kept, record->count);
+  record->changed_us = gateway->now_us;
   record->count = kept;
   if (record->own_count > kept)
     record->own_count = kept;
@@ -179,6 +184,8 @@
     {
       /* The reporter does not know of the completed run. */
       record->changed_us = gateway->now_us;
+      if (at_us > record->latest_us)
+        record->latest_us = at_us;
       return false;
     }
   crash = crash_tracker_find_crash (record, process);
@@ -433,6 +440,14 @@
     }
 }
 
+static void
+crash_tracker_merge_completed (ca_gateway_t *gateway, ca_crash_record_t *record,
+                               uint64_t completed_us)
+{
+  if (completed_us > record->completed_us + CRASH_REPORT_DELAY_US)
+    crash_tracker_clear (gateway, record, completed_us);
+}
+
 /* Merges a row of an older version, which has a count but no instances. */
 static void
 crash_tracker_merge_count (ca_gateway_t *gateway, uint64_t peer,
@@ -455,7 +470,7 @@
           = crash_tracker_record (gateway, row->fingerprint);
 
       if (row->completed)
-        crash_tracker_clear (
+        crash_tracker_merge_completed (
             gateway, record,
             crash_tracker_time_us (gateway, row->completed_age_ms));
       for (size_t k = 0; k < row->n_instances && k < row->n_ages_ms; k++)
