--- a/packages/base/events.c
+++ b/packages/base/events.c
@@ -74,7 +74,8 @@
     "an endpoint crashed while this request ran; it runs alone next",
     NO_ACTION },
   { CA_EVENT_REQUEST_QUARANTINED, CA_LEVEL_ERROR, "request_quarantined",
-    "a request crashed an endpoint while alone on it; repeats are refused",
+    "a request crashed an endpoint while alone on it, or several endpoints; "
+    "repeats are refused",
     "pass the fingerprint to the owners of the model" },
   { CA_EVENT_CRASH_COUNTED, CA_LEVEL_WARNING, "crash_counted",
     "an endpoint ended while it ran a request; the detail counts the endpoints "
--- a/packages/gateway/crash_tracker.c
+++ b/packages/gateway/crash_tracker.c
@@ -74,6 +74,7 @@
   free (record);
 }
 
+/* Makes room for one more record. */
 static void
 crash_tracker_limit (ca_gateway_t *gateway)
 {
@@ -139,6 +140,7 @@
     record->own_count = kept;
 }
 
+/* Slot of a fingerprint, which another one may occupy. */
 static ca_completed_run_t *
 crash_tracker_completed_run (ca_gateway_t *gateway, uint64_t fingerprint)
 {
@@ -269,6 +271,7 @@
   ca_counters_add (&gateway->counters, CA_COUNT_CRASHES_SUSPECTED, 1);
 }
 
+/* Counts a suspected crash, which is then dropped. */
 static void
 crash_tracker_confirm (ca_gateway_t *gateway, ca_suspected_crash_t *suspect)
 {
@@ -347,6 +350,7 @@
   }
 }
 
+/* True if heartbeats are to carry the record. */
 static bool
 crash_tracker_is_reported (const ca_gateway_t *gateway,
                            const ca_crash_record_t *record)
--- a/packages/gateway/exchange.c
+++ b/packages/gateway/exchange.c
@@ -472,7 +472,7 @@
 /* Suspects a crash if the run that is given up has brought nothing for long:
  * the loss of a machine interrupts no connection. */
 static void
-exchange_give_up_run (ca_gateway_t *gateway, const ca_exchange_t *exchange)
+exchange_suspect_silent (ca_gateway_t *gateway, const ca_exchange_t *exchange)
 {
   if (exchange->phase == CA_EXCHANGE_SENT
       && gateway->now_us - exchange->sent_us >= RUN_SILENT_US)
@@ -649,7 +649,7 @@
     {
       if (exchange->phase == CA_EXCHANGE_SENT && !exchange->service->is_engine)
         exchange_begin_run (gateway, exchange, exchange->sent_us);
-      exchange_give_up_run (gateway, exchange);
+      exchange_suspect_silent (gateway, exchange);
       gateway->ports.cancel (gateway->ports.context, exchange);
     }
   exchange_release_endpoint (gateway, exchange);
@@ -813,7 +813,7 @@
       exchange->sends++;
       exchange->runs++;
       exchange_begin_run (gateway, exchange, exchange->sent_us);
-      exchange_give_up_run (gateway, exchange);
+      exchange_suspect_silent (gateway, exchange);
       gateway->ports.cancel (gateway->ports.context, exchange);
     }
   if (exchange->head_sent)
--- a/packages/gateway/private.h
+++ b/packages/gateway/private.h
@@ -16,6 +16,10 @@
 /* Returns a uniformly distributed number in [0, 1). */
 double ca_gateway_random (ca_gateway_t *gateway);
 
+/* True if the time of day at `at_us` was before `wall_ms`. */
+bool ca_gateway_is_before (const ca_gateway_t *gateway, uint64_t at_us,
+                           uint64_t wall_ms);
+
 /* exchange.c */
 
 void ca_exchanges_tick (ca_gateway_t *gateway);
@@ -143,10 +147,6 @@
 void ca_crash_tracker_replaced (ca_gateway_t *gateway,
                                 const ca_gateway_endpoint_t *endpoint,
                                 uint64_t started_ms);
-
-/* True if the time of day at `at_us` was before `wall_ms`. */
-bool ca_gateway_is_before (const ca_gateway_t *gateway, uint64_t at_us,
-                           uint64_t wall_ms);
 void ca_crash_tracker_tick (ca_gateway_t *gateway);
 void ca_crash_tracker_finish (ca_gateway_t *gateway);
 
--- a/tests/gateway/test_retry_budget.c
+++ b/tests/gateway/test_retry_budget.c
@@ -1,5 +1,5 @@
-/* Retries of all entries together, with every request asking for one, against
- * the platform's bound in any window.  Runs in virtual time. */
+/* Guards against entries that together retry more than the platform allows in
+ * any window, while every request asks for a retry.  Runs in virtual time. */
 #include <setjmp.h>
 #include <stdarg.h>
 #include <stddef.h>
