--- a/tests/gateway/crashing_fleet.h
+++ b/tests/gateway/crashing_fleet.h
@@ -11,6 +11,8 @@
 
 #include <cmocka.h>
 
+#include "base/clock.h"
+
 typedef struct
 {
   size_t entries;
@@ -28,6 +30,16 @@
   bool sound;         /* no request ends endpoints */
 } crashing_fleet_t;
 
+/* Sizes with the rates of the users' deployments, and one in between. */
+#define CRASHING_FLEET_SMALL                                                   \
+  .entries = 8, .endpoints = 9, .requests_per_s = 50, .down_us = 3 * CA_US_PER_S
+#define CRASHING_FLEET_MEDIUM                                                  \
+  .entries = 40, .endpoints = 45, .requests_per_s = 300,                       \
+  .down_us = 3 * CA_US_PER_S
+#define CRASHING_FLEET_LARGE                                                   \
+  .entries = 82, .endpoints = 90, .requests_per_s = 613,                       \
+  .down_us = 3 * CA_US_PER_S
+
 /* Runs the fleet with several seeds.  Fails if the request reaches more
  * endpoints than the platform allows once it has ended three of them and the
  * entries have had time to learn of that, or if another request is blocked. */
--- a/tests/gateway/test_crash_disruptions.c
+++ b/tests/gateway/test_crash_disruptions.c
@@ -2,16 +2,11 @@
  * disruption keeps the entries from learning of it. */
 #include "crashing_fleet.h"
 
-#include "base/clock.h"
-
 static void
 test_cut_zones_small_fleet (void **state)
 {
-  static const crashing_fleet_t fleet = { .entries = 8,
-                                          .endpoints = 9,
-                                          .requests_per_s = 50,
-                                          .down_us = 3 * CA_US_PER_S,
-                                          .cut_period_us = 11 * CA_US_PER_S };
+  static const crashing_fleet_t fleet
+      = { CRASHING_FLEET_SMALL, .cut_period_us = 11 * CA_US_PER_S };
 
   (void)state;
   crashing_fleet_check (&fleet);
@@ -20,11 +15,8 @@
 static void
 test_cut_zones (void **state)
 {
-  static const crashing_fleet_t fleet = { .entries = 40,
-                                          .endpoints = 45,
-                                          .requests_per_s = 300,
-                                          .down_us = 3 * CA_US_PER_S,
-                                          .cut_period_us = 11 * CA_US_PER_S };
+  static const crashing_fleet_t fleet
+      = { CRASHING_FLEET_MEDIUM, .cut_period_us = 11 * CA_US_PER_S };
 
   (void)state;
   crashing_fleet_check (&fleet);
@@ -34,13 +26,8 @@
 test_cut_zones_and_restarts (void **state)
 {
   static const crashing_fleet_t fleet
-      = { .entries = 40,
-          .endpoints = 45,
-          .requests_per_s = 300,
-          .down_us = 3 * CA_US_PER_S,
-          .cut_period_us = 11 * CA_US_PER_S,
-          .restart_period_us = 1300 * CA_US_PER_MS,
-          .restart_count = 2 };
+      = { CRASHING_FLEET_MEDIUM, .cut_period_us = 11 * CA_US_PER_S,
+          .restart_period_us = 1300 * CA_US_PER_MS, .restart_count = 2 };
 
   (void)state;
   crashing_fleet_check (&fleet);
@@ -49,11 +36,8 @@
 static void
 test_silent_endpoints (void **state)
 {
-  static const crashing_fleet_t fleet = { .entries = 40,
-                                          .endpoints = 45,
-                                          .requests_per_s = 300,
-                                          .down_us = 3 * CA_US_PER_S,
-                                          .silent = true };
+  static const crashing_fleet_t fleet
+      = { CRASHING_FLEET_MEDIUM, .silent = true };
 
   (void)state;
   crashing_fleet_check (&fleet);
@@ -75,13 +59,9 @@
 static void
 test_restarts_of_all_entries (void **state)
 {
-  static const crashing_fleet_t fleet = { .entries = 40,
-                                          .endpoints = 45,
-                                          .requests_per_s = 300,
-                                          .down_us = 3 * CA_US_PER_S,
-                                          .restart_period_us = 12 * CA_US_PER_S,
-                                          .restart_count = 40,
-                                          .only_in_touch = true };
+  static const crashing_fleet_t fleet
+      = { CRASHING_FLEET_MEDIUM, .restart_period_us = 12 * CA_US_PER_S,
+          .restart_count = 40, .only_in_touch = true };
 
   (void)state;
   crashing_fleet_check (&fleet);
@@ -90,10 +70,7 @@
 static void
 test_restarts_of_half_the_entries_in_waves (void **state)
 {
-  static const crashing_fleet_t fleet = { .entries = 40,
-                                          .endpoints = 45,
-                                          .requests_per_s = 300,
-                                          .down_us = 3 * CA_US_PER_S,
+  static const crashing_fleet_t fleet = { CRASHING_FLEET_MEDIUM,
                                           .hot_share = 0.05,
                                           .restart_period_us = 5 * CA_US_PER_S,
                                           .restart_count = 22,
--- a/tests/gateway/test_crash_forgotten.c
+++ b/tests/gateway/test_crash_forgotten.c
@@ -2,17 +2,11 @@
  * restarts. */
 #include "crashing_fleet.h"
 
-#include "base/clock.h"
-
 static void
 test_small_fleet (void **state)
 {
   static const crashing_fleet_t fleet
-      = { .entries = 8,
-          .endpoints = 9,
-          .requests_per_s = 50,
-          .down_us = 3 * CA_US_PER_S,
-          .restart_period_us = 1300 * CA_US_PER_MS,
+      = { CRASHING_FLEET_SMALL, .restart_period_us = 1300 * CA_US_PER_MS,
           .restart_count = 1 };
 
   (void)state;
@@ -23,11 +17,7 @@
 test_large_fleet (void **state)
 {
   static const crashing_fleet_t fleet
-      = { .entries = 82,
-          .endpoints = 90,
-          .requests_per_s = 613,
-          .down_us = 3 * CA_US_PER_S,
-          .restart_period_us = 1300 * CA_US_PER_MS,
+      = { CRASHING_FLEET_LARGE, .restart_period_us = 1300 * CA_US_PER_MS,
           .restart_count = 4 };
 
   (void)state;
--- a/tests/gateway/test_crash_unseen.c
+++ b/tests/gateway/test_crash_unseen.c
@@ -2,15 +2,10 @@
  * traffic to the endpoint that ended. */
 #include "crashing_fleet.h"
 
-#include "base/clock.h"
-
 static void
 test_small_fleet (void **state)
 {
-  static const crashing_fleet_t fleet = { .entries = 8,
-                                          .endpoints = 9,
-                                          .requests_per_s = 50,
-                                          .down_us = 3 * CA_US_PER_S };
+  static const crashing_fleet_t fleet = { CRASHING_FLEET_SMALL };
 
   (void)state;
   crashing_fleet_check (&fleet);
@@ -19,10 +14,7 @@
 static void
 test_large_fleet (void **state)
 {
-  static const crashing_fleet_t fleet = { .entries = 82,
-                                          .endpoints = 90,
-                                          .requests_per_s = 613,
-                                          .down_us = 3 * CA_US_PER_S };
+  static const crashing_fleet_t fleet = { CRASHING_FLEET_LARGE };
 
   (void)state;
   crashing_fleet_check (&fleet);
--- a/tests/gateway/test_crash_wave.c
+++ b/tests/gateway/test_crash_wave.c
@@ -2,19 +2,12 @@
  * them ended in a wave of crashes. */
 #include "crashing_fleet.h"
 
-#include "base/clock.h"
-
 static void
 test_small_fleet (void **state)
 {
-  static const crashing_fleet_t fleet = { .entries = 8,
-                                          .endpoints = 9,
-                                          .requests_per_s = 50,
-                                          .hot_share = 0.2,
-                                          .down_us = 3 * CA_US_PER_S,
-                                          .wave_period_us = 7 * CA_US_PER_S,
-                                          .wave_share = 0.4,
-                                          .sound = true };
+  static const crashing_fleet_t fleet
+      = { CRASHING_FLEET_SMALL, .hot_share = 0.2,
+          .wave_period_us = 7 * CA_US_PER_S, .wave_share = 0.4, .sound = true };
 
   (void)state;
   crashing_fleet_check (&fleet);
@@ -23,14 +16,10 @@
 static void
 test_large_fleet (void **state)
 {
-  static const crashing_fleet_t fleet = { .entries = 82,
-                                          .endpoints = 90,
-                                          .requests_per_s = 613,
-                                          .hot_share = 0.05,
-                                          .down_us = 3 * CA_US_PER_S,
-                                          .wave_period_us = 7 * CA_US_PER_S,
-                                          .wave_share = 0.25,
-                                          .sound = true };
+  static const crashing_fleet_t fleet
+      = { CRASHING_FLEET_LARGE, .hot_share = 0.05,
+          .wave_period_us = 7 * CA_US_PER_S, .wave_share = 0.25,
+          .sound = true };
 
   (void)state;
   crashing_fleet_check (&fleet);
@@ -40,13 +29,9 @@
 static void
 test_crashing_request_among_waves (void **state)
 {
-  static const crashing_fleet_t fleet = { .entries = 40,
-                                          .endpoints = 45,
-                                          .requests_per_s = 300,
-                                          .hot_share = 0.05,
-                                          .down_us = 3 * CA_US_PER_S,
-                                          .wave_period_us = 7 * CA_US_PER_S,
-                                          .wave_share = 0.25 };
+  static const crashing_fleet_t fleet
+      = { CRASHING_FLEET_MEDIUM, .hot_share = 0.05,
+          .wave_period_us = 7 * CA_US_PER_S, .wave_share = 0.25 };
 
   (void)state;
   crashing_fleet_check (&fleet);
