The soak's proxy keeps the order of a connection's bytes, and ends one that lost some

Cause: the stand-in. In the mode 'delay' data that arrived after the mode had ended overtook data still delayed; in the mode 'mute' a connection went on after bytes of it had been dropped; delayed data was matched to its connection by address alone. TCP does none of this. A stream's events travel in chunks of their own, so the rest was well formed. Change: data is forwarded in the order of its arrival; a connection that lost bytes is reset when the mode ends. What the callers check is unchanged.

--- a/tests/site/proxy.c
+++ b/tests/site/proxy.c
@@ -5,7 +5,8 @@
  * POST /control takes {"mode": NAME, "delay_ms": N}: "ok" forwards everything;
  * "delay" delays data; "reset" resets all open and new connections; "silent"
  * drops data in both directions on the connections that are open now; "mute"
- * forwards requests and drops responses. */
+ * forwards requests and drops responses; connections that lost some are reset
+ * when it ends. */
 #include "tests/site/site.h"
 
 #include <arpa/inet.h>
@@ -15,12 +16,24 @@
 #include <string.h>
 #include <sys/socket.h>
 
+/* Data waiting for its delay to pass. */
+typedef struct delayed
+{
+  struct pair *pair;
+  bool to_server;
+  struct evbuffer *bytes;
+  struct event *timer;
+  TAILQ_ENTRY (delayed) entries;
+} delayed_t;
+
 /* A connection from a caller and the one to the target. */
 typedef struct pair
 {
   struct bufferevent *client; /* connection of the caller */
   struct bufferevent *server;
   bool silent;
+  bool muted;                       /* a response was dropped */
+  TAILQ_HEAD (, delayed) queues[2]; /* by direction, 1 is to the server */
   TAILQ_ENTRY (pair) entries;
 } pair_t;
 
@@ -34,17 +47,17 @@
   TAILQ_HEAD (, pair) pairs;
 } proxy_t;
 
-/* Data waiting for its delay to pass. */
-typedef struct
-{
-  pair_t *pair;
-  bool to_server;
-  struct evbuffer *bytes;
-  struct event *timer;
-} delayed_t;
-
 static proxy_t proxy;
 
+static void
+delayed_free (delayed_t *delayed)
+{
+  TAILQ_REMOVE (&delayed->pair->queues[delayed->to_server], delayed, entries);
+  evbuffer_free (delayed->bytes);
+  event_free (delayed->timer);
+  free (delayed);
+}
+
 /* Closes both connections, with a TCP reset if `reset` is set. */
 static void
 pair_free (pair_t *pair, bool reset)
@@ -59,38 +72,38 @@
                   sizeof now);
     }
   TAILQ_REMOVE (&proxy.pairs, pair, entries);
+  for (int i = 0; i < 2; i++)
+    {
+      while (!TAILQ_EMPTY (&pair->queues[i]))
+        delayed_free (TAILQ_FIRST (&pair->queues[i]));
+    }
   bufferevent_free (pair->client);
   bufferevent_free (pair->server);
   free (pair);
 }
 
-static bool
-pair_is_open (const pair_t *searched)
-{
-  const pair_t *pair;
-
-  TAILQ_FOREACH (pair, &proxy.pairs, entries)
-  {
-    if (pair == searched)
-      return true;
-  }
-  return false;
-}
-
+/* Forwards delayed data, and before it what arrived earlier: a connection keeps
+ * the order of its bytes. */
 static void
 on_delayed (evutil_socket_t fd, short what, void *context)
 {
-  delayed_t *delayed = context;
+  delayed_t *expired = context;
+  pair_t *pair = expired->pair;
+  bool to_server = expired->to_server;
+  bool last;
 
   (void)fd;
   (void)what;
-  if (pair_is_open (delayed->pair))
-    bufferevent_write_buffer (delayed->to_server ? delayed->pair->server
-                                                 : delayed->pair->client,
-                              delayed->bytes);
-  evbuffer_free (delayed->bytes);
-  event_free (delayed->timer);
-  free (delayed);
+  do
+    {
+      delayed_t *first = TAILQ_FIRST (&pair->queues[to_server]);
+
+      last = first == expired;
+      bufferevent_write_buffer (to_server ? pair->server : pair->client,
+                                first->bytes);
+      delayed_free (first);
+    }
+  while (!last);
 }
 
 /* Forwards, delays or drops input, depending on the mode. */
@@ -99,16 +112,23 @@
 {
   struct evbuffer *input
       = bufferevent_get_input (to_server ? pair->client : pair->server);
-  struct timeval wait
-      = { proxy.delay_ms / 1000, (proxy.delay_ms % 1000) * 1000 };
+  struct timeval wait = { 0, 0 };
   delayed_t *delayed;
 
-  if (pair->silent || (strcmp (proxy.mode, "mute") == 0 && !to_server))
+  /* Once bytes are lost nothing may follow them. */
+  if (!to_server && strcmp (proxy.mode, "mute") == 0)
+    pair->muted = true;
+  if (pair->silent || (pair->muted && !to_server))
     {
       evbuffer_drain (input, evbuffer_get_length (input));
       return;
     }
-  if (strcmp (proxy.mode, "delay") != 0)
+  if (strcmp (proxy.mode, "delay") == 0)
+    {
+      wait.tv_sec = proxy.delay_ms / 1000;
+      wait.tv_usec = (proxy.delay_ms % 1000) * 1000;
+    }
+  else if (TAILQ_EMPTY (&pair->queues[to_server]))
     {
       bufferevent_write_buffer (to_server ? pair->server : pair->client, input);
       return;
@@ -119,6 +139,7 @@
   delayed->bytes = evbuffer_new ();
   evbuffer_add_buffer (delayed->bytes, input);
   delayed->timer = evtimer_new (proxy.site.base, on_delayed, delayed);
+  TAILQ_INSERT_TAIL (&pair->queues[to_server], delayed, entries);
   event_add (delayed->timer, &wait);
 }
 
@@ -182,6 +203,8 @@
       proxy.site.base, fd, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
   pair->server = bufferevent_socket_new (
       proxy.site.base, -1, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
+  TAILQ_INIT (&pair->queues[0]);
+  TAILQ_INIT (&pair->queues[1]);
   TAILQ_INSERT_TAIL (&proxy.pairs, pair, entries);
   bufferevent_setcb (pair->client, on_client_readable, NULL, on_event, pair);
   bufferevent_setcb (pair->server, on_server_readable, NULL, on_event, pair);
@@ -215,7 +238,8 @@
       next = TAILQ_NEXT (pair, entries);
       if (strcmp (proxy.mode, "silent") == 0)
         pair->silent = true;
-      else if (strcmp (proxy.mode, "reset") == 0)
+      else if (strcmp (proxy.mode, "reset") == 0
+               || (pair->muted && strcmp (proxy.mode, "mute") != 0))
         pair_free (pair, true);
     }
   site_respond (request, 200, json_object ());
