Test: records of a wave keep later crashes out of the heartbeats (known red)

What callers saw: nothing yet; found in the last reading of the crash tracker. Cause: a heartbeat has 64 rows for crash records; those with two crashes go first, the oldest before the others, for 120 s at every entry. Seen failing: gateway/test_gateway_crash_reports_wave, 100 such records: a request with three crashes is not blocked at all entries.

--- a/tests/gateway/test_crash_reports.c
+++ b/tests/gateway/test_crash_reports.c
@@ -1,5 +1,6 @@
 /* Guards against reports of a completed run that entries pass on for ever, each
- * time a little later, so that later crashes are refuted.  Runs in virtual
+ * time a little later, so that later crashes are refuted, and against records
+ * of a wave of crashes that keep others out of the heartbeats.  Runs in virtual
  * time, with a delay of messages. */
 #include <setjmp.h>
 #include <stdarg.h>
@@ -18,6 +19,7 @@
 #define DELAY_TICKS 2
 #define TICKS_PER_S (CA_US_PER_S / CA_GATEWAY_TICK_US)
 #define FINGERPRINT 77
+#define WAVE_RECORDS 100
 #define MESSAGES_MAX 256
 #define MESSAGE_BYTES 8192
 
@@ -117,7 +119,8 @@
 
 /* Tells one entry of crashes, as a peer does. */
 static void
-report_crashes (size_t index, uint64_t first_process, size_t count)
+report_crashes (size_t index, uint64_t fingerprint, uint64_t first_process,
+                size_t count)
 {
   uint64_t processes[CA_CRASHES_MAX];
   uint32_t ages_ms[CA_CRASHES_MAX] = { 0 };
@@ -127,7 +130,7 @@
 
   for (size_t i = 0; i < count; i++)
     processes[i] = first_process + i;
-  row.fingerprint = FINGERPRINT;
+  row.fingerprint = fingerprint;
   row.instances = processes;
   row.n_instances = count;
   row.ages_ms = ages_ms;
@@ -143,14 +146,14 @@
   (void)state;
   world_start ();
   world_run (5);
-  report_crashes (0, 1, 2);
+  report_crashes (0, FINGERPRINT, 1, 2);
   world_run (3);
   ca_crash_tracker_completed (&world.gateways[1], FINGERPRINT);
   world_run (20);
   world.reports = 0;
   world_run (10);
   assert_int_equal (world.reports, 0);
-  report_crashes (2, 11, CA_CRASHES_MAX);
+  report_crashes (2, FINGERPRINT, 11, CA_CRASHES_MAX);
   world_run (3);
   for (size_t i = 0; i < ENTRIES; i++)
     assert_true (ca_crash_tracker_is_blocked (&world.gateways[i], FINGERPRINT));
@@ -164,11 +167,11 @@
   (void)state;
   world_start ();
   world_run (5);
-  report_crashes (0, 1, 2);
+  report_crashes (0, FINGERPRINT, 1, 2);
   world_run (3);
   ca_crash_tracker_completed (&world.gateways[1], FINGERPRINT);
   world_run (3);
-  report_crashes (3, 21, 1);
+  report_crashes (3, FINGERPRINT, 21, 1);
   world_run (3);
   for (size_t i = 0; i < ENTRIES; i++)
     assert_false (
@@ -177,13 +180,39 @@
     ca_gateway_finish (&world.gateways[i]);
 }
 
+/* A wave leaves many requests with two crashes each. */
+static void
+test_records_of_a_wave (void **state)
+{
+  (void)state;
+  world_start ();
+  world_run (5);
+  for (size_t i = 0; i < WAVE_RECORDS; i++)
+    report_crashes (i % ENTRIES, 1000 + i, 100 + 2 * i, 2);
+  world_run (3);
+  report_crashes (2, FINGERPRINT, 11, CA_CRASHES_MAX);
+  world_run (3);
+  for (size_t i = 0; i < ENTRIES; i++)
+    assert_true (ca_crash_tracker_is_blocked (&world.gateways[i], FINGERPRINT));
+  for (size_t i = 0; i < ENTRIES; i++)
+    ca_gateway_finish (&world.gateways[i]);
+}
+
 int
-main (void)
+main (int argc, char **argv)
 {
+  const struct CMUnitTest wave_tests[] = {
+    cmocka_unit_test (test_records_of_a_wave),
+  };
+
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_completed_run_is_forgotten),
     cmocka_unit_test (test_completed_run_clears_everywhere),
   };
 
+  /* The test that is listed in KNOWN-RED.txt is a program of its own, so that
+   * its failure hides no other. */
+  if (argc > 0 && strstr (argv[0], "_wave") != NULL)
+    return cmocka_run_group_tests (wave_tests, NULL, NULL);
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
