--- a/packages/base/counters.c
+++ b/packages/base/counters.c
@@ -32,6 +32,7 @@
   "crashes_suspected",
   "crashes_confirmed",
   "crashes_unconfirmed",
+  "limited_attempts",
 };
 
 static const char *const latency_names[CA_LATENCY_KINDS]
--- a/packages/base/counters.h
+++ b/packages/base/counters.h
@@ -33,6 +33,7 @@
   CA_COUNT_CRASHES_SUSPECTED,
   CA_COUNT_CRASHES_CONFIRMED,
   CA_COUNT_CRASHES_UNCONFIRMED,
+  CA_COUNT_LIMITED_ATTEMPTS, /* at endpoints that name a limit */
   CA_COUNT_KINDS
 } ca_count_t;
 
--- a/packages/gateway/exchange.c
+++ b/packages/gateway/exchange.c
@@ -243,6 +243,8 @@
   attempt.last_event = exchange->last_event;
   attempt.source = selection->source;
   ca_counters_add (&gateway->counters, CA_COUNT_ATTEMPTS, 1);
+  if (ca_endpoint_limit_applies (endpoint))
+    ca_counters_add (&gateway->counters, CA_COUNT_LIMITED_ATTEMPTS, 1);
   ca_gateway_log (
       gateway, CA_EVENT_REQUEST_DISPATCHED, exchange->id, endpoint->id,
       "send %u: first event expected in %" PRIu64
@@ -542,14 +544,23 @@
   exchange_free (gateway, exchange);
 }
 
+/* True if the response is a stream whose events are to be forwarded. */
+static bool
+exchange_is_stream (const ca_answer_facts_t *facts)
+{
+  return facts->is_stream && facts->is_signed && !facts->encoded
+         && facts->status == 200 && !facts->not_run;
+}
+
 bool
 ca_exchange_head (ca_gateway_t *gateway, uint64_t now_us,
                   ca_exchange_t *exchange, const ca_answer_facts_t *facts)
 {
   gateway->now_us = now_us;
   exchange->facts = *facts;
-  return facts->is_stream && facts->is_signed && !facts->encoded
-         && facts->status == 200 && !facts->not_run;
+  exchange->facts.bad_limit = NULL;
+  ca_endpoint_limit_observe (gateway, exchange, facts);
+  return exchange_is_stream (facts);
 }
 
 bool
@@ -622,8 +633,7 @@
       return;
     }
   if (exchange->phase == CA_EXCHANGE_STREAMING
-      || (end == CA_END_COMPLETE
-          && ca_exchange_head (gateway, now_us, exchange, &exchange->facts)))
+      || (end == CA_END_COMPLETE && exchange_is_stream (&exchange->facts)))
     {
       exchange_stream_end (gateway, exchange, end);
       return;
--- a/packages/gateway/gateway.h
+++ b/packages/gateway/gateway.h
@@ -60,6 +60,9 @@
   bool wrong_endpoint; /* the address belongs to another endpoint */
   bool encoded;        /* altered by a content encoding */
   bool is_stream;
+  bool has_limit;        /* limits the endpoint's requests to `limit_per_s` */
+  double limit_per_s;    /* of all entries together */
+  const char *bad_limit; /* text of a limit that is not a number; else NULL */
 } ca_answer_facts_t;
 
 typedef enum
@@ -109,9 +112,9 @@
   bool endpoint_idle;      /* no prompt was queued at the endpoint */
   bool demand_counted;     /* included in the demand for the service */
   uint32_t prefill_tokens; /* prompt tokens that the endpoint must prefill */
-  ca_answer_facts_t facts;
-  bool run_begun; /* a run has begun and counts as usage */
-  bool head_sent; /* part of the response was sent to the caller */
+  ca_answer_facts_t facts; /* without `bad_limit` */
+  bool run_begun;          /* a run has begun and counts as usage */
+  bool head_sent;          /* part of the response was sent to the caller */
   bool has_event;
   uint64_t last_event;
   void *adapter_data; /* owned by the adapter */
--- a/packages/gateway/private.h
+++ b/packages/gateway/private.h
@@ -150,6 +150,16 @@
 void ca_crash_tracker_tick (ca_gateway_t *gateway);
 void ca_crash_tracker_finish (ca_gateway_t *gateway);
 
+/* endpoint_limit.c */
+
+/* True if the endpoint limits the requests that it takes. */
+bool ca_endpoint_limit_applies (const ca_gateway_endpoint_t *endpoint);
+
+/* Records what a response says of the endpoint's limit. */
+void ca_endpoint_limit_observe (ca_gateway_t *gateway,
+                                const ca_exchange_t *exchange,
+                                const ca_answer_facts_t *facts);
+
 /* usage.c */
 
 /* Counts a request of the workspace that began to run at `at_us`. */
--- a/packages/gateway/registry.h
+++ b/packages/gateway/registry.h
@@ -39,6 +39,15 @@
   uint32_t held_tokens;   /* prompt and output tokens of open requests */
 } ca_gateway_endpoint_load_t;
 
+/* What the responses of an endpoint say of a limit on the requests per second
+ * that it takes from all entries together. */
+typedef struct
+{
+  double per_s;       /* as last named */
+  uint64_t named_us;  /* latest response that named a limit; 0 if none did */
+  uint64_t lifted_us; /* start of the latest request answered without one */
+} ca_endpoint_limit_t;
+
 struct ca_affinity_part;
 
 /* One instance of an endpoint: its process from start to end. */
@@ -65,6 +74,7 @@
   uint64_t connect_failed_us; /* last failed connection */
   uint64_t probe_at_us;       /* earliest time of the next probe */
   double latency_us;          /* smoothed, of plain responses */
+  ca_endpoint_limit_t limit;
   /* Prompt parts that this entry has sent there. */
   TAILQ_HEAD (ca_affinity_parts, ca_affinity_part) parts;
   uint64_t part_tokens;
