Keep the limit that an endpoint names, all entries together

Callers' side: an endpoint in need that named a limit went on getting as many requests as the others, 22 in 4 s where 13 were allowed.

Cause: no entry used the field. A limit kept by each entry for itself would not hold either: 8, 82 or 300 entries would send as many times the limit, and a share of it is below one request in 4 s.

Change: a limit applies from the response that names it until a request sent after it is answered without one. One entry of the endpoint's zone coordinates it and has the only token bucket; the others send nothing without a permit, which they request when no other endpoint can take a request, or to find out whether a limit still applies. A coordinator uses the part of the limit that equals the part of the known entries that it is in contact with, so that two of them on either side of a cut stay within it together; one that has just started coordinates nothing. A request that no endpoint may take is refused at once, with the time after which one may.

--- a/packages/gateway/exchange.c
+++ b/packages/gateway/exchange.c
@@ -45,6 +45,10 @@
 #define WAIT_SHARE 0.5
 #define RESUME_WAIT_US (1500 * CA_US_PER_MS)
 
+/* Longest wait for a permit if all endpoints are at their limits, as a fraction
+ * of the latency objective. */
+#define PERMIT_WAIT_SHARE 0.125
+
 /* A request is refused as overload if its first event is predicted later than
  * this fraction of the latency objective. */
 #define OVERLOAD_SHARE 0.85
@@ -120,6 +124,8 @@
   [CA_REFUSE_NO_ENDPOINT]
   = { CA_EVENT_REQUEST_REFUSED, "no endpoint available" },
   [CA_REFUSE_OVERLOADED] = { CA_EVENT_REQUEST_REFUSED, "endpoints overloaded" },
+  [CA_REFUSE_LIMITED]
+  = { CA_EVENT_REQUEST_REFUSED, "endpoints at their limits" },
   [CA_REFUSE_EXPIRED]
   = { CA_EVENT_REQUEST_REFUSED, "deadline passed before the request ran" },
   [CA_REFUSE_LOST]
@@ -243,8 +249,7 @@
   attempt.last_event = exchange->last_event;
   attempt.source = selection->source;
   ca_counters_add (&gateway->counters, CA_COUNT_ATTEMPTS, 1);
-  if (ca_endpoint_limit_applies (endpoint))
-    ca_counters_add (&gateway->counters, CA_COUNT_LIMITED_ATTEMPTS, 1);
+  ca_endpoint_limit_take (gateway, endpoint);
   ca_gateway_log (
       gateway, CA_EVENT_REQUEST_DISPATCHED, exchange->id, endpoint->id,
       "send %u: first event expected in %" PRIu64
@@ -330,6 +335,27 @@
                  prefill_tokens / stats->prefill_tokens_per_ms * CA_US_PER_MS);
 }
 
+/* Handles a request whose service has endpoints at their limits only: waits for
+ * a permit to use one of them, or refuses it at once. */
+static void
+exchange_wait_for_permit (ca_gateway_t *gateway, ca_exchange_t *exchange)
+{
+  uint64_t until_us = exchange->accepted_us
+                      + (uint64_t)(exchange->route->target_ms * CA_US_PER_MS
+                                   * PERMIT_WAIT_SHARE);
+  uint64_t wait_us;
+  bool requested
+      = ca_endpoint_limits_request (gateway, exchange->service->name, &wait_us);
+
+  if (exchange->head_sent)
+    until_us = exchange_wait_until_us (exchange);
+  if (gateway->now_us < until_us && (requested || exchange->head_sent))
+    return;
+  if (wait_us < RETRY_AFTER_MIN_US)
+    wait_us = RETRY_AFTER_MIN_US;
+  exchange_give_up (gateway, exchange, CA_REFUSE_LIMITED, wait_us);
+}
+
 /* Sends the request to the best endpoint, keeps it waiting, or gives up. */
 static void
 exchange_dispatch (ca_gateway_t *gateway, ca_exchange_t *exchange)
@@ -365,8 +391,10 @@
       exchange->phase = CA_EXCHANGE_WAITING;
       exchange->phase_us = gateway->now_us;
     }
-  if ((!selection.any_open && !exchange->head_sent)
-      || gateway->now_us >= exchange_wait_until_us (exchange))
+  if (!selection.any_open && selection.any_limited)
+    exchange_wait_for_permit (gateway, exchange);
+  else if ((!selection.any_open && !exchange->head_sent)
+           || gateway->now_us >= exchange_wait_until_us (exchange))
     exchange_give_up (gateway, exchange, CA_REFUSE_NO_ENDPOINT,
                       RETRY_AFTER_DEFAULT_US);
 }
@@ -851,6 +879,21 @@
     }
 }
 
+void
+ca_exchanges_dispatch_waiting (ca_gateway_t *gateway)
+{
+  ca_exchange_t *exchange = TAILQ_FIRST (&gateway->exchanges);
+
+  while (exchange != NULL)
+    {
+      ca_exchange_t *next = TAILQ_NEXT (exchange, entries);
+
+      if (exchange->phase == CA_EXCHANGE_WAITING)
+        exchange_dispatch (gateway, exchange);
+      exchange = next;
+    }
+}
+
 void
 ca_exchanges_suspect_replaced (ca_gateway_t *gateway,
                                const ca_gateway_endpoint_t *endpoint,
--- a/packages/gateway/gateway.c
+++ b/packages/gateway/gateway.c
@@ -23,6 +23,7 @@
   gateway->options = *options;
   gateway->ports = *ports;
   gateway->now_us = now_us;
+  gateway->started_us = now_us;
   gateway->id = ca_gateway_id (options->name);
   gateway->incarnation = wall_us;
   gateway->rng[0] = (unsigned short)options->seed;
@@ -59,6 +60,7 @@
   ca_peers_tick (gateway, wall_us);
   ca_quota_tick (gateway);
   ca_crash_tracker_tick (gateway);
+  ca_endpoint_limits_tick (gateway);
   ca_usage_expire (gateway);
   ca_exchanges_tick (gateway);
 }
--- a/packages/gateway/gateway.h
+++ b/packages/gateway/gateway.h
@@ -159,6 +159,7 @@
   CA_REFUSE_QUARANTINED,
   CA_REFUSE_NO_ENDPOINT,
   CA_REFUSE_OVERLOADED,
+  CA_REFUSE_LIMITED, /* all endpoints are at the limits that they name */
   CA_REFUSE_EXPIRED, /* deadline passed before it ran */
   CA_REFUSE_LOST,    /* may have run and must not run again */
   CA_REFUSE_TIMEOUT, /* deadline passed while it ran */
@@ -325,6 +326,7 @@
   uint64_t id;
   uint64_t incarnation;
   uint64_t now_us;
+  uint64_t started_us;
   unsigned short rng[3];
   /* State shared through the store. */
   ca_catalog_t *catalog; /* NULL until one is loaded */
--- a/packages/gateway/peers.c
+++ b/packages/gateway/peers.c
@@ -3,6 +3,7 @@
 
 #include <stdlib.h>
 #include <string.h>
+#include <xxhash.h>
 
 /* With more peers than this the heartbeat period grows in proportion, which
  * bounds the messages that one entry sends per second. */
@@ -33,6 +34,12 @@
 #define HEARTBEAT_MAX_DRAINING 128
 #define HEARTBEAT_MAX_CRASH_RECORDS 64
 #define HEARTBEAT_MAX_SERVICES 32
+#define HEARTBEAT_MAX_LIMITS 128
+
+/* A peer is in contact if it has sent a heartbeat within this many periods and
+ * the network delay, or within the timeout of peers if that is longer. */
+#define CONTACT_PERIODS 2
+#define CONTACT_LATENCY_US (50 * CA_US_PER_MS)
 
 /* A heartbeat under construction and the storage of its rows. */
 typedef struct
@@ -48,6 +55,8 @@
   Camphor__ServiceWork *work_rows[HEARTBEAT_MAX_SERVICES];
   ca_crash_row_t crash_rows[HEARTBEAT_MAX_CRASH_RECORDS];
   Camphor__Strike *strike_rows[HEARTBEAT_MAX_CRASH_RECORDS];
+  Camphor__EndpointLimit limits[HEARTBEAT_MAX_LIMITS];
+  Camphor__EndpointLimit *limit_rows[HEARTBEAT_MAX_LIMITS];
   uint64_t draining[HEARTBEAT_MAX_DRAINING];
 } peer_heartbeat_buffer_t;
 
@@ -168,6 +177,99 @@
   peer->has_clock_offset = true;
 }
 
+uint64_t
+ca_peers_local_time (const ca_peer_t *peer, uint64_t stamp_us)
+{
+  return (uint64_t)((int64_t)stamp_us + peer->clock_offset_us);
+}
+
+/* Silence after which a peer is no longer in contact. */
+static uint64_t
+peer_contact_us (const ca_gateway_t *gateway)
+{
+  uint64_t contact_us
+      = CONTACT_PERIODS * gateway->heartbeat_period_us + CONTACT_LATENCY_US;
+
+  return contact_us > CA_PEER_TIMEOUT_US ? contact_us : CA_PEER_TIMEOUT_US;
+}
+
+bool
+ca_peers_are_known (const ca_gateway_t *gateway)
+{
+  return gateway->now_us - gateway->started_us >= peer_contact_us (gateway);
+}
+
+/* True if the peer's heartbeats show that it receives those of this entry: they
+ * echo the latest stamp that it has received. */
+static bool
+peer_receives (const ca_gateway_t *gateway, const ca_peer_t *peer)
+{
+  uint64_t echo_us = peer->heartbeat->echo_us;
+
+  return echo_us != 0 && echo_us <= gateway->now_us
+         && gateway->now_us - echo_us
+                < peer_contact_us (gateway)
+                      + CONTACT_PERIODS * gateway->heartbeat_period_us;
+}
+
+static uint64_t
+peer_rank (uint64_t id, uint64_t key)
+{
+  return XXH3_64bits_withSeed (&id, sizeof id, key);
+}
+
+/* As ca_peers_coordinator, among the entries of a zone, of all zones if it is
+ * NULL.  Returns the number of those known. */
+static uint32_t
+peer_find_coordinator (const ca_gateway_t *gateway, const char *zone,
+                       uint64_t key, const ca_peer_t **coordinator,
+                       bool *is_self, double *share)
+{
+  uint32_t known = 0;
+  uint32_t in_contact = 0;
+  uint64_t best = 0;
+  const ca_peer_t *peer;
+
+  *coordinator = NULL;
+  *is_self = !gateway->stopping
+             && (zone == NULL || strcmp (gateway->options.zone, zone) == 0);
+  if (*is_self)
+    {
+      known = in_contact = 1;
+      best = peer_rank (gateway->id, key);
+    }
+  for (peer = gateway->peers; peer != NULL; peer = peer->hh.next)
+    {
+      if (peer->received_us == 0 || peer->leaving
+          || (zone != NULL && strcmp (peer->zone, zone) != 0))
+        continue;
+      known++;
+      if (gateway->now_us - peer->received_us >= peer_contact_us (gateway))
+        continue;
+      if (peer_receives (gateway, peer))
+        in_contact++;
+      if (peer_rank (peer->id, key) <= best)
+        continue;
+      best = peer_rank (peer->id, key);
+      *coordinator = peer;
+      *is_self = false;
+    }
+  *share = known == 0 ? 0 : (double)in_contact / known;
+  return known;
+}
+
+const ca_peer_t *
+ca_peers_coordinator (const ca_gateway_t *gateway, const char *zone,
+                      uint64_t key, bool *is_self, double *share)
+{
+  const ca_peer_t *coordinator;
+
+  if (peer_find_coordinator (gateway, zone, key, &coordinator, is_self, share)
+      == 0)
+    peer_find_coordinator (gateway, NULL, key, &coordinator, is_self, share);
+  return coordinator;
+}
+
 bool
 ca_peers_have_leader (const ca_gateway_t *gateway)
 {
@@ -463,6 +565,19 @@
     buffer->strike_rows[i] = &buffer->crash_rows[i].row;
 }
 
+/* Fills in the limits that endpoints named to this entry. */
+static void
+peer_fill_limits (const ca_gateway_t *gateway, peer_heartbeat_buffer_t *buffer)
+{
+  Camphor__Pulse *heartbeat = &buffer->heartbeat;
+
+  heartbeat->limits = buffer->limit_rows;
+  heartbeat->n_limits = ca_endpoint_limits_report (gateway, buffer->limits,
+                                                   HEARTBEAT_MAX_LIMITS);
+  for (size_t i = 0; i < heartbeat->n_limits; i++)
+    buffer->limit_rows[i] = &buffer->limits[i];
+}
+
 /* Builds the heartbeat that is the same for all peers. */
 static void
 peer_build_heartbeat (ca_gateway_t *gateway, uint64_t wall_us,
@@ -492,6 +607,7 @@
   peer_fill_usage (gateway, buffer);
   peer_fill_work (gateway, buffer);
   peer_fill_crash_records (gateway, buffer);
+  peer_fill_limits (gateway, buffer);
 }
 
 /* True if the peer is still to be sent a heartbeat in this round. */
@@ -707,6 +823,7 @@
       peer->has_clock_offset = false;
     }
   ca_peers_update_clock_offset (gateway, peer, heartbeat->stamp_us);
+  ca_endpoint_limits_merge (gateway, peer, heartbeat);
   if (peer->heartbeat != NULL)
     camphor__pulse__free_unpacked (peer->heartbeat, NULL);
   peer->heartbeat = heartbeat;
@@ -779,6 +896,12 @@
     case CAMPHOR__ENVELOPE__BODY_TABLE_WORD:
       ca_relay_receive (gateway, envelope);
       return;
+    case CAMPHOR__ENVELOPE__BODY_PERMIT_WANT:
+      ca_endpoint_limit_answer_request (gateway, envelope);
+      return;
+    case CAMPHOR__ENVELOPE__BODY_PERMIT:
+      ca_endpoint_limit_apply_permit (gateway, envelope->permit);
+      return;
     case CAMPHOR__ENVELOPE__BODY_CATALOG_WANT:
       peer_send_catalog (gateway, envelope);
       return;
--- a/packages/gateway/private.h
+++ b/packages/gateway/private.h
@@ -31,6 +31,9 @@
                                     uint64_t started_ms);
 void ca_exchanges_finish (ca_gateway_t *gateway);
 
+/* Dispatches the waiting requests, since an endpoint may take one now. */
+void ca_exchanges_dispatch_waiting (ca_gateway_t *gateway);
+
 /* state_sync.c */
 
 void ca_state_sync_tick (ca_gateway_t *gateway);
@@ -48,8 +51,9 @@
 /* The endpoint chosen for an exchange, and what its choice was based on. */
 typedef struct
 {
-  ca_gateway_endpoint_t *endpoint;     /* NULL if none can take it now */
-  bool any_open;                       /* the service has an open endpoint */
+  ca_gateway_endpoint_t *endpoint; /* NULL if none can take it now */
+  bool any_open;    /* the service has an open endpoint that is not limited */
+  bool any_limited; /* it has one that gets no more now due to its limit */
   uint64_t predicted_us;               /* time to the first event or response */
   uint32_t prefill_tokens;             /* prompt tokens that it must prefill */
   uint32_t fetched_tokens;             /* prompt tokens fetched from `source` */
@@ -160,6 +164,40 @@
                                 const ca_exchange_t *exchange,
                                 const ca_answer_facts_t *facts);
 
+/* True if this entry may send the endpoint a request now. */
+bool ca_endpoint_limit_allows (ca_gateway_t *gateway,
+                               ca_gateway_endpoint_t *endpoint);
+
+/* Counts a request that is sent to the endpoint. */
+void ca_endpoint_limit_take (ca_gateway_t *gateway,
+                             ca_gateway_endpoint_t *endpoint);
+
+/* Asks for a permit to send a request to one of the service's endpoints that
+ * are at their limits.  True while a response is awaited; if false, `wait_us`
+ * is the time after which one of them may take a request. */
+bool ca_endpoint_limits_request (ca_gateway_t *gateway, const char *service,
+                                 uint64_t *wait_us);
+
+/* Asks for permits to find out whether limits that no entry has reported for
+ * long still apply. */
+void ca_endpoint_limits_tick (ca_gateway_t *gateway);
+
+/* Fills in what this entry has observed lately, for its heartbeats, `max` rows
+ * at most; returns their number. */
+size_t ca_endpoint_limits_report (const ca_gateway_t *gateway,
+                                  Camphor__EndpointLimit *rows, size_t max);
+
+/* Merges the limits in a peer's heartbeat. */
+void ca_endpoint_limits_merge (ca_gateway_t *gateway, const ca_peer_t *peer,
+                               const Camphor__Pulse *heartbeat);
+
+/* Answers a peer's permit request, and applies the answer to one of this
+ * entry. */
+void ca_endpoint_limit_answer_request (ca_gateway_t *gateway,
+                                       const Camphor__Envelope *envelope);
+void ca_endpoint_limit_apply_permit (ca_gateway_t *gateway,
+                                     const Camphor__Permit *permit);
+
 /* usage.c */
 
 /* Counts a request of the workspace that began to run at `at_us`. */
@@ -206,6 +244,22 @@
 void ca_peers_send (ca_gateway_t *gateway, const ca_address_t *to,
                     Camphor__Envelope *envelope);
 
+/* Converts a time on a peer's clock to the local clock. */
+uint64_t ca_peers_local_time (const ca_peer_t *peer, uint64_t stamp_us);
+
+/* True once this entry has run long enough to have heard from all peers that
+ * it is in contact with. */
+bool ca_peers_are_known (const ca_gateway_t *gateway);
+
+/* The entry that coordinates the task `key` of a zone: the first one in contact
+ * in a ranking that is the same at all entries.  Entries of other zones take
+ * part only if none is known in this one.  NULL with `is_self` set if it is
+ * this entry, NULL without if there is none.  `share` is the part of the known
+ * entries that are in contact with this one, itself included. */
+const ca_peer_t *ca_peers_coordinator (const ca_gateway_t *gateway,
+                                       const char *zone, uint64_t key,
+                                       bool *is_self, double *share);
+
 /* True if the peer is live and in this entry's zone. */
 bool ca_peers_in_same_zone (const ca_gateway_t *gateway, const ca_peer_t *peer);
 
--- a/packages/gateway/registry.c
+++ b/packages/gateway/registry.c
@@ -60,6 +60,17 @@
   return endpoint;
 }
 
+ca_gateway_endpoint_t *
+ca_registry_find_instance (const ca_registry_t *registry, uint64_t instance)
+{
+  ca_gateway_endpoint_t *endpoint = registry->endpoints;
+
+  while (endpoint != NULL
+         && ca_gateway_endpoint_instance (endpoint) != instance)
+    endpoint = endpoint->hh.next;
+  return endpoint;
+}
+
 /* Removes an instance from the registry; its memory is kept while exchanges
  * refer to it. */
 static void
--- a/packages/gateway/registry.h
+++ b/packages/gateway/registry.h
@@ -39,13 +39,31 @@
   uint32_t held_tokens;   /* prompt and output tokens of open requests */
 } ca_gateway_endpoint_load_t;
 
-/* What the responses of an endpoint say of a limit on the requests per second
- * that it takes from all entries together. */
+/* What responses of an endpoint say of a limit on the requests per second that
+ * it takes from all entries together. */
 typedef struct
 {
   double per_s;       /* as last named */
   uint64_t named_us;  /* latest response that named a limit; 0 if none did */
   uint64_t lifted_us; /* start of the latest request answered without one */
+} ca_limit_statement_t;
+
+/* An endpoint's limit, and this entry's part in keeping it. */
+typedef struct
+{
+  ca_limit_statement_t known; /* from all entries */
+  ca_limit_statement_t own;   /* from responses to this entry */
+  uint64_t coordinator;       /* number of the peer; 0 if there is none */
+  uint64_t determined_us;     /* when the coordinator was; 0 if never */
+  bool coordinates;           /* this entry is the coordinator */
+  double share;               /* of the limit that the coordinator may use */
+  double tokens;              /* requests that the coordinator may send */
+  uint64_t filled_us;
+  uint32_t denied; /* permits denied since the last one granted */
+  bool has_permit; /* to send one request */
+  uint64_t permit_until_us;
+  uint64_t requested_us; /* open permit request; 0 if there is none */
+  uint64_t next_request_us;
 } ca_endpoint_limit_t;
 
 struct ca_affinity_part;
@@ -138,4 +156,8 @@
 ca_gateway_endpoint_t *ca_registry_find (const ca_registry_t *registry,
                                          const char *id);
 
+/* Finds an endpoint by ca_gateway_endpoint_instance. */
+ca_gateway_endpoint_t *ca_registry_find_instance (const ca_registry_t *registry,
+                                                  uint64_t instance);
+
 #endif
--- a/packages/gateway/select.c
+++ b/packages/gateway/select.c
@@ -157,18 +157,21 @@
 typedef enum
 {
   SELECT_INELIGIBLE, /* draining, not listed, or of another service */
+  SELECT_LIMITED,    /* at the limit that it names */
   SELECT_FULL,       /* reported no capacity a moment ago */
   SELECT_FALLBACK,   /* failed for this request, or ejected */
   SELECT_ELIGIBLE
 } select_eligibility_t;
 
 static select_eligibility_t
-select_eligibility (const ca_gateway_t *gateway, const ca_exchange_t *exchange,
-                    const ca_gateway_endpoint_t *endpoint)
+select_eligibility (ca_gateway_t *gateway, const ca_exchange_t *exchange,
+                    ca_gateway_endpoint_t *endpoint)
 {
   if (!ca_gateway_endpoint_is_open (endpoint)
       || strcmp (endpoint->service, exchange->service->name) != 0)
     return SELECT_INELIGIBLE;
+  if (!ca_endpoint_limit_allows (gateway, endpoint))
+    return SELECT_LIMITED;
   if (gateway->now_us < endpoint->full_until_us)
     return SELECT_FULL;
   if (select_is_avoided (exchange, endpoint)
@@ -183,7 +186,7 @@
   /* Home of the session; NULL if it is not eligible. */
   const ca_gateway_endpoint_t *home;
   double count;                  /* eligible endpoints */
-  double slots;                  /* of all open endpoints */
+  double slots;                  /* of all that may take a request */
   double requests_per_heartbeat; /* of all entries, between two heartbeats */
   double us_per_token;           /* prefill time */
 } select_survey_t;
@@ -196,7 +199,7 @@
       = ca_service_stats (gateway, exchange->service->name);
   uint64_t session = ca_prompt_shared_hash (&exchange->prompt);
   select_survey_t survey = { .home = NULL };
-  const ca_gateway_endpoint_t *endpoint;
+  ca_gateway_endpoint_t *endpoint;
   uint64_t best = 0;
 
   survey.us_per_token = CA_US_PER_MS / stats->prefill_tokens_per_ms;
@@ -211,7 +214,7 @@
           = select_eligibility (gateway, exchange, endpoint);
       uint64_t rank;
 
-      if (eligibility != SELECT_INELIGIBLE)
+      if (eligibility > SELECT_LIMITED)
         survey.slots += endpoint->slots;
       if (eligibility < required)
         continue;
@@ -401,7 +404,9 @@
       ca_selection_t selection = { .endpoint = endpoint, .any_open = true };
       double cost;
 
-      if (eligibility == SELECT_INELIGIBLE)
+      if (eligibility == SELECT_LIMITED)
+        best.any_limited = true;
+      if (eligibility <= SELECT_LIMITED)
         continue;
       best.any_open = true;
       if (eligibility < required
--- a/packages/wire/peer.pb-c.c
+++ b/packages/wire/peer.pb-c.c
@@ -1042,6 +1042,141 @@
   assert(message->base.descriptor == &camphor__strike__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   camphor__endpoint_limit__init
+                     (Camphor__EndpointLimit         *message)
+{
+  static const Camphor__EndpointLimit init_value = CAMPHOR__ENDPOINT_LIMIT__INIT;
+  *message = init_value;
+}
+size_t camphor__endpoint_limit__get_packed_size
+                     (const Camphor__EndpointLimit *message)
+{
+  assert(message->base.descriptor == &camphor__endpoint_limit__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t camphor__endpoint_limit__pack
+                     (const Camphor__EndpointLimit *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &camphor__endpoint_limit__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t camphor__endpoint_limit__pack_to_buffer
+                     (const Camphor__EndpointLimit *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &camphor__endpoint_limit__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Camphor__EndpointLimit *
+       camphor__endpoint_limit__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Camphor__EndpointLimit *)
+     protobuf_c_message_unpack (&camphor__endpoint_limit__descriptor,
+                                allocator, len, data);
+}
+void   camphor__endpoint_limit__free_unpacked
+                     (Camphor__EndpointLimit *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &camphor__endpoint_limit__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   camphor__permit_want__init
+                     (Camphor__PermitWant         *message)
+{
+  static const Camphor__PermitWant init_value = CAMPHOR__PERMIT_WANT__INIT;
+  *message = init_value;
+}
+size_t camphor__permit_want__get_packed_size
+                     (const Camphor__PermitWant *message)
+{
+  assert(message->base.descriptor == &camphor__permit_want__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t camphor__permit_want__pack
+                     (const Camphor__PermitWant *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &camphor__permit_want__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t camphor__permit_want__pack_to_buffer
+                     (const Camphor__PermitWant *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &camphor__permit_want__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Camphor__PermitWant *
+       camphor__permit_want__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Camphor__PermitWant *)
+     protobuf_c_message_unpack (&camphor__permit_want__descriptor,
+                                allocator, len, data);
+}
+void   camphor__permit_want__free_unpacked
+                     (Camphor__PermitWant *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &camphor__permit_want__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   camphor__permit__init
+                     (Camphor__Permit         *message)
+{
+  static const Camphor__Permit init_value = CAMPHOR__PERMIT__INIT;
+  *message = init_value;
+}
+size_t camphor__permit__get_packed_size
+                     (const Camphor__Permit *message)
+{
+  assert(message->base.descriptor == &camphor__permit__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t camphor__permit__pack
+                     (const Camphor__Permit *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &camphor__permit__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t camphor__permit__pack_to_buffer
+                     (const Camphor__Permit *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &camphor__permit__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Camphor__Permit *
+       camphor__permit__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Camphor__Permit *)
+     protobuf_c_message_unpack (&camphor__permit__descriptor,
+                                allocator, len, data);
+}
+void   camphor__permit__free_unpacked
+                     (Camphor__Permit *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &camphor__permit__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   camphor__pulse__init
                      (Camphor__Pulse         *message)
 {
@@ -3395,7 +3530,238 @@
   (ProtobufCMessageInit) camphor__strike__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor camphor__pulse__field_descriptors[20] =
+static const ProtobufCFieldDescriptor camphor__endpoint_limit__field_descriptors[6] =
+{
+  {
+    "instance",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Camphor__EndpointLimit, instance),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "per_s",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_DOUBLE,
+    0,   /* quantifier_offset */
+    offsetof(Camphor__EndpointLimit, per_s),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "named",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Camphor__EndpointLimit, named),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "named_age_us",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Camphor__EndpointLimit, named_age_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "lifted",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Camphor__EndpointLimit, lifted),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "lifted_age_us",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Camphor__EndpointLimit, lifted_age_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned camphor__endpoint_limit__field_indices_by_name[] = {
+  0,   /* field[0] = instance */
+  4,   /* field[4] = lifted */
+  5,   /* field[5] = lifted_age_us */
+  2,   /* field[2] = named */
+  3,   /* field[3] = named_age_us */
+  1,   /* field[1] = per_s */
+};
+static const ProtobufCIntRange camphor__endpoint_limit__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 6 }
+};
+const ProtobufCMessageDescriptor camphor__endpoint_limit__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "camphor.EndpointLimit",
+  "EndpointLimit",
+  "Camphor__EndpointLimit",
+  "camphor",
+  sizeof(Camphor__EndpointLimit),
+  6,
+  camphor__endpoint_limit__field_descriptors,
+  camphor__endpoint_limit__field_indices_by_name,
+  1,  camphor__endpoint_limit__number_ranges,
+  (ProtobufCMessageInit) camphor__endpoint_limit__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor camphor__permit_want__field_descriptors[2] =
+{
+  {
+    "limit",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Camphor__PermitWant, limit),
+    &camphor__endpoint_limit__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "stamp_us",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Camphor__PermitWant, stamp_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned camphor__permit_want__field_indices_by_name[] = {
+  0,   /* field[0] = limit */
+  1,   /* field[1] = stamp_us */
+};
+static const ProtobufCIntRange camphor__permit_want__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor camphor__permit_want__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "camphor.PermitWant",
+  "PermitWant",
+  "Camphor__PermitWant",
+  "camphor",
+  sizeof(Camphor__PermitWant),
+  2,
+  camphor__permit_want__field_descriptors,
+  camphor__permit_want__field_indices_by_name,
+  1,  camphor__permit_want__number_ranges,
+  (ProtobufCMessageInit) camphor__permit_want__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor camphor__permit__field_descriptors[4] =
+{
+  {
+    "instance",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Camphor__Permit, instance),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "echo_us",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Camphor__Permit, echo_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "granted",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Camphor__Permit, granted),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "wait_us",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Camphor__Permit, wait_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned camphor__permit__field_indices_by_name[] = {
+  1,   /* field[1] = echo_us */
+  2,   /* field[2] = granted */
+  0,   /* field[0] = instance */
+  3,   /* field[3] = wait_us */
+};
+static const ProtobufCIntRange camphor__permit__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor camphor__permit__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "camphor.Permit",
+  "Permit",
+  "Camphor__Permit",
+  "camphor",
+  sizeof(Camphor__Permit),
+  4,
+  camphor__permit__field_descriptors,
+  camphor__permit__field_indices_by_name,
+  1,  camphor__permit__number_ranges,
+  (ProtobufCMessageInit) camphor__permit__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor camphor__pulse__field_descriptors[21] =
 {
   {
     "name",
@@ -3637,6 +4003,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "limits",
+    21,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Camphor__Pulse, n_limits),
+    offsetof(Camphor__Pulse, limits),
+    &camphor__endpoint_limit__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned camphor__pulse__field_indices_by_name[] = {
   9,   /* field[9] = config_age_us */
@@ -3648,6 +4026,7 @@
   18,   /* field[18] = leads */
   10,   /* field[10] = leaving */
   16,   /* field[16] = left_lives */
+  20,   /* field[20] = limits */
   12,   /* field[12] = loads */
   0,   /* field[0] = name */
   19,   /* field[19] = omits_usage */
@@ -3663,7 +4042,7 @@
 static const ProtobufCIntRange camphor__pulse__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 20 }
+  { 0, 21 }
 };
 const ProtobufCMessageDescriptor camphor__pulse__descriptor =
 {
@@ -3673,7 +4052,7 @@
   "Camphor__Pulse",
   "camphor",
   sizeof(Camphor__Pulse),
-  20,
+  21,
   camphor__pulse__field_descriptors,
   camphor__pulse__field_indices_by_name,
   1,  camphor__pulse__number_ranges,
@@ -4051,7 +4430,7 @@
   (ProtobufCMessageInit) camphor__catalog_text__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor camphor__envelope__field_descriptors[27] =
+static const ProtobufCFieldDescriptor camphor__envelope__field_descriptors[29] =
 {
   {
     "version",
@@ -4377,6 +4756,30 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "permit_want",
+    30,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Camphor__Envelope, body_case),
+    offsetof(Camphor__Envelope, permit_want),
+    &camphor__permit_want__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "permit",
+    31,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Camphor__Envelope, body_case),
+    offsetof(Camphor__Envelope, permit),
+    &camphor__permit__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned camphor__envelope__field_indices_by_name[] = {
   8,   /* field[8] = ack */
@@ -4397,6 +4800,8 @@
   15,   /* field[15] = holds */
   2,   /* field[2] = incarnation */
   4,   /* field[4] = members */
+  28,   /* field[28] = permit */
+  27,   /* field[27] = permit_want */
   7,   /* field[7] = ping */
   9,   /* field[9] = ping_request */
   25,   /* field[25] = proof */
@@ -4411,7 +4816,7 @@
 {
   { 1, 0 },
   { 10, 7 },
-  { 0, 27 }
+  { 0, 29 }
 };
 const ProtobufCMessageDescriptor camphor__envelope__descriptor =
 {
@@ -4421,7 +4826,7 @@
   "Camphor__Envelope",
   "camphor",
   sizeof(Camphor__Envelope),
-  27,
+  29,
   camphor__envelope__field_descriptors,
   camphor__envelope__field_indices_by_name,
   2,  camphor__envelope__number_ranges,
--- a/packages/wire/peer.pb-c.h
+++ b/packages/wire/peer.pb-c.h
@@ -38,6 +38,9 @@
 typedef struct Camphor__UsageCount Camphor__UsageCount;
 typedef struct Camphor__ServiceWork Camphor__ServiceWork;
 typedef struct Camphor__Strike Camphor__Strike;
+typedef struct Camphor__EndpointLimit Camphor__EndpointLimit;
+typedef struct Camphor__PermitWant Camphor__PermitWant;
+typedef struct Camphor__Permit Camphor__Permit;
 typedef struct Camphor__Pulse Camphor__Pulse;
 typedef struct Camphor__ProofWant Camphor__ProofWant;
 typedef struct Camphor__Proof Camphor__Proof;
@@ -433,6 +436,64 @@
     , 0, 0, 0,NULL, 0,NULL, 0, 0 }
 
 
+/*
+ * What responses to the sender itself say of the limit that an endpoint names
+ * for the requests of all entries together.
+ */
+struct  Camphor__EndpointLimit
+{
+  ProtobufCMessage base;
+  uint64_t instance;
+  double per_s;
+  protobuf_c_boolean named;
+  /*
+   * since the latest response that named it
+   */
+  uint64_t named_age_us;
+  protobuf_c_boolean lifted;
+  /*
+   * since the latest request answered without one
+   */
+  uint64_t lifted_age_us;
+};
+#define CAMPHOR__ENDPOINT_LIMIT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&camphor__endpoint_limit__descriptor) \
+    , 0, 0, 0, 0, 0, 0 }
+
+
+/*
+ * Requests a permit to send one request to an endpoint that names a limit.
+ */
+struct  Camphor__PermitWant
+{
+  ProtobufCMessage base;
+  Camphor__EndpointLimit *limit;
+  /*
+   * the sender's clock
+   */
+  uint64_t stamp_us;
+};
+#define CAMPHOR__PERMIT_WANT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&camphor__permit_want__descriptor) \
+    , NULL, 0 }
+
+
+struct  Camphor__Permit
+{
+  ProtobufCMessage base;
+  uint64_t instance;
+  uint64_t echo_us;
+  protobuf_c_boolean granted;
+  /*
+   * if not granted: until another request may be
+   */
+  uint64_t wait_us;
+};
+#define CAMPHOR__PERMIT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&camphor__permit__descriptor) \
+    , 0, 0, 0, 0 }
+
+
 /*
  * Heartbeat: the state of one entry, sent to every peer periodically.
  */
@@ -486,10 +547,12 @@
    * the usage reported before is still valid
    */
   protobuf_c_boolean omits_usage;
+  size_t n_limits;
+  Camphor__EndpointLimit **limits;
 };
 #define CAMPHOR__PULSE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&camphor__pulse__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0,NULL }
 
 
 /*
@@ -608,7 +671,9 @@
   CAMPHOR__ENVELOPE__BODY_CATALOG_TEXT = 26,
   CAMPHOR__ENVELOPE__BODY_PROOF_WANT = 27,
   CAMPHOR__ENVELOPE__BODY_PROOF = 28,
-  CAMPHOR__ENVELOPE__BODY_TABLE_WORD = 29
+  CAMPHOR__ENVELOPE__BODY_TABLE_WORD = 29,
+  CAMPHOR__ENVELOPE__BODY_PERMIT_WANT = 30,
+  CAMPHOR__ENVELOPE__BODY_PERMIT = 31
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(CAMPHOR__ENVELOPE__BODY__CASE)
 } Camphor__Envelope__BodyCase;
 
@@ -647,6 +712,8 @@
     Camphor__ProofWant *proof_want;
     Camphor__Proof *proof;
     Camphor__TableWord *table_word;
+    Camphor__PermitWant *permit_want;
+    Camphor__Permit *permit;
   };
 };
 #define CAMPHOR__ENVELOPE__INIT \
@@ -1091,6 +1158,63 @@
 void   camphor__strike__free_unpacked
                      (Camphor__Strike *message,
                       ProtobufCAllocator *allocator);
+/* Camphor__EndpointLimit methods */
+void   camphor__endpoint_limit__init
+                     (Camphor__EndpointLimit         *message);
+size_t camphor__endpoint_limit__get_packed_size
+                     (const Camphor__EndpointLimit   *message);
+size_t camphor__endpoint_limit__pack
+                     (const Camphor__EndpointLimit   *message,
+                      uint8_t             *out);
+size_t camphor__endpoint_limit__pack_to_buffer
+                     (const Camphor__EndpointLimit   *message,
+                      ProtobufCBuffer     *buffer);
+Camphor__EndpointLimit *
+       camphor__endpoint_limit__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   camphor__endpoint_limit__free_unpacked
+                     (Camphor__EndpointLimit *message,
+                      ProtobufCAllocator *allocator);
+/* Camphor__PermitWant methods */
+void   camphor__permit_want__init
+                     (Camphor__PermitWant         *message);
+size_t camphor__permit_want__get_packed_size
+                     (const Camphor__PermitWant   *message);
+size_t camphor__permit_want__pack
+                     (const Camphor__PermitWant   *message,
+                      uint8_t             *out);
+size_t camphor__permit_want__pack_to_buffer
+                     (const Camphor__PermitWant   *message,
+                      ProtobufCBuffer     *buffer);
+Camphor__PermitWant *
+       camphor__permit_want__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   camphor__permit_want__free_unpacked
+                     (Camphor__PermitWant *message,
+                      ProtobufCAllocator *allocator);
+/* Camphor__Permit methods */
+void   camphor__permit__init
+                     (Camphor__Permit         *message);
+size_t camphor__permit__get_packed_size
+                     (const Camphor__Permit   *message);
+size_t camphor__permit__pack
+                     (const Camphor__Permit   *message,
+                      uint8_t             *out);
+size_t camphor__permit__pack_to_buffer
+                     (const Camphor__Permit   *message,
+                      ProtobufCBuffer     *buffer);
+Camphor__Permit *
+       camphor__permit__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   camphor__permit__free_unpacked
+                     (Camphor__Permit *message,
+                      ProtobufCAllocator *allocator);
 /* Camphor__Pulse methods */
 void   camphor__pulse__init
                      (Camphor__Pulse         *message);
@@ -1314,6 +1438,15 @@
 typedef void (*Camphor__Strike_Closure)
                  (const Camphor__Strike *message,
                   void *closure_data);
+typedef void (*Camphor__EndpointLimit_Closure)
+                 (const Camphor__EndpointLimit *message,
+                  void *closure_data);
+typedef void (*Camphor__PermitWant_Closure)
+                 (const Camphor__PermitWant *message,
+                  void *closure_data);
+typedef void (*Camphor__Permit_Closure)
+                 (const Camphor__Permit *message,
+                  void *closure_data);
 typedef void (*Camphor__Pulse_Closure)
                  (const Camphor__Pulse *message,
                   void *closure_data);
@@ -1367,6 +1500,9 @@
 extern const ProtobufCMessageDescriptor camphor__usage_count__descriptor;
 extern const ProtobufCMessageDescriptor camphor__service_work__descriptor;
 extern const ProtobufCMessageDescriptor camphor__strike__descriptor;
+extern const ProtobufCMessageDescriptor camphor__endpoint_limit__descriptor;
+extern const ProtobufCMessageDescriptor camphor__permit_want__descriptor;
+extern const ProtobufCMessageDescriptor camphor__permit__descriptor;
 extern const ProtobufCMessageDescriptor camphor__pulse__descriptor;
 extern const ProtobufCMessageDescriptor camphor__proof_want__descriptor;
 extern const ProtobufCMessageDescriptor camphor__proof__descriptor;
--- a/tests/gateway/script.c
+++ b/tests/gateway/script.c
@@ -12,6 +12,7 @@
  *   request ID PATH [key=K] [wait=MS] [cost=IN,OUT] [parts=ID:N,...]
  *           [fingerprint=N]
  *   head ID STATUS [signed] [not-run] [wrong-endpoint] [encoded] [stream]
+ *           [limit=REQUESTS-PER-SECOND] [bad-limit=TEXT]
  *   event ID [N]                 a complete event, with its id
  *   end ID complete|unreachable|interrupted|malformed
  *   disconnect ID                the caller closes its connection
@@ -149,6 +150,7 @@
           [CA_REFUSE_QUARANTINED] = "quarantined",
           [CA_REFUSE_NO_ENDPOINT] = "no-endpoint",
           [CA_REFUSE_OVERLOADED] = "overloaded",
+          [CA_REFUSE_LIMITED] = "limited",
           [CA_REFUSE_EXPIRED] = "expired",
           [CA_REFUSE_LOST] = "lost",
           [CA_REFUSE_TIMEOUT] = "timeout" };
@@ -383,6 +385,7 @@
 static void
 script_head (script_t *script, char **words)
 {
+  const char *limit = script_value (words, "limit");
   ca_answer_facts_t facts;
 
   memset (&facts, 0, sizeof facts);
@@ -392,6 +395,9 @@
   facts.wrong_endpoint = script_has (words, "wrong-endpoint");
   facts.encoded = script_has (words, "encoded");
   facts.is_stream = script_has (words, "stream");
+  facts.has_limit = limit != NULL;
+  facts.limit_per_s = limit == NULL ? 0 : strtod (limit, NULL);
+  facts.bad_limit = script_value (words, "bad-limit");
   ca_exchange_head (&script->gateway, script->now_us,
                     script_open (script, words[1]), &facts);
 }
