Order endpoints in place of what limited ones do not take

Cause: the fleet plan counts an endpoint that takes 1.3 requests a second like one that takes ten.

Change: the need grows by the limited endpoints, less what their limits take at the load of one endpoint.

Measured: test_replaces_limited_endpoints does not compile on the code before, which has no such input; leader and plan tests pass.

--- a/packages/gateway/fleet_orders.c
+++ b/packages/gateway/fleet_orders.c
@@ -182,10 +182,12 @@
   return target;
 }
 
-/* Counts the open endpoints of a zone, and adds up their open requests. */
+/* Counts the open endpoints of a zone, and adds up their open requests and
+ * limits. */
 static void
 fleet_count_endpoints (const ca_leader_t *leader, const ca_service_t *service,
-                       const char *zone, ca_fleet_zone_t *counts, double *open)
+                       const char *zone, ca_fleet_zone_t *counts,
+                       ca_fleet_state_t *state)
 {
   const ca_gateway_endpoint_t *endpoint;
   uint32_t requests;
@@ -199,8 +201,14 @@
         continue;
       /* Queued requests show that endpoints are missing, not how many. */
       requests = endpoint->own_load.open + endpoint->peer_load.open;
-      *open += service->slots > 0 && requests > service->slots ? service->slots
-                                                               : requests;
+      state->open += service->slots > 0 && requests > service->slots
+                         ? service->slots
+                         : requests;
+      if (ca_endpoint_limit_applies (endpoint))
+        {
+          state->limited++;
+          state->limited_per_s += endpoint->limit.known.per_s;
+        }
       if (endpoint->reclaimable)
         counts->reclaimable++;
       else
@@ -303,6 +311,7 @@
     leader->first_traffic_us = now_us;
   state.busy = work.busy;
   state.held_tokens = work.held_tokens;
+  state.requests_per_s = work.requests_per_s;
   state.slots = service->slots;
   state.cache_tokens = service->cache_tokens;
   state.min_endpoints = service->min_endpoints;
@@ -320,7 +329,7 @@
 
       zone->price = service->prices[i].price;
       fleet_count_endpoints (leader, service, service->prices[i].zone, zone,
-                             &state.open);
+                             &state);
       running += zone->reclaimable
                  + fleet_count_retained (
                      fleet_find_order (leader, service->name,
--- a/packages/gateway/fleet_plan.c
+++ b/packages/gateway/fleet_plan.c
@@ -21,6 +21,18 @@
  * is known. */
 #define FLEET_INITIAL_SHARE 0.25
 
+/* Number of endpoints that would take the requests that limited ones do not,
+ * if the load needs `need` of them. */
+static double
+fleet_replacements (const ca_fleet_state_t *state, double need)
+{
+  double endpoint_per_s = state->requests_per_s / need;
+
+  if (endpoint_per_s <= 0)
+    return 0;
+  return fmax (state->limited - state->limited_per_s / endpoint_per_s, 0);
+}
+
 uint32_t
 ca_fleet_need (const ca_fleet_state_t *state)
 {
@@ -35,7 +47,8 @@
   if (!state->traffic_known)
     need = fmax (need, FLEET_INITIAL_SHARE * state->max_endpoints
                            * state->zone_count);
-  return (uint32_t)ceil (fmax (need, 1.0));
+  need = fmax (need, 1.0);
+  return (uint32_t)ceil (need + fleet_replacements (state, need));
 }
 
 /* Number of zones in which reclaimable endpoints are available. */
--- a/packages/gateway/fleet_plan.h
+++ b/packages/gateway/fleet_plan.h
@@ -27,6 +27,9 @@
   double busy;        /* endpoints kept busy by prompts */
   double open;        /* requests open at endpoints, at most the slots */
   double held_tokens; /* prompt and output tokens of all requests */
+  double requests_per_s;
+  uint32_t limited;     /* running endpoints that limit their requests */
+  double limited_per_s; /* requests that these take together */
   uint32_t slots;
   uint64_t cache_tokens;
   uint32_t min_endpoints; /* per zone, both kinds together */
@@ -47,7 +50,8 @@
 /* True while reclaimable endpoints are unavailable in some zone. */
 bool ca_fleet_is_wave (const ca_fleet_state_t *state);
 
-/* Returns the number of endpoints that the load needs in all zones. */
+/* Returns the number of endpoints that the load needs in all zones, with
+ * replacements for what limited ones do not take. */
 uint32_t ca_fleet_need (const ca_fleet_state_t *state);
 
 /* Fills `targets`, one per zone of `state`. */
--- a/tests/gateway/test_fleet_plan.c
+++ b/tests/gateway/test_fleet_plan.c
@@ -146,6 +146,26 @@
   assert_int_equal (ca_fleet_need (&fleet), 6);
 }
 
+/* An endpoint that limits its requests counts for the part of the load that it
+ * takes. */
+static void
+test_replaces_limited_endpoints (void **state)
+{
+  ca_fleet_state_t fleet = three_zones ();
+
+  (void)state;
+  fleet.busy = 3.0;
+  fleet.requests_per_s = 50;
+  assert_int_equal (ca_fleet_need (&fleet), 5);
+  fleet.limited = 2;
+  fleet.limited_per_s = 2.6;
+  assert_int_equal (ca_fleet_need (&fleet), 7);
+  fleet.limited_per_s = 10;
+  assert_int_equal (ca_fleet_need (&fleet), 6);
+  fleet.limited_per_s = 100;
+  assert_int_equal (ca_fleet_need (&fleet), 5);
+}
+
 int
 main (void)
 {
@@ -156,6 +176,7 @@
     cmocka_unit_test (test_respects_the_bounds),
     cmocka_unit_test (test_need),
     cmocka_unit_test (test_initial_need),
+    cmocka_unit_test (test_replaces_limited_endpoints),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
