--- a/tests/site/replica.c
+++ b/tests/site/replica.c
@@ -9,9 +9,15 @@
  * A run whose path contains TEXT ends the process at its start.  On SIGTERM it
  * reports draining, serves for another second, and exits.  POST /control takes
  * {"fault": NAME, "next": N} for the next N requests: reject, error, reset,
- * cut, lost, encoded, unsigned. */
+ * cut, lost, encoded, unsigned; or {"limit": TEXT}, which all responses then
+ * name as the limit on requests per second, "" for none.  GET /record returns
+ * the requests since then, and the most in a span of 4 s that began 4 s or more
+ * after it: {"requests": N, "most": N}. */
 #include "tests/site/site.h"
 
+#include "base/clock.h"
+#include "base/clock_source.h"
+
 #include <fcntl.h>
 #include <resolv.h>
 #include <stdlib.h>
@@ -24,6 +30,15 @@
 #define REPLICA_DRAIN_S 1
 #define REPLICA_REGISTER_PERIOD_MS 500
 #define REPLICA_EVENTS 6
+#define REPLICA_LIMIT_BYTES 32
+
+/* Spans over which limited requests are counted, and the time that the entries
+ * have to learn of the limit. */
+#define REPLICA_SPAN_US (4 * CA_US_PER_S)
+#define REPLICA_CONTACT_US (4 * CA_US_PER_S)
+
+/* Requests kept for the count; further ones are counted too. */
+#define REPLICA_SPAN_MAX 1024
 
 typedef struct
 {
@@ -40,6 +55,11 @@
   bool registered; /* the store accepted the current state */
   char fault[16];
   int faults_left;
+  char limit[REPLICA_LIMIT_BYTES]; /* named in responses; empty: none */
+  uint64_t limit_since_us;
+  uint64_t requests_us[REPLICA_SPAN_MAX]; /* by number, the latest */
+  uint64_t requests;                      /* since the limit was set */
+  uint64_t most;                          /* of them in a span */
   struct event *register_timer;
   uint64_t born_ms;
 } replica_t;
@@ -161,10 +181,40 @@
   free (run);
 }
 
+static void
+add_limit (ca_headers_t *headers)
+{
+  if (replica.limit[0] != '\0')
+    ca_headers_add (headers, "Server-Limit", replica.limit);
+}
+
+/* Counts a request towards the limit. */
+static void
+count_request (void)
+{
+  uint64_t now_us = ca_clock_now_us ();
+  uint64_t from_us = replica.limit_since_us + REPLICA_CONTACT_US;
+  uint64_t in_span = 0;
+
+  replica.requests_us[replica.requests++ % REPLICA_SPAN_MAX] = now_us;
+  while (in_span < replica.requests && in_span < REPLICA_SPAN_MAX)
+    {
+      uint64_t at_us = replica.requests_us[(replica.requests - in_span - 1)
+                                           % REPLICA_SPAN_MAX];
+
+      if (at_us < from_us || at_us + REPLICA_SPAN_US <= now_us)
+        break;
+      in_span++;
+    }
+  if (in_span > replica.most)
+    replica.most = in_span;
+}
+
 static void
 run_headers (const run_t *run, ca_headers_t *headers)
 {
   ca_headers_init (headers);
+  add_limit (headers);
   ca_headers_add (headers, "Camphorarch-Attempt-Id", run->id);
   if (strcmp (run->fault, "unsigned") != 0)
     ca_headers_printf (headers, "Camphorarch-Replica-Signature", "%s.%s",
@@ -281,6 +331,7 @@
   ca_headers_add (&headers, "Camphorarch-Attempt-Id",
                   header_of (request, "Camphorarch-Attempt-Id"));
   ca_headers_add (&headers, "Camphorarch-Not-Executed", "1");
+  add_limit (&headers);
   ca_http_respond (request, status, &headers, "", 0);
   ca_headers_finish (&headers);
 }
@@ -290,7 +341,15 @@
 {
   json_t *body = site_body (request);
   const char *fault = json_string_value (json_object_get (body, "fault"));
+  const char *limit = json_string_value (json_object_get (body, "limit"));
 
+  if (limit != NULL)
+    {
+      strlcpy (replica.limit, limit, sizeof replica.limit);
+      replica.limit_since_us = ca_clock_now_us ();
+      replica.requests = 0;
+      replica.most = 0;
+    }
   strlcpy (replica.fault, fault == NULL ? "" : fault, sizeof replica.fault);
   replica.faults_left
       = (int)json_integer_value (json_object_get (body, "next"));
@@ -309,6 +368,15 @@
       serve_control (request);
       return;
     }
+  if (site_is_path (request, "/record"))
+    {
+      site_respond (request, 200,
+                    json_pack ("{s:I, s:I}", "requests",
+                               (json_int_t)replica.requests, "most",
+                               (json_int_t)replica.most));
+      return;
+    }
+  count_request ();
   if (strcmp (header_of (request, "Camphorarch-Expected-Replica"), replica.id)
       != 0)
     {
--- a/tests/soak/soak.sh
+++ b/tests/soak/soak.sh
@@ -6,8 +6,8 @@
 # Faults follow each other and may overlap.  Processes are paused, killed,
 # terminated and restarted; connections to the store and to endpoints are delayed,
 # reset or left without data or answers; the store refuses calls, stops answering,
-# loses answers and compacts its history; endpoints reject requests, fail, and
-# interrupt or corrupt answers; the configuration changes.  Callers check every
+# loses answers and compacts its history; endpoints reject requests, limit them,
+# fail, and interrupt or corrupt answers; the configuration changes.  Callers check every
 # answer, and compare all of them with the endpoints' runs at the end.  The same
 # seed draws the same faults, but their timing depends on the processes.
 set -u
@@ -74,12 +74,17 @@
 
 fault_endpoint () {
   local i=$((1 + $(random_below "$ENDPOINTS"))) ms=$((300 + $(random_below 2000)))
-  local fault=$(pick_random stop kill term reject error reset cut lost encoded unsigned)
+  local fault=$(pick_random stop kill term reject error reset cut lost encoded unsigned limit)
   log_fault "endpoint$i $fault $ms"
   case $fault in
     stop) signal STOP "endpoint$i"; sleep_ms $ms; signal CONT "endpoint$i" ;;
     kill) signal KILL "endpoint$i"; sleep_ms $ms; launch_endpoint "$i" ;;
     term) signal TERM "endpoint$i"; wait_for endpoint_gone "$i"; launch_endpoint "$i" ;;
+    limit)
+      control $((BASE + 10 + i)) "{\"limit\":\"$(pick_random 0 0.4 2.5 20 none)\"}"
+      sleep_ms $ms
+      control $((BASE + 10 + i)) '{"limit":""}'
+      ;;
     *) control $((BASE + 10 + i)) "{\"fault\":\"$fault\",\"next\":$((1 + $(random_below 12)))}" ;;
   esac
 }
