Entries take turns to renew a limit that nobody has reported for long

Callers' side: none; 82 entries sent 860 messages a second for 18 limited endpoints whose coordinators had few requests of their own, as each entry asked for a permit as soon as it found a limit stale.

Change: the turns are spread at random, four a second for an endpoint over all entries. The test prints the messages.

--- a/packages/gateway/endpoint_limit.c
+++ b/packages/gateway/endpoint_limit.c
@@ -33,6 +33,10 @@
  * entries that do not coordinate the limit ask for a permit to renew it. */
 #define LIMIT_STALE_US (2 * CA_US_PER_S)
 
+/* Average pause between the permit requests of all entries that are to renew
+ * one stale limit. */
+#define LIMIT_RENEWAL_US (250 * CA_US_PER_MS)
+
 /* A permit may be used for this long after it was requested. */
 #define PERMIT_VALID_US (1 * CA_US_PER_S)
 
@@ -329,6 +333,23 @@
                 > 0;
 }
 
+/* True if it is this entry's turn to renew a stale limit.  The turns of all
+ * entries are spread at random. */
+static bool
+limit_is_renewal_due (ca_gateway_t *gateway, ca_endpoint_limit_t *limit)
+{
+  bool due = limit->next_renewal_us != 0
+             && gateway->now_us >= limit->next_renewal_us;
+
+  if (due || limit->next_renewal_us == 0)
+    limit->next_renewal_us
+        = gateway->now_us
+          + (uint64_t)(2 * ca_gateway_random (gateway)
+                       * (double)(LIMIT_RENEWAL_US
+                                  * ca_peers_live_count (gateway)));
+  return due;
+}
+
 void
 ca_endpoint_limits_tick (ca_gateway_t *gateway)
 {
@@ -341,6 +362,11 @@
 
       if (!ca_endpoint_limit_applies (endpoint)
           || !limit_is_stale (gateway, endpoint))
+        {
+          limit->next_renewal_us = 0;
+          continue;
+        }
+      if (!limit_is_renewal_due (gateway, limit))
         continue;
       limit_update (gateway, endpoint);
       if (!limit->coordinates && !limit_has_permit (gateway, limit)
--- a/packages/gateway/registry.h
+++ b/packages/gateway/registry.h
@@ -64,6 +64,7 @@
   uint64_t permit_until_us;
   uint64_t requested_us; /* open permit request; 0 if there is none */
   uint64_t next_request_us;
+  uint64_t next_renewal_us; /* of a stale limit; 0 if not planned */
 } ca_endpoint_limit_t;
 
 struct ca_affinity_part;
--- a/tests/gateway/test_endpoint_over_limit.c
+++ b/tests/gateway/test_endpoint_over_limit.c
@@ -105,6 +105,7 @@
   size_t next_restart;
   uint64_t refused;
   uint64_t refused_late; /* after they had waited for too long */
+  uint64_t permit_messages;
 } world;
 
 static const char config[]
@@ -215,6 +216,9 @@
           != is_turn (scenario->cut_period_us, to->port % ZONES, ZONES)
       || is_turn (scenario->mute_period_us, from, scenario->entries))
     return;
+  if (envelope->body_case == CAMPHOR__ENVELOPE__BODY_PERMIT_WANT
+      || envelope->body_case == CAMPHOR__ENVELOPE__BODY_PERMIT)
+    world.permit_messages++;
   message = calloc (1, sizeof *message);
   message->bytes = camphor__envelope__get_packed_size (envelope);
   message->packed = malloc (message->bytes);
@@ -472,14 +476,16 @@
   print_message (
       "%zu entries, %zu of %zu endpoints limited to %.1f/s: at most "
       "%zu requests in 4 s of %.1f allowed, %.2f of the limits "
-      "used, then %.2f of an equal share, %llu refused, %llu late\n",
+      "used, then %.2f of an equal share, %llu refused, %llu late, %.1f "
+      "permit messages/s\n",
       scenario->entries, scenario->limited, scenario->endpoints,
       scenario->limit_per_s, worst, allowed,
       (double)used / (allowed_per_s * limited_s),
       (double)lifted
           / (equal_share (scenario) * (double)scenario->limited * lifted_s),
-      (unsigned long long)world.refused,
-      (unsigned long long)world.refused_late);
+      (unsigned long long)world.refused, (unsigned long long)world.refused_late,
+      (double)world.permit_messages
+          / (double)((LIFTED_US - NAMED_US) / CA_US_PER_S));
   assert_true ((double)worst <= allowed);
   assert_int_equal (world.refused_late, 0);
   assert_true (scenario->limited < scenario->endpoints
