Round the wait for a permit to the microsecond

Callers' side: none. scripts/endpoint-limit expected 599 ms where the wait is 600 ms; since the tokens are summed in other steps and the sum came out at 600.

Cause: the wait was cut off to whole microseconds.

Measured: scripts/endpoint-limit passes with 600 ms.

--- a/packages/gateway/endpoint_limit.c
+++ b/packages/gateway/endpoint_limit.c
@@ -15,6 +15,7 @@
  * know the others yet and coordinates nothing. */
 #include "gateway/private.h"
 
+#include <math.h>
 #include <string.h>
 
 /* Tokens that the bucket holds: the requests of this long, at least one. */
@@ -264,7 +265,7 @@
 {
   double missing = limit->tokens < 1 ? 1 - limit->tokens : 0;
 
-  return (uint64_t)(missing / limit_rate_per_s (limit) * CA_US_PER_S);
+  return (uint64_t)llround (missing / limit_rate_per_s (limit) * CA_US_PER_S);
 }
 
 /* Time until a permit may be requested; 0 if it may be now. */
