The store comes back from an older copy: compare (era, version)

Callers' side: after such a drill a fencing token is given out a second time, to another holder; a usage window may be reported with other counts. Each version was taken to rise for ever.

A rise restarts the watches and the entry's registration, each after a random wait; the era travels in heartbeats and in the updates of a zone's reader. A holder writes its lease again with the same token; a successor uses a token above all that entries know of, and reports no window that may have been reported. Endpoints that are missing get the time that they get after an outage. A malformed, missing or earlier era is logged and counted. A store that has never named an era is served as before.

--- a/packages/base/counters.c
+++ b/packages/base/counters.c
@@ -32,6 +32,8 @@
   "crashes_suspected",
   "crashes_confirmed",
   "crashes_unconfirmed",
+  "store_restores",
+  "store_bad_eras",
   "limited_attempts",
 };
 
--- a/packages/base/counters.h
+++ b/packages/base/counters.h
@@ -33,6 +33,8 @@
   CA_COUNT_CRASHES_SUSPECTED,
   CA_COUNT_CRASHES_CONFIRMED,
   CA_COUNT_CRASHES_UNCONFIRMED,
+  CA_COUNT_STORE_RESTORES,   /* rises of the store's era */
+  CA_COUNT_STORE_BAD_ERAS,   /* answers that were not used for their era */
   CA_COUNT_LIMITED_ATTEMPTS, /* at endpoints that name a limit */
   CA_COUNT_KINDS
 } ca_count_t;
--- a/packages/base/events.c
+++ b/packages/base/events.c
@@ -131,6 +131,14 @@
   { CA_EVENT_STORE_WORD_OLD, CA_LEVEL_INFO, "store_word_old",
     "no update from the zone's reader came in time; this entry reads the store",
     "if it persists, check the reader's network and its store_down lines" },
+  { CA_EVENT_STORE_ERA, CA_LEVEL_WARNING, "store_era",
+    "the table service came back from an older copy; its tables are read "
+    "again, and this entry's own rows are written again",
+    "see docs/OPERATIONS.md, a store that came back from an older copy" },
+  { CA_EVENT_STORE_BAD_ERA, CA_LEVEL_WARNING, "store_bad_era",
+    "answers of the table service name no era, a malformed or an earlier one; "
+    "they are not used",
+    "check the table service and what lies between" },
   { CA_EVENT_ANSWER_NOT_STORED, CA_LEVEL_WARNING, "answer_not_stored",
     "an answer was delivered before its row was written; the write is retried",
     "keep the entry running until the store is back" },
--- a/packages/gateway/gateway.h
+++ b/packages/gateway/gateway.h
@@ -202,6 +202,9 @@
    * `validated_us` on the local clock. */
   void (*apply_table_update) (void *context, const Camphor__TableWord *update,
                               uint64_t validated_us);
+  /* The store came back from an older copy: its tables must be read again, and
+   * this entry's rows be written again. */
+  void (*store_restored) (void *context);
   /* Leader tasks (gateway/leader.h). */
   void (*log) (void *context, const ca_log_event_t *event);
 } ca_gateway_ports_t;
@@ -335,6 +338,10 @@
   bool store_down;
   bool store_unreachable;      /* all kinds of calls fail */
   uint64_t store_recovered_us; /* when it answered again; 0 if it always did */
+  uint64_t store_era;          /* 0 until one is known */
+  bool bad_era_logged;         /* since the last answer of this era */
+  uint64_t lease_fence;        /* highest fencing token known */
+  uint64_t usage_reported;     /* latest window that may have been reported */
   bool registry_known;
   ca_registry_t registry;
   uint64_t validation_requested_us; /* last request to any peer */
@@ -395,6 +402,21 @@
 void ca_gateway_store_state (ca_gateway_t *gateway, uint64_t now_us, bool down,
                              bool gone);
 
+/* What an answer of the store, or a peer, says of the store's era: the number
+ * of times that it came back from an older copy, plus 1. */
+typedef enum
+{
+  CA_ERA_NAMED,
+  CA_ERA_MISSING,
+  CA_ERA_MALFORMED
+} ca_era_statement_t;
+
+/* Checks the era in an answer of the store; `era` counts if it is named.  A
+ * later one than before calls the port `store_restored`.  False if the answer
+ * must not be used. */
+bool ca_gateway_store_era (ca_gateway_t *gateway, uint64_t now_us,
+                           ca_era_statement_t statement, uint64_t era);
+
 /* Changes to the list of endpoints.  A complete list is enclosed by
  * ca_gateway_list_begin and ca_gateway_list_end. */
 void ca_gateway_list_begin (ca_gateway_t *gateway, uint64_t now_us);
--- a/packages/gateway/leader.c
+++ b/packages/gateway/leader.c
@@ -168,6 +168,14 @@
   json_decref (row);
 }
 
+/* Records a fencing token that was given out. */
+static void
+lease_note_fence (ca_leader_t *leader, uint64_t fence)
+{
+  if (fence > leader->gateway->lease_fence)
+    leader->gateway->lease_fence = fence;
+}
+
 /* Marks the lease as held; it was written at `since_us`. */
 static void
 lease_hold (ca_leader_t *leader, uint64_t since_us)
@@ -177,6 +185,7 @@
   leader->held = true;
   leader->gateway->leads = true;
   leader->fence = leader->attempt_fence;
+  lease_note_fence (leader, leader->fence);
   leader->valid_until_us
       = since_us + lease_duration_us (leader) - LEASE_MARGIN_US;
   if (!acquired)
@@ -192,6 +201,15 @@
     }
 }
 
+static void
+lease_read (ca_leader_t *leader)
+{
+  leader->busy = true;
+  leader->sent_us = leader->gateway->now_us;
+  leader->next_call_us = leader->gateway->now_us + LEASE_RETRY_US;
+  leader->ports.read_lease (leader->ports.context);
+}
+
 /* Renews a held lease, or reads the row when no entry seems to lead. */
 static void
 lease_tick (ca_leader_t *leader)
@@ -202,6 +220,12 @@
     lease_drop (leader, "expired before it was renewed");
   if (leader->busy || !leader->gateway->config_freshness.has_offset)
     return;
+  if (leader->held && leader->rewrites)
+    {
+      if (now_us >= leader->next_call_us)
+        lease_read (leader);
+      return;
+    }
   if (leader->held)
     {
       /* A planned stop releases the lease together with the latest counts. */
@@ -222,10 +246,7 @@
                 + LEASE_SENIORITY_US * ca_peers_seniority (leader->gateway)
       || now_us < leader->next_call_us)
     return;
-  leader->busy = true;
-  leader->sent_us = now_us;
-  leader->next_call_us = now_us + LEASE_RETRY_US;
-  leader->ports.read_lease (leader->ports.context);
+  lease_read (leader);
 }
 
 /* Takes the counts in the row as the minimum of each window.  If every entry
@@ -274,7 +295,17 @@
       = (uint64_t)json_integer_value (json_object_get (row, "reported"));
   leader->window
       = (uint64_t)json_integer_value (json_object_get (row, "window"));
+  /* A row of an older copy lacks what has been reported since.  The counts of
+   * such a window are lost, and others must not be reported for it. */
+  if (leader->gateway->usage_reported > leader->reported
+      && leader->gateway->usage_reported != leader->window)
+    {
+      leader->reported = leader->gateway->usage_reported;
+      leader->window = 0;
+    }
   leader->recorded = leader->window != 0;
+  if (leader->window == 0)
+    return;
   json_object_foreach (json_object_get (row, "counts"), workspace, count)
       ca_usage_add (&leader->counts, leader->window, workspace,
                     (uint32_t)json_integer_value (count));
@@ -319,7 +350,35 @@
   if (!same_entry && !given_up && store_us < at_us + lease_duration_us (leader))
     return;
   lease_restore_usage (leader, row);
-  lease_write (leader, fence + 1);
+  lease_note_fence (leader, fence);
+  lease_write (leader, leader->gateway->lease_fence + 1);
+}
+
+/* Writes the lease again over a row of an older copy.  False if another entry
+ * has taken the lease meanwhile. */
+static bool
+lease_rewrite (ca_leader_t *leader, const json_t *row)
+{
+  uint64_t fence
+      = (uint64_t)json_integer_value (json_object_get (row, "fence"));
+
+  leader->rewrites = false;
+  if (!leader->held || fence > leader->fence)
+    {
+      lease_drop (leader, "another entry has taken it since the store's drill");
+      return false;
+    }
+  lease_write (leader, leader->fence);
+  return true;
+}
+
+void
+ca_leader_store_restored (ca_leader_t *leader, uint64_t now_us)
+{
+  leader->gateway->now_us = now_us;
+  leader->rewrites = leader->held;
+  leader->recorded = false;
+  leader->next_call_us = now_us;
 }
 
 void
@@ -337,7 +396,8 @@
   leader->version = version;
   if (text == NULL)
     {
-      lease_write (leader, 1);
+      if (!leader->rewrites || !lease_rewrite (leader, NULL))
+        lease_write (leader, leader->gateway->lease_fence + 1);
       return;
     }
   row = json_loads (text, 0, &error);
@@ -347,7 +407,8 @@
                       "the lease row does not parse: %s", error.text);
       return;
     }
-  lease_evaluate (leader, row, store_us);
+  if (!leader->rewrites || !lease_rewrite (leader, row))
+    lease_evaluate (leader, row, store_us);
   json_decref (row);
 }
 
--- a/packages/gateway/leader.h
+++ b/packages/gateway/leader.h
@@ -82,6 +82,7 @@
   bool held;
   bool busy;
   bool known;       /* the row was read */
+  bool rewrites;    /* the store lost the row: the holder writes it again */
   uint64_t version; /* of the row */
   uint64_t fence;
   uint64_t valid_until_us;   /* end of the lease, on this machine's clock */
@@ -118,6 +119,9 @@
  * To be called every CA_GATEWAY_TICK_US. */
 void ca_leader_tick (ca_leader_t *leader, uint64_t now_us);
 
+/* The store came back from an older copy, which may lack the latest row. */
+void ca_leader_store_restored (ca_leader_t *leader, uint64_t now_us);
+
 /* The answers to the calls.  `text` is NULL if there is no row; `store_us` is
  * the store's clock. */
 void ca_leader_lease_read (ca_leader_t *leader, uint64_t now_us,
--- a/packages/gateway/peers.c
+++ b/packages/gateway/peers.c
@@ -478,6 +478,36 @@
   gateway->ports.send_peer (gateway->ports.context, to, envelope);
 }
 
+void
+ca_peers_announce_report (ca_gateway_t *gateway, uint64_t window)
+{
+  Camphor__Envelope envelope = CAMPHOR__ENVELOPE__INIT;
+  Camphor__LeaseNotice notice = CAMPHOR__LEASE_NOTICE__INIT;
+  ca_peer_t *peer;
+
+  if (window > gateway->usage_reported)
+    gateway->usage_reported = window;
+  notice.fence = gateway->lease_fence;
+  notice.window = window;
+  envelope.body_case = CAMPHOR__ENVELOPE__BODY_LEASE_NOTICE;
+  envelope.lease_notice = &notice;
+  for (peer = gateway->peers; peer != NULL; peer = peer->hh.next)
+    {
+      if (peer_is_live (gateway, peer))
+        ca_peers_send (gateway, &peer->address, &envelope);
+    }
+}
+
+/* Records what a peer knows of the lease and of reported windows. */
+static void
+peer_note_lease (ca_gateway_t *gateway, uint64_t fence, uint64_t window)
+{
+  if (fence > gateway->lease_fence)
+    gateway->lease_fence = fence;
+  if (window > gateway->usage_reported)
+    gateway->usage_reported = window;
+}
+
 /* Fills in this entry's load per endpoint, and the draining endpoints. */
 static void
 peer_fill_loads (const ca_gateway_t *gateway, peer_heartbeat_buffer_t *buffer)
@@ -627,6 +657,9 @@
   heartbeat->leaving = gateway->stopping;
   heartbeat->reads_store = !gateway->store_down;
   heartbeat->leads = gateway->leads;
+  heartbeat->store_era = gateway->store_era;
+  heartbeat->lease_fence = gateway->lease_fence;
+  heartbeat->usage_reported = gateway->usage_reported;
   if (gateway->catalog != NULL && gateway->config_freshness.known)
     {
       heartbeat->config_known = true;
@@ -876,6 +909,8 @@
       = (int64_t)(heartbeat->wall_ms * CA_US_PER_MS) - (int64_t)gateway->now_us;
   peer_count_loads (gateway, peer, true);
   peer_apply_draining (gateway, heartbeat);
+  ca_state_sync_peer_era (gateway, heartbeat->store_era);
+  peer_note_lease (gateway, heartbeat->lease_fence, heartbeat->usage_reported);
   if (heartbeat->config_known && gateway->catalog != NULL
       && heartbeat->echo_us > 0 && heartbeat->echo_us <= gateway->now_us
       && heartbeat->config_version == gateway->catalog->version)
@@ -928,6 +963,10 @@
     case CAMPHOR__ENVELOPE__BODY_TABLE_WORD:
       ca_relay_receive (gateway, envelope);
       return;
+    case CAMPHOR__ENVELOPE__BODY_LEASE_NOTICE:
+      peer_note_lease (gateway, envelope->lease_notice->fence,
+                       envelope->lease_notice->window);
+      return;
     case CAMPHOR__ENVELOPE__BODY_PERMIT_WANT:
       ca_endpoint_limit_answer_request (gateway, envelope);
       return;
--- a/packages/gateway/private.h
+++ b/packages/gateway/private.h
@@ -38,6 +38,9 @@
 
 void ca_state_sync_tick (ca_gateway_t *gateway);
 
+/* Applies the era that a peer reports. */
+void ca_state_sync_peer_era (ca_gateway_t *gateway, uint64_t era);
+
 /* Answers a peer that asks how recently the configuration was validated. */
 void ca_state_sync_answer_validation (ca_gateway_t *gateway,
                                       const Camphor__Envelope *envelope);
@@ -301,6 +304,9 @@
  * has listed or that have sent a message within the retention time. */
 uint32_t ca_peers_known_count (const ca_gateway_t *gateway);
 
+/* Tells all live peers of the window that the leader is about to report. */
+void ca_peers_announce_report (ca_gateway_t *gateway, uint64_t window);
+
 /* True if a live peer reports that it holds the leader's lease. */
 bool ca_peers_have_leader (const ca_gateway_t *gateway);
 
--- a/packages/gateway/relay.c
+++ b/packages/gateway/relay.c
@@ -52,6 +52,7 @@
             Camphor__TableWord *update)
 {
   update->table = watch->number;
+  update->era = gateway->store_era;
   update->until = watch->after;
   update->stamp_us = gateway->now_us;
   update->age_us = gateway->now_us - watch->validated_us;
@@ -137,6 +138,9 @@
   if (peer == NULL || peer->incarnation != envelope->incarnation)
     return;
   ca_peers_update_clock_offset (gateway, peer, update->stamp_us);
+  ca_state_sync_peer_era (gateway, update->era);
+  if (update->era != gateway->store_era)
+    return;
   validated_us = (int64_t)update->stamp_us - (int64_t)update->age_us
                  + peer->clock_offset_us;
   if (validated_us > 0)
--- a/packages/gateway/state_sync.c
+++ b/packages/gateway/state_sync.c
@@ -73,6 +73,70 @@
                       : 0);
 }
 
+/* Logs an answer that is not used for its era, the first of a series. */
+static void
+state_sync_bad_era (ca_gateway_t *gateway, const char *what)
+{
+  ca_counters_add (&gateway->counters, CA_COUNT_STORE_BAD_ERAS, 1);
+  if (!gateway->bad_era_logged)
+    ca_gateway_log (gateway, CA_EVENT_STORE_BAD_ERA, NULL, NULL,
+                    "%s, expected era %" PRIu64, what, gateway->store_era);
+  gateway->bad_era_logged = true;
+}
+
+/* Applies a later era.  The first one that is known changes nothing. */
+static void
+state_sync_raise_era (ca_gateway_t *gateway, uint64_t era, const char *source)
+{
+  uint64_t former = gateway->store_era;
+
+  gateway->store_era = era;
+  if (former == 0)
+    return;
+  ca_counters_add (&gateway->counters, CA_COUNT_STORE_RESTORES, 1);
+  ca_gateway_log (gateway, CA_EVENT_STORE_ERA, NULL, NULL,
+                  "era %" PRIu64 " after %" PRIu64 ", known from %s; "
+                  "configuration version %" PRIu64 " stays in force",
+                  era, former, source,
+                  gateway->catalog == NULL ? 0 : gateway->catalog->version);
+  gateway->store_recovered_us = gateway->now_us;
+  gateway->ports.store_restored (gateway->ports.context);
+}
+
+bool
+ca_gateway_store_era (ca_gateway_t *gateway, uint64_t now_us,
+                      ca_era_statement_t statement, uint64_t era)
+{
+  gateway->now_us = now_us;
+  if (statement == CA_ERA_MALFORMED)
+    {
+      state_sync_bad_era (gateway, "the era is not a number");
+      return gateway->store_era == 0;
+    }
+  if (statement == CA_ERA_MISSING)
+    {
+      if (gateway->store_era != 0)
+        state_sync_bad_era (gateway, "no era");
+      return gateway->store_era == 0;
+    }
+  if (era < gateway->store_era)
+    {
+      state_sync_bad_era (gateway, "an earlier era");
+      return false;
+    }
+  gateway->bad_era_logged = false;
+  if (era > gateway->store_era)
+    state_sync_raise_era (gateway, era, "the store");
+  return true;
+}
+
+void
+ca_state_sync_peer_era (ca_gateway_t *gateway, uint64_t era)
+{
+  if (era > gateway->store_era)
+    state_sync_raise_era (gateway, era, "a peer");
+}
+
 /* True while endpoints may be missing from the list just because the store was
  * unreachable. */
 static bool
--- a/packages/gateway/usage_report.c
+++ b/packages/gateway/usage_report.c
@@ -69,6 +69,8 @@
       || now_us < leader->next_report_us)
     return;
   leader->reporting = true;
+  if (leader->gateway->store_era != 0)
+    ca_peers_announce_report (leader->gateway, leader->window);
   leader->next_report_us = now_us + USAGE_RETRY_US;
   leader->ports.report_usage (leader->ports.context, leader->fence,
                               leader->window, &leader->counts);
--- a/packages/gateway/watch.c
+++ b/packages/gateway/watch.c
@@ -34,6 +34,16 @@
   watch->context = context;
 }
 
+void
+ca_watch_restart (ca_watch_t *watch, uint64_t at_us)
+{
+  watch->busy = false;
+  watch->listed = false;
+  watch->after = 0;
+  watch->last_change_version = 0;
+  watch->next_us = at_us;
+}
+
 /* How long the store may hold the next call back for a change.  A reader's wait
  * is short, since each answer also shows its followers' copies to be recent. */
 static uint32_t
--- a/packages/gateway/watch.h
+++ b/packages/gateway/watch.h
@@ -55,6 +55,10 @@
                     void (*feed) (void *context, ca_watch_t *watch),
                     void *context);
 
+/* Forgets all versions and the call in flight, since the store came back from
+ * an older copy; the list is read again from `at_us` on. */
+void ca_watch_restart (ca_watch_t *watch, uint64_t at_us);
+
 /* Makes the next call if it is due. */
 void ca_watch_tick (ca_watch_t *watch, uint64_t now_us);
 
--- a/packages/wire/peer.pb-c.c
+++ b/packages/wire/peer.pb-c.c
@@ -1177,6 +1177,51 @@
   assert(message->base.descriptor == &camphor__permit__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   camphor__lease_notice__init
+                     (Camphor__LeaseNotice         *message)
+{
+  static const Camphor__LeaseNotice init_value = CAMPHOR__LEASE_NOTICE__INIT;
+  *message = init_value;
+}
+size_t camphor__lease_notice__get_packed_size
+                     (const Camphor__LeaseNotice *message)
+{
+  assert(message->base.descriptor == &camphor__lease_notice__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t camphor__lease_notice__pack
+                     (const Camphor__LeaseNotice *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &camphor__lease_notice__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t camphor__lease_notice__pack_to_buffer
+                     (const Camphor__LeaseNotice *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &camphor__lease_notice__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Camphor__LeaseNotice *
+       camphor__lease_notice__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Camphor__LeaseNotice *)
+     protobuf_c_message_unpack (&camphor__lease_notice__descriptor,
+                                allocator, len, data);
+}
+void   camphor__lease_notice__free_unpacked
+                     (Camphor__LeaseNotice *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &camphor__lease_notice__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   camphor__pulse__init
                      (Camphor__Pulse         *message)
 {
@@ -3761,7 +3806,58 @@
   (ProtobufCMessageInit) camphor__permit__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor camphor__pulse__field_descriptors[21] =
+static const ProtobufCFieldDescriptor camphor__lease_notice__field_descriptors[2] =
+{
+  {
+    "fence",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Camphor__LeaseNotice, fence),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "window",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Camphor__LeaseNotice, window),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned camphor__lease_notice__field_indices_by_name[] = {
+  0,   /* field[0] = fence */
+  1,   /* field[1] = window */
+};
+static const ProtobufCIntRange camphor__lease_notice__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor camphor__lease_notice__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "camphor.LeaseNotice",
+  "LeaseNotice",
+  "Camphor__LeaseNotice",
+  "camphor",
+  sizeof(Camphor__LeaseNotice),
+  2,
+  camphor__lease_notice__field_descriptors,
+  camphor__lease_notice__field_indices_by_name,
+  1,  camphor__lease_notice__number_ranges,
+  (ProtobufCMessageInit) camphor__lease_notice__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor camphor__pulse__field_descriptors[24] =
 {
   {
     "name",
@@ -4015,6 +4111,42 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "store_era",
+    22,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Camphor__Pulse, store_era),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "lease_fence",
+    23,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Camphor__Pulse, lease_fence),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "usage_reported",
+    24,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Camphor__Pulse, usage_reported),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned camphor__pulse__field_indices_by_name[] = {
   9,   /* field[9] = config_age_us */
@@ -4024,6 +4156,7 @@
   5,   /* field[5] = echo_us */
   2,   /* field[2] = ip */
   18,   /* field[18] = leads */
+  22,   /* field[22] = lease_fence */
   10,   /* field[10] = leaving */
   16,   /* field[16] = left_lives */
   20,   /* field[20] = limits */
@@ -4033,8 +4166,10 @@
   3,   /* field[3] = port */
   17,   /* field[17] = reads_store */
   4,   /* field[4] = stamp_us */
+  21,   /* field[21] = store_era */
   15,   /* field[15] = strikes */
   13,   /* field[13] = usage */
+  23,   /* field[23] = usage_reported */
   6,   /* field[6] = wall_ms */
   14,   /* field[14] = work */
   1,   /* field[1] = zone */
@@ -4042,7 +4177,7 @@
 static const ProtobufCIntRange camphor__pulse__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 21 }
+  { 0, 24 }
 };
 const ProtobufCMessageDescriptor camphor__pulse__descriptor =
 {
@@ -4052,7 +4187,7 @@
   "Camphor__Pulse",
   "camphor",
   sizeof(Camphor__Pulse),
-  21,
+  24,
   camphor__pulse__field_descriptors,
   camphor__pulse__field_indices_by_name,
   1,  camphor__pulse__number_ranges,
@@ -4238,7 +4373,7 @@
   (ProtobufCMessageInit) camphor__table_row__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor camphor__table_word__field_descriptors[6] =
+static const ProtobufCFieldDescriptor camphor__table_word__field_descriptors[7] =
 {
   {
     "table",
@@ -4312,10 +4447,23 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "era",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Camphor__TableWord, era),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned camphor__table_word__field_indices_by_name[] = {
   1,   /* field[1] = after */
   4,   /* field[4] = age_us */
+  6,   /* field[6] = era */
   5,   /* field[5] = rows */
   3,   /* field[3] = stamp_us */
   0,   /* field[0] = table */
@@ -4324,7 +4472,7 @@
 static const ProtobufCIntRange camphor__table_word__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor camphor__table_word__descriptor =
 {
@@ -4334,7 +4482,7 @@
   "Camphor__TableWord",
   "camphor",
   sizeof(Camphor__TableWord),
-  6,
+  7,
   camphor__table_word__field_descriptors,
   camphor__table_word__field_indices_by_name,
   1,  camphor__table_word__number_ranges,
@@ -4430,7 +4578,7 @@
   (ProtobufCMessageInit) camphor__catalog_text__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor camphor__envelope__field_descriptors[29] =
+static const ProtobufCFieldDescriptor camphor__envelope__field_descriptors[30] =
 {
   {
     "version",
@@ -4780,6 +4928,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "lease_notice",
+    32,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Camphor__Envelope, body_case),
+    offsetof(Camphor__Envelope, lease_notice),
+    &camphor__lease_notice__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned camphor__envelope__field_indices_by_name[] = {
   8,   /* field[8] = ack */
@@ -4799,6 +4959,7 @@
   3,   /* field[3] = hlc */
   15,   /* field[15] = holds */
   2,   /* field[2] = incarnation */
+  29,   /* field[29] = lease_notice */
   4,   /* field[4] = members */
   28,   /* field[28] = permit */
   27,   /* field[27] = permit_want */
@@ -4816,7 +4977,7 @@
 {
   { 1, 0 },
   { 10, 7 },
-  { 0, 29 }
+  { 0, 30 }
 };
 const ProtobufCMessageDescriptor camphor__envelope__descriptor =
 {
@@ -4826,7 +4987,7 @@
   "Camphor__Envelope",
   "camphor",
   sizeof(Camphor__Envelope),
-  29,
+  30,
   camphor__envelope__field_descriptors,
   camphor__envelope__field_indices_by_name,
   2,  camphor__envelope__number_ranges,
--- a/packages/wire/peer.pb-c.h
+++ b/packages/wire/peer.pb-c.h
@@ -41,6 +41,7 @@
 typedef struct Camphor__EndpointLimit Camphor__EndpointLimit;
 typedef struct Camphor__PermitWant Camphor__PermitWant;
 typedef struct Camphor__Permit Camphor__Permit;
+typedef struct Camphor__LeaseNotice Camphor__LeaseNotice;
 typedef struct Camphor__Pulse Camphor__Pulse;
 typedef struct Camphor__ProofWant Camphor__ProofWant;
 typedef struct Camphor__Proof Camphor__Proof;
@@ -494,6 +495,21 @@
     , 0, 0, 0, 0 }
 
 
+/*
+ * Sent by the leader before it reports a window, in case the store loses its row
+ * and the leader ends before its next heartbeat.
+ */
+struct  Camphor__LeaseNotice
+{
+  ProtobufCMessage base;
+  uint64_t fence;
+  uint64_t window;
+};
+#define CAMPHOR__LEASE_NOTICE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&camphor__lease_notice__descriptor) \
+    , 0, 0 }
+
+
 /*
  * Heartbeat: the state of one entry, sent to every peer periodically.
  */
@@ -549,10 +565,22 @@
   protobuf_c_boolean omits_usage;
   size_t n_limits;
   Camphor__EndpointLimit **limits;
+  /*
+   * 0: unknown
+   */
+  uint64_t store_era;
+  /*
+   * highest fencing token known to be given out
+   */
+  uint64_t lease_fence;
+  /*
+   * latest window that may have been reported
+   */
+  uint64_t usage_reported;
 };
 #define CAMPHOR__PULSE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&camphor__pulse__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0,NULL }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0,NULL, 0, 0, 0 }
 
 
 /*
@@ -623,10 +651,14 @@
   uint64_t age_us;
   size_t n_rows;
   Camphor__TableRow **rows;
+  /*
+   * of the store, to which the versions belong
+   */
+  uint64_t era;
 };
 #define CAMPHOR__TABLE_WORD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&camphor__table_word__descriptor) \
-    , 0, 0, 0, 0, 0, 0,NULL }
+    , 0, 0, 0, 0, 0, 0,NULL, 0 }
 
 
 struct  Camphor__CatalogWant
@@ -673,7 +705,8 @@
   CAMPHOR__ENVELOPE__BODY_PROOF = 28,
   CAMPHOR__ENVELOPE__BODY_TABLE_WORD = 29,
   CAMPHOR__ENVELOPE__BODY_PERMIT_WANT = 30,
-  CAMPHOR__ENVELOPE__BODY_PERMIT = 31
+  CAMPHOR__ENVELOPE__BODY_PERMIT = 31,
+  CAMPHOR__ENVELOPE__BODY_LEASE_NOTICE = 32
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(CAMPHOR__ENVELOPE__BODY__CASE)
 } Camphor__Envelope__BodyCase;
 
@@ -714,6 +747,7 @@
     Camphor__TableWord *table_word;
     Camphor__PermitWant *permit_want;
     Camphor__Permit *permit;
+    Camphor__LeaseNotice *lease_notice;
   };
 };
 #define CAMPHOR__ENVELOPE__INIT \
@@ -1215,6 +1249,25 @@
 void   camphor__permit__free_unpacked
                      (Camphor__Permit *message,
                       ProtobufCAllocator *allocator);
+/* Camphor__LeaseNotice methods */
+void   camphor__lease_notice__init
+                     (Camphor__LeaseNotice         *message);
+size_t camphor__lease_notice__get_packed_size
+                     (const Camphor__LeaseNotice   *message);
+size_t camphor__lease_notice__pack
+                     (const Camphor__LeaseNotice   *message,
+                      uint8_t             *out);
+size_t camphor__lease_notice__pack_to_buffer
+                     (const Camphor__LeaseNotice   *message,
+                      ProtobufCBuffer     *buffer);
+Camphor__LeaseNotice *
+       camphor__lease_notice__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   camphor__lease_notice__free_unpacked
+                     (Camphor__LeaseNotice *message,
+                      ProtobufCAllocator *allocator);
 /* Camphor__Pulse methods */
 void   camphor__pulse__init
                      (Camphor__Pulse         *message);
@@ -1447,6 +1500,9 @@
 typedef void (*Camphor__Permit_Closure)
                  (const Camphor__Permit *message,
                   void *closure_data);
+typedef void (*Camphor__LeaseNotice_Closure)
+                 (const Camphor__LeaseNotice *message,
+                  void *closure_data);
 typedef void (*Camphor__Pulse_Closure)
                  (const Camphor__Pulse *message,
                   void *closure_data);
@@ -1503,6 +1559,7 @@
 extern const ProtobufCMessageDescriptor camphor__endpoint_limit__descriptor;
 extern const ProtobufCMessageDescriptor camphor__permit_want__descriptor;
 extern const ProtobufCMessageDescriptor camphor__permit__descriptor;
+extern const ProtobufCMessageDescriptor camphor__lease_notice__descriptor;
 extern const ProtobufCMessageDescriptor camphor__pulse__descriptor;
 extern const ProtobufCMessageDescriptor camphor__proof_want__descriptor;
 extern const ProtobufCMessageDescriptor camphor__proof__descriptor;
--- a/tests/gateway/test_endpoint_over_limit.c
+++ b/tests/gateway/test_endpoint_over_limit.c
@@ -484,8 +484,8 @@
       (double)lifted
           / (equal_share (scenario) * (double)scenario->limited * lifted_s),
       (unsigned long long)world.refused, (unsigned long long)world.refused_late,
-      (double)world.permit_messages
-          / (double)((LIFTED_US - NAMED_US) / CA_US_PER_S));
+      (double)world.permit_messages * CA_US_PER_S
+          / (double)(LIFTED_US - NAMED_US));
   assert_true ((double)worst <= allowed);
   assert_int_equal (world.refused_late, 0);
   assert_true (scenario->limited < scenario->endpoints
--- a/tests/site/replica.c
+++ b/tests/site/replica.c
@@ -12,7 +12,8 @@
  * cut, lost, encoded, unsigned; or {"limit": TEXT}, which all responses then
  * name as the limit on requests per second, "" for none.  GET /record returns
  * the requests since then, and the most in a span of 4 s that began 4 s or more
- * after it: {"requests": N, "most": N}. */
+ * after it: {"requests": N, "most": N}; {"register": true} writes its record
+ * again. */
 #include "tests/site/site.h"
 
 #include "base/clock.h"
@@ -353,6 +354,8 @@
   strlcpy (replica.fault, fault == NULL ? "" : fault, sizeof replica.fault);
   replica.faults_left
       = (int)json_integer_value (json_object_get (body, "next"));
+  if (json_is_true (json_object_get (body, "register")))
+    replica.registered = false;
   json_decref (body);
   site_respond (request, 200, json_object ());
 }
--- a/tests/site/store.c
+++ b/tests/site/store.c
@@ -4,10 +4,13 @@
  *
  * Implements versioned rows and a feed that waits for changes, as the users'
  * pages specify.  POST /control takes {"mode": "ok" | "busy" | "silent",
- * "lose": N, "forget": true}: "busy" refuses calls, "silent" leaves them
- * unanswered, "lose" drops the answers of the next N writes, "forget" compacts
- * the history.  GET /record returns usage by window, scaling orders, and each
- * violation of the leader's rules. */
+ * "lose": N, "forget": true, "copy": true, "restore": true, "era": TEXT}:
+ * "busy" refuses calls, "silent" leaves them unanswered, "lose" drops the
+ * answers of the next N writes, "forget" compacts the history.  "copy" keeps a
+ * copy of all rows; "restore" returns to it, with its versions, and raises the
+ * era that all answers name from the first copy on; "era" replaces the era's
+ * text in answers.  GET /record returns usage by window, scaling orders, and
+ * each violation of the leader's rules. */
 #include "tests/site/site.h"
 
 #include <resolv.h>
@@ -25,6 +28,8 @@
   TAILQ_ENTRY (row) entries; /* oldest change first */
 } row_t;
 
+TAILQ_HEAD (rows, row);
+
 /* A feed call that waits for a change. */
 typedef struct waiter
 {
@@ -38,10 +43,14 @@
 typedef struct
 {
   site_t site;
-  TAILQ_HEAD (, row) rows;
+  struct rows rows;
   TAILQ_HEAD (, waiter) waiters;
   uint64_t version;
   uint64_t oldest_version; /* feeds after older versions fail: compacted */
+  uint64_t era;            /* 0: answers name none */
+  char era_text[32];       /* replaces it in answers, if not empty */
+  struct rows copy;
+  uint64_t copy_version;
   const char *mode;
   int answers_to_lose;
   json_t *usage;  /* window -> counts */
@@ -90,6 +99,26 @@
   return json;
 }
 
+/* Answers a call of the store, with its era. */
+static void
+store_respond (ca_http_server_request_t *request, uint32_t status, json_t *body)
+{
+  ca_headers_t headers;
+  char *text = json_dumps (body, JSON_COMPACT);
+
+  ca_headers_init (&headers);
+  ca_headers_add (&headers, "Content-Type", "application/json");
+  if (store.era_text[0] != '\0')
+    ca_headers_add (&headers, "Store-Era", store.era_text);
+  else if (store.era > 0)
+    ca_headers_printf (&headers, "Store-Era", "%llu",
+                       (unsigned long long)store.era);
+  ca_http_respond (request, status, &headers, text, strlen (text));
+  ca_headers_finish (&headers);
+  free (text);
+  json_decref (body);
+}
+
 static json_t *
 rows_response (json_t *rows)
 {
@@ -126,7 +155,7 @@
   qsort (sorted, count, sizeof sorted[0], row_compare);
   for (size_t i = 0; i < count; i++)
     json_array_append_new (rows, row_json (sorted[i]));
-  site_respond (request, 200, rows_response (rows));
+  store_respond (request, 200, rows_response (rows));
 }
 
 static json_t *
@@ -161,7 +190,7 @@
   (void)fd;
   (void)what;
   waiter_free (waiter);
-  site_respond (request, 200, rows_response (json_array ()));
+  store_respond (request, 200, rows_response (json_array ()));
 }
 
 /* Answers the feed calls whose table has changed. */
@@ -180,7 +209,7 @@
           ca_http_server_request_t *request = waiter->request;
 
           waiter_free (waiter);
-          site_respond (request, 200, rows_response (rows));
+          store_respond (request, 200, rows_response (rows));
         }
       else
         json_decref (rows);
@@ -219,9 +248,9 @@
   site_query (request, "table_name", table, sizeof table);
   site_query (request, "after_revision", text, sizeof text);
   after = strtoull (text, NULL, 10);
-  if (after < store.oldest_version)
+  if (after < store.oldest_version || after > store.version)
     {
-      site_respond (request, 410, json_object ());
+      store_respond (request, 410, json_object ());
       return;
     }
   rows = changes_after (table, after);
@@ -229,7 +258,7 @@
   site_query (request, "wait_ms", text, sizeof text);
   if (json_array_size (rows) > 0 || strtoul (text, NULL, 10) == 0)
     {
-      site_respond (request, 200, rows_response (rows));
+      store_respond (request, 200, rows_response (rows));
       return;
     }
   json_decref (rows);
@@ -296,7 +325,7 @@
 
   if (!conditions_hold (json_object_get (body, "expect")))
     {
-      site_respond (request, 412, rows_response (json_array ()));
+      store_respond (request, 412, rows_response (json_array ()));
       json_decref (body);
       return;
     }
@@ -312,7 +341,7 @@
       waiter_add (request, "", 0, 0, false);
     }
   else
-    site_respond (request, 200, rows_response (json_array ()));
+    store_respond (request, 200, rows_response (json_array ()));
   waiters_wake ();
 }
 
@@ -411,6 +440,68 @@
   json_decref (body);
 }
 
+static void
+rows_clear (struct rows *rows)
+{
+  row_t *row;
+
+  while ((row = TAILQ_FIRST (rows)) != NULL)
+    {
+      TAILQ_REMOVE (rows, row, entries);
+      free (row->table);
+      free (row->key);
+      free (row->value);
+      free (row);
+    }
+}
+
+static void
+rows_copy (struct rows *to, const struct rows *from)
+{
+  const row_t *row;
+
+  rows_clear (to);
+  TAILQ_FOREACH (row, from, entries)
+  {
+    row_t *copy = malloc (sizeof *copy);
+
+    *copy = *row;
+    copy->table = strdup (row->table);
+    copy->key = strdup (row->key);
+    copy->value = strdup (row->value);
+    TAILQ_INSERT_TAIL (to, copy, entries);
+  }
+}
+
+/* Keeps a copy of all rows. */
+static void
+store_copy (void)
+{
+  rows_copy (&store.copy, &store.rows);
+  store.copy_version = store.version;
+  if (store.era == 0)
+    store.era = 1;
+}
+
+/* Returns to the copy.  Feed calls that wait are ended without an answer. */
+static void
+store_restore (void)
+{
+  waiter_t *waiter;
+
+  rows_copy (&store.rows, &store.copy);
+  store.version = store.copy_version;
+  store.oldest_version = 0;
+  store.era++;
+  while ((waiter = TAILQ_FIRST (&store.waiters)) != NULL)
+    {
+      ca_http_server_request_t *request = waiter->request;
+
+      waiter_free (waiter);
+      ca_http_response_abort (request);
+    }
+}
+
 static void
 serve_control (ca_http_server_request_t *request)
 {
@@ -428,6 +519,12 @@
         = (int)json_integer_value (json_object_get (body, "lose"));
   if (json_is_true (json_object_get (body, "forget")))
     store.oldest_version = ++store.version;
+  if (json_is_true (json_object_get (body, "copy")))
+    store_copy ();
+  if (json_is_true (json_object_get (body, "restore")))
+    store_restore ();
+  if (json_object_get (body, "era") != NULL)
+    strlcpy (store.era_text, text_of (body, "era"), sizeof store.era_text);
   json_decref (body);
   site_respond (request, 200, json_object ());
 }
@@ -463,7 +560,7 @@
       if (!site_is_path (request, store_paths[i].path))
         continue;
       if (store_paths[i].follows_mode && strcmp (store.mode, "busy") == 0)
-        site_respond (request, 503, json_object ());
+        store_respond (request, 503, json_object ());
       else if (store_paths[i].follows_mode
                && strcmp (store.mode, "silent") == 0)
         waiter_add (request, "", 0, 0, false);
@@ -488,6 +585,7 @@
   ca_http_handler_t handler = { on_request, on_disconnect, NULL };
 
   TAILQ_INIT (&store.rows);
+  TAILQ_INIT (&store.copy);
   TAILQ_INIT (&store.waiters);
   store.mode = "ok";
   store.usage = json_object ();
