Tests: lease, usage and watches when the store comes back from an older copy

test_leader: the holder keeps a lease that the store lost, also twice; a token and a reported window that the store has forgotten are not used again after the holder has ended; bad eras change nothing. test_state_sync: a watch restarts from a lower version.

--- a/tests/gateway/test_leader.c
+++ b/tests/gateway/test_leader.c
@@ -43,7 +43,10 @@
   uint64_t now_us;
   /* The lease row in the store. */
   char row[CA_LEASE_BYTES];
-  uint64_t version;          /* 0: there is no row */
+  uint64_t version; /* 0: there is no row */
+  uint64_t era;     /* 0: the store names none */
+  char row_copy[CA_LEASE_BYTES];
+  uint64_t version_copy;
   int write_answers_to_lose; /* writes that are done but not answered */
   /* The cloud. */
   uint64_t usage_fence;
@@ -192,13 +195,48 @@
     cluster_deliver (&entry->gateway, world.now_us, envelope);
 }
 
+static void
+on_restored (void *context)
+{
+  ca_leader_store_restored (&entry_of (context)->leader, world.now_us);
+}
+
+/* Passes the store's era to an entry, as an answer does. */
+static void
+entry_learn_era (size_t index)
+{
+  if (world.era != 0 && world.entries[index].alive)
+    assert_true (ca_gateway_store_era (&world.entries[index].gateway,
+                                       world.now_us, CA_ERA_NAMED, world.era));
+}
+
+static void
+store_copy (void)
+{
+  strlcpy (world.row_copy, world.row, sizeof world.row_copy);
+  world.version_copy = world.version;
+}
+
+/* The store comes back from its copy. */
+static void
+store_restore (void)
+{
+  strlcpy (world.row, world.row_copy, sizeof world.row);
+  world.version = world.version_copy;
+  world.era++;
+  for (size_t i = 0; i < ENTRIES; i++)
+    entry_learn_era (i);
+}
+
 static void
 entry_start (size_t index)
 {
   entry_t *entry = &world.entries[index];
-  ca_gateway_ports_t ports = {
-    .context = entry, .cancel = on_exchange, .send_peer = on_send, .log = on_log
-  };
+  ca_gateway_ports_t ports = { .context = entry,
+                               .cancel = on_exchange,
+                               .send_peer = on_send,
+                               .store_restored = on_restored,
+                               .log = on_log };
   ca_leader_ports_t leader_ports
       = { entry, read_lease, write_lease, report_usage, order_scale };
   ca_gateway_options_t options;
@@ -214,6 +252,7 @@
   cluster_configure (&entry->gateway, world.now_us, config);
   cluster_add_peers (&entry->gateway, ENTRIES);
   entry->alive = true;
+  entry_learn_era (index);
 }
 
 static void
@@ -708,6 +747,108 @@
   world_end ();
 }
 
+/* Starts entries before a store that names its era, whose copy has the lease of
+ * an entry that has ended since.  Returns the later leader. */
+static size_t
+world_start_with_old_copy (void)
+{
+  size_t first;
+  size_t second;
+
+  world_start (0);
+  world.era = 1;
+  for (size_t i = 0; i < ENTRIES; i++)
+    entry_start (i);
+  world_run (3000);
+  store_copy ();
+  first = leader ();
+  assert_true (first < ENTRIES);
+  entry_end (first);
+  world_run (12000);
+  second = leader ();
+  assert_true (second < ENTRIES && second != first);
+  assert_int_equal (world.entries[second].leader.fence, 2);
+  return second;
+}
+
+/* Counts a request at each entry, so that windows differ from each other. */
+static void
+world_run_with_usage (uint64_t ms)
+{
+  for (uint64_t i = 0; i < ms; i += 100)
+    {
+      for (size_t k = 0; k < ENTRIES; k++)
+        {
+          if (world.entries[k].alive)
+            ca_usage_count (&world.entries[k].gateway, "w", world.now_us);
+        }
+      world_run (100);
+    }
+}
+
+/* The holder of the lease keeps it, and its token, though the store lost its
+ * row. */
+static void
+test_holder_keeps_lease_that_the_store_lost (void **state)
+{
+  size_t second;
+
+  (void)state;
+  second = world_start_with_old_copy ();
+  world_run_with_usage (7000);
+  store_restore ();
+  world_run_with_usage (1000);
+  assert_int_equal (leader (), second);
+  store_restore ();
+  world_run_with_usage (20000);
+  assert_int_equal (leader (), second);
+  assert_int_equal (world.entries[second].leader.fence, 2);
+  world_end ();
+}
+
+/* A token that the store has forgotten is not given out again, and a window
+ * that was reported is not reported with other counts. */
+static void
+test_holder_ends_as_the_store_loses_its_row (void **state)
+{
+  size_t second;
+
+  (void)state;
+  second = world_start_with_old_copy ();
+  world_run_with_usage (12000);
+  entry_end (second);
+  store_restore ();
+  world_run_with_usage (20000);
+  assert_true (leader () < ENTRIES);
+  assert_int_equal (world.entries[leader ()].leader.fence, 3);
+  world_end ();
+}
+
+/* Answers that name no era, a malformed or an earlier one change nothing. */
+static void
+test_bad_eras (void **state)
+{
+  ca_gateway_t *gateway;
+
+  (void)state;
+  world_start (1);
+  gateway = &world.entries[0].gateway;
+  assert_true (ca_gateway_store_era (gateway, world.now_us, CA_ERA_MISSING, 0));
+  assert_true (
+      ca_gateway_store_era (gateway, world.now_us, CA_ERA_MALFORMED, 0));
+  assert_true (ca_gateway_store_era (gateway, world.now_us, CA_ERA_NAMED, 4));
+  assert_false (
+      ca_gateway_store_era (gateway, world.now_us, CA_ERA_MISSING, 0));
+  assert_false (
+      ca_gateway_store_era (gateway, world.now_us, CA_ERA_MALFORMED, 0));
+  assert_false (ca_gateway_store_era (gateway, world.now_us, CA_ERA_NAMED, 3));
+  assert_int_equal (gateway->counters.counts[CA_COUNT_STORE_RESTORES], 0);
+  assert_true (ca_gateway_store_era (gateway, world.now_us, CA_ERA_NAMED, 5));
+  assert_int_equal (gateway->counters.counts[CA_COUNT_STORE_RESTORES], 1);
+  assert_int_equal (gateway->store_era, 5);
+  world_end ();
+}
+
 int
 main (void)
 {
@@ -726,6 +867,9 @@
     cmocka_unit_test (test_unmet_order),
     cmocka_unit_test (test_replacements_start_first),
     cmocka_unit_test (test_partitioned_zone_keeps_its_endpoints),
+    cmocka_unit_test (test_holder_keeps_lease_that_the_store_lost),
+    cmocka_unit_test (test_holder_ends_as_the_store_loses_its_row),
+    cmocka_unit_test (test_bad_eras),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
--- a/tests/gateway/test_state_sync.c
+++ b/tests/gateway/test_state_sync.c
@@ -115,6 +115,31 @@
   assert_int_equal (calls.lists, 2);
 }
 
+/* Versions of a store that came back from an older copy are lower, and a change
+ * at one that was known before is not missed. */
+static void
+test_watch_restarts_from_an_older_copy (void **state)
+{
+  calls_t calls = { 0, 0 };
+  ca_watch_t watch;
+
+  (void)state;
+  ca_watch_init (&watch, "t", 0, 10000, 250, on_list, on_feed, &calls);
+  ca_watch_tick (&watch, 0);
+  ca_watch_done (&watch, 0, CA_WATCH_OK, 100, true, 0);
+  ca_watch_tick (&watch, 250 * MS);
+  assert_true (watch.busy);
+  ca_watch_restart (&watch, 300 * MS);
+  ca_watch_tick (&watch, 299 * MS);
+  assert_false (watch.busy);
+  assert_false (ca_watch_apply_update (&watch, 90, 120, 0, true));
+  ca_watch_tick (&watch, 300 * MS);
+  assert_int_equal (calls.lists, 2);
+  ca_watch_done (&watch, 310 * MS, CA_WATCH_OK, 60, true, 0);
+  assert_int_equal (watch.after, 60);
+  assert_true (ca_watch_apply_update (&watch, 60, 61, 0, true));
+}
+
 /* A call in flight must not delay the detection of the store's recovery: with
  * its full timeout an entry noticed it 3 s late. */
 static void
@@ -265,6 +290,7 @@
     cmocka_unit_test (test_validation_after_a_clock_reset),
     cmocka_unit_test (test_validation_from_a_peer),
     cmocka_unit_test (test_watch),
+    cmocka_unit_test (test_watch_restarts_from_an_older_copy),
     cmocka_unit_test (test_watch_notices_recovery_soon),
     cmocka_unit_test (test_endpoint_records),
     cmocka_unit_test (test_config_that_cannot_be_read),
