Move the contact with peers into a file of its own; clearer names

Read as by a newcomer: peers.c had grown to 990 lines, of which 120 are about who is in contact and who coordinates; limit_fill and limit_fill_statement looked alike. Nothing else changes.

--- a/packages/gateway/endpoint_limit.c
+++ b/packages/gateway/endpoint_limit.c
@@ -135,7 +135,7 @@
 }
 
 static void
-limit_fill (const ca_gateway_t *gateway, ca_endpoint_limit_t *limit)
+limit_refill (const ca_gateway_t *gateway, ca_endpoint_limit_t *limit)
 {
   double rate_per_s = limit_rate_per_s (limit);
   double depth = rate_per_s * LIMIT_BURST_S;
@@ -177,7 +177,7 @@
       limit->determined_us = gateway->now_us;
     }
   if (limit->coordinates)
-    limit_fill (gateway, limit);
+    limit_refill (gateway, limit);
 }
 
 static bool
@@ -211,9 +211,9 @@
 
 /* Fills in what this entry itself has observed. */
 static void
-limit_fill_statement (const ca_gateway_t *gateway,
-                      const ca_gateway_endpoint_t *endpoint,
-                      Camphor__EndpointLimit *row)
+limit_fill_row (const ca_gateway_t *gateway,
+                const ca_gateway_endpoint_t *endpoint,
+                Camphor__EndpointLimit *row)
 {
   const ca_limit_statement_t *own = &endpoint->limit.own;
 
@@ -238,7 +238,7 @@
   Camphor__EndpointLimit row;
 
   endpoint->limit.requested_us = gateway->now_us;
-  limit_fill_statement (gateway, endpoint, &row);
+  limit_fill_row (gateway, endpoint, &row);
   want.limit = &row;
   want.stamp_us = gateway->now_us;
   envelope.body_case = CAMPHOR__ENVELOPE__BODY_PERMIT_WANT;
@@ -283,8 +283,8 @@
 }
 
 bool
-ca_endpoint_limits_request (ca_gateway_t *gateway, const char *service,
-                            uint64_t *wait_us)
+ca_endpoint_limits_request_permit (ca_gateway_t *gateway, const char *service,
+                                   uint64_t *wait_us)
 {
   ca_gateway_endpoint_t *chosen = NULL;
   ca_gateway_endpoint_t *endpoint;
@@ -396,7 +396,7 @@
       if (endpoint->limit.known.named_us == 0 || latest_us == 0
           || gateway->now_us - latest_us > report_us)
         continue;
-      limit_fill_statement (gateway, endpoint, &rows[count++]);
+      limit_fill_row (gateway, endpoint, &rows[count++]);
     }
   return count;
 }
--- a/packages/gateway/exchange.c
+++ b/packages/gateway/exchange.c
@@ -344,8 +344,8 @@
                       + (uint64_t)(exchange->route->target_ms * CA_US_PER_MS
                                    * PERMIT_WAIT_SHARE);
   uint64_t wait_us;
-  bool requested
-      = ca_endpoint_limits_request (gateway, exchange->service->name, &wait_us);
+  bool requested = ca_endpoint_limits_request_permit (
+      gateway, exchange->service->name, &wait_us);
 
   if (exchange->head_sent)
     until_us = exchange_wait_until_us (exchange);
--- a/packages/gateway/peers.c
+++ b/packages/gateway/peers.c
@@ -3,7 +3,6 @@
 
 #include <stdlib.h>
 #include <string.h>
-#include <xxhash.h>
 
 /* With more peers than this the heartbeat period grows in proportion, which
  * bounds the messages that one entry sends per second. */
@@ -36,11 +35,6 @@
 #define HEARTBEAT_MAX_SERVICES 32
 #define HEARTBEAT_MAX_LIMITS 128
 
-/* A peer is in contact if it has sent a heartbeat within this many periods and
- * the network delay, or within the timeout of peers if that is longer. */
-#define CONTACT_PERIODS 2
-#define CONTACT_LATENCY_US (50 * CA_US_PER_MS)
-
 /* A heartbeat under construction and the storage of its rows. */
 typedef struct
 {
@@ -183,126 +177,12 @@
   return (uint64_t)((int64_t)stamp_us + peer->clock_offset_us);
 }
 
-/* Silence after which a peer is no longer in contact. */
-static uint64_t
-peer_contact_us (const ca_gateway_t *gateway)
-{
-  uint64_t contact_us
-      = CONTACT_PERIODS * gateway->heartbeat_period_us + CONTACT_LATENCY_US;
-
-  return contact_us > CA_PEER_TIMEOUT_US ? contact_us : CA_PEER_TIMEOUT_US;
-}
-
-bool
-ca_peers_are_known (const ca_gateway_t *gateway)
-{
-  return gateway->now_us - gateway->started_us >= peer_contact_us (gateway);
-}
-
-bool
-ca_peers_are_discovered (const ca_gateway_t *gateway)
-{
-  return gateway->entries_listed || ca_peers_are_known (gateway);
-}
-
 void
 ca_gateway_entries_listed (ca_gateway_t *gateway)
 {
   gateway->entries_listed = true;
 }
 
-bool
-ca_peers_is_expected (const ca_gateway_t *gateway, const ca_peer_t *peer)
-{
-  return peer->received_us == 0
-         && gateway->now_us - peer->discovered_us < peer_contact_us (gateway);
-}
-
-uint32_t
-ca_peers_possible_count (const ca_gateway_t *gateway)
-{
-  const ca_peer_t *peer;
-  uint32_t count = ca_peers_live_count (gateway);
-
-  for (peer = gateway->peers; peer != NULL; peer = peer->hh.next)
-    {
-      if (ca_peers_is_expected (gateway, peer))
-        count++;
-    }
-  return count;
-}
-
-/* True if the peer's heartbeats show that it receives those of this entry: they
- * echo the latest stamp that it has received. */
-static bool
-peer_receives (const ca_gateway_t *gateway, const ca_peer_t *peer)
-{
-  uint64_t echo_us = peer->heartbeat->echo_us;
-
-  return echo_us != 0 && echo_us <= gateway->now_us
-         && gateway->now_us - echo_us
-                < peer_contact_us (gateway)
-                      + CONTACT_PERIODS * gateway->heartbeat_period_us;
-}
-
-static uint64_t
-peer_rank (uint64_t id, uint64_t key)
-{
-  return XXH3_64bits_withSeed (&id, sizeof id, key);
-}
-
-/* As ca_peers_coordinator, among the entries of a zone, of all zones if it is
- * NULL.  Returns the number of those known. */
-static uint32_t
-peer_find_coordinator (const ca_gateway_t *gateway, const char *zone,
-                       uint64_t key, const ca_peer_t **coordinator,
-                       bool *is_self, double *share)
-{
-  uint32_t known = 0;
-  uint32_t in_contact = 0;
-  uint64_t best = 0;
-  const ca_peer_t *peer;
-
-  *coordinator = NULL;
-  *is_self = !gateway->stopping
-             && (zone == NULL || strcmp (gateway->options.zone, zone) == 0);
-  if (*is_self)
-    {
-      known = in_contact = 1;
-      best = peer_rank (gateway->id, key);
-    }
-  for (peer = gateway->peers; peer != NULL; peer = peer->hh.next)
-    {
-      if (peer->received_us == 0 || peer->leaving
-          || (zone != NULL && strcmp (peer->zone, zone) != 0))
-        continue;
-      known++;
-      if (gateway->now_us - peer->received_us >= peer_contact_us (gateway))
-        continue;
-      if (peer_receives (gateway, peer))
-        in_contact++;
-      if (peer_rank (peer->id, key) <= best)
-        continue;
-      best = peer_rank (peer->id, key);
-      *coordinator = peer;
-      *is_self = false;
-    }
-  *share = known == 0 ? 0 : (double)in_contact / known;
-  return known;
-}
-
-const ca_peer_t *
-ca_peers_coordinator (const ca_gateway_t *gateway, const char *zone,
-                      uint64_t key, bool *is_self, double *share)
-{
-  const ca_peer_t *coordinator;
-
-  if (peer_find_coordinator (gateway, zone, key, &coordinator, is_self, share)
-      == 0)
-    peer_find_coordinator (gateway, NULL, key, &coordinator, is_self, share);
-  return coordinator;
-}
-
 bool
 ca_peers_have_leader (const ca_gateway_t *gateway)
 {
--- a/packages/gateway/private.h
+++ b/packages/gateway/private.h
@@ -183,8 +183,8 @@
 /* Asks for a permit to send a request to one of the service's endpoints that
  * are at their limits.  True while a response is awaited; if false, `wait_us`
  * is the time after which one of them may take a request. */
-bool ca_endpoint_limits_request (ca_gateway_t *gateway, const char *service,
-                                 uint64_t *wait_us);
+bool ca_endpoint_limits_request_permit (ca_gateway_t *gateway,
+                                        const char *service, uint64_t *wait_us);
 
 /* Asks for permits to find out whether limits that no entry has reported for
  * long still apply. */
@@ -252,33 +252,9 @@
 void ca_peers_send (ca_gateway_t *gateway, const ca_address_t *to,
                     Camphor__Envelope *envelope);
 
-/* Number of entries that are live or, as they have just been listed, may be. */
-uint32_t ca_peers_possible_count (const ca_gateway_t *gateway);
-
-/* True if the peer has just been listed and its first heartbeat may be on its
- * way. */
-bool ca_peers_is_expected (const ca_gateway_t *gateway, const ca_peer_t *peer);
-
-/* True once this entry knows from the store how many others there are, or has
- * run for long enough to have heard from them. */
-bool ca_peers_are_discovered (const ca_gateway_t *gateway);
-
 /* Converts a time on a peer's clock to the local clock. */
 uint64_t ca_peers_local_time (const ca_peer_t *peer, uint64_t stamp_us);
 
-/* True once this entry has run long enough to have heard from all peers that
- * it is in contact with. */
-bool ca_peers_are_known (const ca_gateway_t *gateway);
-
-/* The entry that coordinates the task `key` of a zone: the first one in contact
- * in a ranking that is the same at all entries.  Entries of other zones take
- * part only if none is known in this one.  NULL with `is_self` set if it is
- * this entry, NULL without if there is none.  `share` is the part of the known
- * entries that are in contact with this one, itself included. */
-const ca_peer_t *ca_peers_coordinator (const ca_gateway_t *gateway,
-                                       const char *zone, uint64_t key,
-                                       bool *is_self, double *share);
-
 /* True if the peer is live and in this entry's zone. */
 bool ca_peers_in_same_zone (const ca_gateway_t *gateway, const ca_peer_t *peer);
 
@@ -328,6 +304,32 @@
 void ca_peers_service_work (ca_gateway_t *gateway, const char *service,
                             ca_service_work_t *work);
 
+/* contact.c */
+
+/* Number of entries that are live or, as they have just been listed, may be. */
+uint32_t ca_peers_possible_count (const ca_gateway_t *gateway);
+
+/* True if the peer has just been listed and its first heartbeat may be on its
+ * way. */
+bool ca_peers_is_expected (const ca_gateway_t *gateway, const ca_peer_t *peer);
+
+/* True once this entry knows from the store how many others there are, or has
+ * run for long enough to have heard from them. */
+bool ca_peers_are_discovered (const ca_gateway_t *gateway);
+
+/* True once this entry has run long enough to have heard from all peers that
+ * it is in contact with. */
+bool ca_peers_are_known (const ca_gateway_t *gateway);
+
+/* The entry that coordinates the task `key` of a zone: the first one in contact
+ * in a ranking that is the same at all entries.  Entries of other zones take
+ * part only if none is known in this one.  NULL with `is_self` set if it is
+ * this entry, NULL without if there is none.  `share` is the part of the known
+ * entries that are in contact with this one, itself included. */
+const ca_peer_t *ca_peers_coordinator (const ca_gateway_t *gateway,
+                                       const char *zone, uint64_t key,
+                                       bool *is_self, double *share);
+
 /* relay.c */
 
 /* Applies a table update from a peer. */
