--- a/packages/gateway/exchange.c
+++ b/packages/gateway/exchange.c
@@ -254,12 +254,13 @@
       gateway, CA_EVENT_REQUEST_DISPATCHED, exchange->id, endpoint->id,
       "send %u: first event expected in %" PRIu64
       " ms, %u of %u prompt tokens to prefill, %u to fetch from %s, %u "
-      "requests open there from this entry and %u from peers",
+      "requests open there from this entry and %u from peers, fingerprint "
+      "%016" PRIx64,
       exchange->sends + 1, selection->predicted_us / CA_US_PER_MS,
       exchange->prefill_tokens, exchange->prompt.tokens,
       selection->fetched_tokens,
       selection->source == NULL ? "nobody" : selection->source->id,
-      endpoint->own_load.open, endpoint->peer_load.open);
+      endpoint->own_load.open, endpoint->peer_load.open, exchange->fingerprint);
   gateway->ports.attempt (gateway->ports.context, exchange, &attempt);
 }
 
