Check whether a request is blocked before each send

Cause of this part: it was checked when it arrived and after an interrupted run; one that waited for an endpoint, was turned away or not connected, or got a server error, was sent although its fingerprint had been blocked meanwhile. Class: a decision taken once, on what may change before it is carried out.

Evidence: gateway/scripts/quarantined-while-waiting, two of two sent before, none after. Change: the check stands before each send, in one place.

--- a/packages/gateway/exchange.c
+++ b/packages/gateway/exchange.c
@@ -279,13 +279,23 @@
   return until_us < exchange->deadline_us ? until_us : exchange->deadline_us;
 }
 
+/* True if the request must not be sent, since such requests crash endpoints. */
+static bool
+exchange_is_blocked (const ca_gateway_t *gateway, const ca_exchange_t *exchange)
+{
+  return ca_crash_tracker_is_blocked (gateway, exchange->fingerprint);
+}
+
 /* Refuses the request, or aborts the stream if it has begun. */
 static void
 exchange_give_up (ca_gateway_t *gateway, ca_exchange_t *exchange,
                   ca_gateway_refusal_t reason, uint64_t retry_after_us)
 {
   if (exchange->head_sent)
-    exchange_abort (gateway, exchange, "no endpoint to resume the stream");
+    exchange_abort (gateway, exchange,
+                    reason == CA_REFUSE_QUARANTINED
+                        ? "request quarantined"
+                        : "no endpoint to resume the stream");
   else
     exchange_refuse (gateway, exchange, reason, retry_after_us);
 }
@@ -361,8 +371,16 @@
 static void
 exchange_dispatch (ca_gateway_t *gateway, ca_exchange_t *exchange)
 {
-  ca_selection_t selection = ca_select_endpoint (gateway, exchange);
+  ca_selection_t selection;
 
+  if (exchange_is_blocked (gateway, exchange))
+    {
+      ca_counters_add (&gateway->counters, CA_COUNT_QUARANTINED, 1);
+      exchange_give_up (gateway, exchange, CA_REFUSE_QUARANTINED,
+                        RETRY_AFTER_QUARANTINE_US);
+      return;
+    }
+  selection = ca_select_endpoint (gateway, exchange);
   exchange_count_demand (
       gateway, exchange,
       selection.endpoint != NULL
@@ -423,9 +441,6 @@
   if (exchange->connect_failures >= CONNECT_FAILURES_MAX
       || exchange->rejections >= REJECTIONS_MAX)
     retry = false;
-  if (may_have_run && retry
-      && ca_crash_tracker_is_blocked (gateway, exchange->fingerprint))
-    retry = false;
   exchange_release_endpoint (gateway, exchange);
   if (retry)
     {
@@ -551,7 +566,8 @@
     ca_gateway_endpoint_failed (exchange->endpoint, gateway->now_us, false);
   if (failed && exchange_is_repeatable (exchange)
       && exchange->runs < exchange->route->max_attempts
-      && exchange_has_time (gateway, exchange))
+      && exchange_has_time (gateway, exchange)
+      && !exchange_is_blocked (gateway, exchange))
     {
       ca_selection_t selection;
 
@@ -784,7 +800,7 @@
   if (exchange->workspace != NULL)
     exchange->fingerprint = ca_request_fingerprint (facts->fingerprint,
                                                     exchange->workspace->name);
-  if (ca_crash_tracker_is_blocked (gateway, exchange->fingerprint))
+  if (exchange_is_blocked (gateway, exchange))
     {
       ca_counters_add (&gateway->counters, CA_COUNT_QUARANTINED, 1);
       *wait_us = RETRY_AFTER_QUARANTINE_US;
