--- a/packages/gateway/affinity.c
+++ b/packages/gateway/affinity.c
@@ -22,12 +22,19 @@
     return;
   if (prompt->count > 0)
     chained[0] = prompt->parts[prompt->count - 1].prefix_hash;
+  prompt->parts[prompt->count].id = id;
   prompt->parts[prompt->count].prefix_hash
       = XXH3_64bits (chained, sizeof chained);
   prompt->parts[prompt->count].tokens = tokens;
   prompt->count++;
 }
 
+uint32_t
+ca_prompt_shared_parts (const ca_prompt_t *prompt)
+{
+  return prompt->count == 0 ? 0 : prompt->count - 1;
+}
+
 uint32_t
 ca_prompt_shared_tokens (const ca_prompt_t *prompt)
 {
--- a/packages/gateway/affinity.h
+++ b/packages/gateway/affinity.h
@@ -14,6 +14,7 @@
 
 typedef struct
 {
+  uint64_t id;          /* on the wire */
   uint64_t prefix_hash; /* of this part and all parts before it */
   uint32_t tokens;
 } ca_prompt_part_t;
@@ -29,6 +30,9 @@
 /* Appends a part, given its id on the wire. */
 void ca_prompt_add (ca_prompt_t *prompt, uint64_t id, uint32_t tokens);
 
+/* Number of parts that other requests may share: all but the last. */
+uint32_t ca_prompt_shared_parts (const ca_prompt_t *prompt);
+
 /* Tokens of the parts that other requests may share: all but the last. */
 uint32_t ca_prompt_shared_tokens (const ca_prompt_t *prompt);
 
--- a/packages/gateway/crash_tracker.c
+++ b/packages/gateway/crash_tracker.c
@@ -13,6 +13,7 @@
 #include "gateway/private.h"
 
 #include <inttypes.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <xxhash.h>
 
@@ -45,6 +46,9 @@
 #define CRASH_REPORT_US (5 * CA_US_PER_S)
 #define CRASH_REPORT_HEARTBEATS 3
 
+/* Ids of all parts of a prompt in hexadecimal, with commas. */
+#define CRASH_PARTS_TEXT_BYTES (CA_PROMPT_PARTS_MAX * 17 + 1)
+
 /* A reported time of a completed run that is less than this later than the
  * known one is the same: each report adds the delay of a message. */
 #define CRASH_REPORT_DELAY_US (250 * CA_US_PER_MS)
@@ -228,12 +232,28 @@
   return process;
 }
 
+/* Writes the ids of the parts that other requests may share, as a list. */
+static void
+crash_tracker_print_parts (const ca_prompt_t *prompt, char *text, size_t bytes)
+{
+  size_t used = (size_t)snprintf (text, bytes, "none");
+
+  for (uint32_t i = 0; i < ca_prompt_shared_parts (prompt); i++)
+    {
+      if (i == 0)
+        used = 0;
+      used += (size_t)snprintf (text + used, bytes - used, "%s%" PRIx64,
+                                i == 0 ? "" : ",", prompt->parts[i].id);
+    }
+}
+
 /* Counts a crash of an endpoint that this entry has seen. */
 static void
 crash_tracker_count (ca_gateway_t *gateway, const ca_suspected_crash_t *suspect)
 {
   ca_crash_record_t *record
       = crash_tracker_record (gateway, suspect->fingerprint);
+  char parts[CRASH_PARTS_TEXT_BYTES];
 
   ca_counters_add (&gateway->counters, CA_COUNT_CRASHES_CONFIRMED, 1);
   if (!crash_tracker_add (gateway, record,
@@ -242,10 +262,13 @@
     return;
   record->own_count++;
   record->changed_us = gateway->now_us;
+  crash_tracker_print_parts (&suspect->prompt, parts, sizeof parts);
   ca_gateway_log (gateway, CA_EVENT_CRASH_COUNTED, NULL, suspect->endpoint->id,
                   "fingerprint %016" PRIx64
-                  ": %u endpoints, %u of them seen by this entry",
-                  suspect->fingerprint, record->count, record->own_count);
+                  ": %u endpoints, %u of them seen by this entry, shared "
+                  "prompt parts %s",
+                  suspect->fingerprint, record->count, record->own_count,
+                  parts);
 }
 
 /* Drops a suspected crash and its reference to the endpoint. */
@@ -263,6 +286,7 @@
   ca_suspected_crash_t *suspect = calloc (1, sizeof *suspect);
 
   suspect->fingerprint = exchange->fingerprint;
+  suspect->prompt = exchange->prompt;
   suspect->endpoint = exchange->endpoint;
   suspect->sent_us = exchange->sent_us;
   suspect->at_us = gateway->now_us;
--- a/packages/gateway/gateway.h
+++ b/packages/gateway/gateway.h
@@ -315,6 +315,7 @@
 typedef struct ca_suspected_crash
 {
   uint64_t fingerprint;
+  ca_prompt_t prompt;
   ca_gateway_endpoint_t *endpoint; /* holds a reference */
   uint64_t sent_us;                /* start of the run */
   uint64_t at_us;                  /* its interruption */
