Test: requests with one prompt part end endpoint after endpoint (known red)

The fleet in virtual time has prompts of shared parts, one of which ends every endpoint that begins a response; no two such requests are alike.

--- a/tests/gateway/crashing_fleet.c
+++ b/tests/gateway/crashing_fleet.c
@@ -10,7 +10,7 @@
 #include <string.h>
 #include <sys/queue.h>
 
-#define ENTRIES_MAX 82
+#define ENTRIES_MAX 300
 #define ENDPOINTS_MAX 90
 #define ZONES 4
 #define WALL_US UINT64_C (1700000000000000)
@@ -20,11 +20,15 @@
 
 #define CHECKS_MAX 1024
 
-/* Bounds of the users' platform: endpoints that a request may end, further ones
- * that it may reach, and the time that the entries have in between. */
+/* Bounds of the users' platform: endpoints that a request may end, or requests
+ * with one prompt part, further ones that it may reach, and the time that the
+ * entries have in between. */
 #define CRASHES_MAX 3
+#define CRASHES_BY_PART_MAX 5
 #define RETRIES_MAX 3
 #define CONTACT_US (4 * CA_US_PER_S)
+#define CONTACT_SMALL_US (3 * CA_US_PER_S)
+#define SMALL_ENTRIES_MAX 30
 
 #define FIRST_EVENT_US (100 * CA_US_PER_MS)
 #define STREAM_US (800 * CA_US_PER_MS)
@@ -34,6 +38,18 @@
 #define CRASHING_FINGERPRINT 77
 #define HOT_FINGERPRINT 78
 #define FIRST_FINGERPRINT 1000
+#define CRASHING_BY_PART (UINT64_C (1) << 62) /* added to the fingerprint */
+#define BY_PART_PERIOD_US (150 * CA_US_PER_MS)
+#define BREAKS_OFF_US (40 * CA_US_PER_MS)
+
+/* Ids of prompt parts: first parts, one for each caller; documents, of which
+ * the first ones are used most; the part that ends endpoints. */
+#define CALLERS 4
+#define DOCUMENTS 200
+#define FIRST_CALLER_PART 1
+#define FIRST_DOCUMENT_PART 100
+#define CRASHING_PART 99
+#define FIRST_OWN_PART 1000
 
 typedef struct run
 {
@@ -61,6 +77,7 @@
   uint64_t back_us;
   uint64_t listed_us; /* when its record is to be read; 0 if it was */
   uint64_t started_ms;
+  uint32_t starts;
 } endpoint_t;
 
 static struct
@@ -73,12 +90,12 @@
   size_t check_count;
   uint64_t now_us;
   uint64_t seed;
-  size_t next_restart;     /* entry */
-  uint64_t numbers;        /* of requests */
-  uint64_t ended;          /* endpoints, by the crashing request */
-  uint64_t third_ended_us; /* 0 until then */
-  uint64_t reached_late;   /* sends of it after the bound */
-  uint64_t reached_new;    /* of these, by entries started within it */
+  size_t next_restart;   /* entry */
+  uint64_t numbers;      /* of requests */
+  uint64_t ended;        /* endpoints, by the crashing request */
+  uint64_t bound_us;     /* when the bound begins to hold; 0: not yet */
+  uint64_t reached_late; /* sends of it after the bound */
+  uint64_t reached_new;  /* of these, by entries started within it */
   uint64_t started_us[ENTRIES_MAX];
   uint64_t others_blocked;
 } world;
@@ -106,6 +123,13 @@
   return (size_t)(uniform () * (double)count);
 }
 
+static bool
+is_crashing (const ca_exchange_t *exchange)
+{
+  return exchange->fingerprint == CRASHING_FINGERPRINT
+         || exchange->fingerprint >= CRASHING_BY_PART;
+}
+
 static void
 on_attempt (void *context, ca_exchange_t *exchange, const ca_attempt_t *attempt)
 {
@@ -118,9 +142,8 @@
   run->refused = !world.endpoints[run->endpoint].up;
   run->next_us = world.now_us + (run->refused ? CONNECT_US : FIRST_EVENT_US);
   TAILQ_INSERT_TAIL (&world.runs, run, entries);
-  if (!run->refused && exchange->fingerprint == CRASHING_FINGERPRINT
-      && world.third_ended_us != 0
-      && world.now_us > world.third_ended_us + CONTACT_US)
+  if (!run->refused && is_crashing (exchange) && world.bound_us != 0
+      && world.now_us > world.bound_us)
     {
       world.reached_late++;
       if (world.now_us < world.started_us[run->entry] + CONTACT_US)
@@ -176,8 +199,7 @@
 {
   (void)context;
   (void)retry_after_us;
-  if (reason == CA_REFUSE_QUARANTINED
-      && exchange->fingerprint != CRASHING_FINGERPRINT)
+  if (reason == CA_REFUSE_QUARANTINED && !is_crashing (exchange))
     world.others_blocked++;
 }
 
@@ -214,6 +236,24 @@
         event->subject == NULL ? "-" : event->subject, event->detail);
 }
 
+/* Id of the endpoint's current process. */
+static void
+endpoint_id (size_t index, char *id, size_t bytes)
+{
+  snprintf (id, bytes, "e%zu.%u", index,
+            world.fleet->renamed ? world.endpoints[index].starts : 0);
+}
+
+static void
+unlist_endpoint (size_t index)
+{
+  char id[16];
+
+  endpoint_id (index, id, sizeof id);
+  for (size_t i = 0; i < world.fleet->entries; i++)
+    ca_gateway_endpoint_removed (&world.gateways[i], world.now_us, id);
+}
+
 static void
 list_endpoint (size_t entry, size_t index)
 {
@@ -227,7 +267,7 @@
           .slots = 64,
           .started_ms = world.endpoints[index].started_ms };
 
-  snprintf (id, sizeof id, "e%zu", index);
+  endpoint_id (index, id, sizeof id);
   snprintf (zone, sizeof zone, "z%zu", index % ZONES);
   ca_gateway_endpoint_listed (&world.gateways[entry], world.now_us, &record);
 }
@@ -315,6 +355,27 @@
   ca_gateway_finish (&world.gateways[index]);
 }
 
+/* Parts of a caller's prompt: the caller's, some documents, its own.  Few
+ * documents are in most prompts. */
+static void
+add_parts (ca_prompt_t *prompt, bool crashing)
+{
+  double popular = uniform ();
+  bool crashing_last = uniform () < 0.5;
+
+  ca_prompt_add (prompt, FIRST_CALLER_PART + random_below (CALLERS), 50);
+  if (crashing && !crashing_last)
+    ca_prompt_add (prompt, CRASHING_PART, 20);
+  if (uniform () < 0.7)
+    ca_prompt_add (prompt,
+                   FIRST_DOCUMENT_PART
+                       + (uint64_t)(popular * popular * popular * DOCUMENTS),
+                   50);
+  if (crashing && crashing_last)
+    ca_prompt_add (prompt, CRASHING_PART, 20);
+  ca_prompt_add (prompt, FIRST_OWN_PART + world.numbers, 50);
+}
+
 static void
 send_request (uint64_t fingerprint)
 {
@@ -326,6 +387,8 @@
   facts.fingerprint = fingerprint;
   facts.prompt.tokens = 200;
   facts.prompt.output_tokens = 80;
+  if (world.fleet->by_part)
+    add_parts (&facts.prompt, fingerprint >= CRASHING_BY_PART);
   ca_gateway_request (&world.gateways[random_below (world.fleet->entries)],
                       world.now_us, &facts);
 }
@@ -361,8 +424,12 @@
 endpoint_crash (size_t index)
 {
   world.ended++;
-  if (world.ended == CRASHES_MAX)
-    world.third_ended_us = world.now_us;
+  if (world.ended == (world.fleet->by_part ? CRASHES_BY_PART_MAX : CRASHES_MAX))
+    world.bound_us
+        = world.now_us
+          + (world.fleet->by_part && world.fleet->entries <= SMALL_ENTRIES_MAX
+                 ? CONTACT_SMALL_US
+                 : CONTACT_US);
   endpoint_end (index);
 }
 
@@ -381,7 +448,14 @@
       run_free (run);
       ca_exchange_end (gateway, world.now_us, exchange, CA_END_UNREACHABLE);
     }
-  else if (exchange->fingerprint == CRASHING_FINGERPRINT)
+  else if (is_crashing (exchange) && world.fleet->breaks_off && !run->streams)
+    {
+      run->streams = true;
+      run->next_us = world.now_us + BREAKS_OFF_US;
+      ca_exchange_head (gateway, world.now_us, exchange, &facts);
+      ca_exchange_event (gateway, world.now_us, exchange, true, 1);
+    }
+  else if (is_crashing (exchange))
     endpoint_crash (run->endpoint);
   else if (run->streams)
     {
@@ -424,7 +498,10 @@
 
       if (!endpoint->up && world.now_us >= endpoint->back_us)
         {
+          if (world.fleet->renamed)
+            unlist_endpoint (i);
           endpoint->up = true;
+          endpoint->starts++;
           endpoint->started_ms = (WALL_US + world.now_us) / CA_US_PER_MS;
           endpoint->listed_us = world.now_us + LIST_LAG_US;
         }
@@ -450,7 +527,12 @@
       else
         send_request (FIRST_FINGERPRINT + world.numbers);
     }
-  if (!world.fleet->sound && world.now_us % CRASHING_PERIOD_US < STEP_US)
+  if (world.fleet->by_part)
+    {
+      if (uniform () < (double)STEP_US / BY_PART_PERIOD_US)
+        send_request (CRASHING_BY_PART + world.numbers);
+    }
+  else if (!world.fleet->sound && world.now_us % CRASHING_PERIOD_US < STEP_US)
     send_request (CRASHING_FINGERPRINT);
 }
 
--- a/tests/gateway/crashing_fleet.h
+++ b/tests/gateway/crashing_fleet.h
@@ -1,5 +1,7 @@
 /* Fleet in virtual time in which one request ends every endpoint that runs it.
- * The request comes again and again, at any entry, among other traffic. */
+ * The request comes again and again, at any entry, among other traffic.  With
+ * `by_part` it is not one request but one part of prompts: no two requests are
+ * alike, and sound ones share their other parts. */
 #ifndef TESTS_GATEWAY_CRASHING_FLEET_H
 #define TESTS_GATEWAY_CRASHING_FLEET_H
 
@@ -26,6 +28,9 @@
   double wave_share;          /* of the endpoints, which end at once */
   uint64_t cut_period_us; /* a zone is cut off in its first half; 0: never */
   bool silent;            /* endpoints end without closing connections */
+  bool by_part;           /* requests with one prompt part end endpoints */
+  bool breaks_off;        /* such a response begins before the endpoint ends */
+  bool renamed;           /* an endpoint comes back under another id */
   bool only_in_touch; /* entries started within the bound may not know yet */
   bool sound;         /* no request ends endpoints */
 } crashing_fleet_t;
@@ -39,10 +44,14 @@
 #define CRASHING_FLEET_LARGE                                                   \
   .entries = 82, .endpoints = 90, .requests_per_s = 613,                       \
   .down_us = 3 * CA_US_PER_S
+#define CRASHING_FLEET_HUGE                                                    \
+  .entries = 300, .endpoints = 90, .requests_per_s = 613,                      \
+  .down_us = 3 * CA_US_PER_S
 
 /* Runs the fleet with several seeds.  Fails if the request reaches more
- * endpoints than the platform allows once it has ended three of them and the
- * entries have had time to learn of that, or if another request is blocked. */
+ * endpoints than the platform allows once it has ended three of them, or five
+ * with `by_part`, and the entries have had time to learn of that, or if another
+ * request is blocked. */
 void crashing_fleet_check (const crashing_fleet_t *fleet);
 
 #endif
