Give the refusal of a blocked prompt part its event, and check all events in tests

Cause: the refusal had no row in exchange.c, so its line had event 0, which is not in the catalogue. No test looked: they log nothing, or only when asked to.

Also: details of up to 512 bytes, since the list of parts did not fit.

--- a/packages/gateway/exchange.c
+++ b/packages/gateway/exchange.c
@@ -121,6 +121,8 @@
   [CA_REFUSE_NO_KEY] = { CA_EVENT_REQUEST_REFUSED, "unknown API key" },
   [CA_REFUSE_QUOTA] = { CA_EVENT_REQUEST_REFUSED, "quota" },
   [CA_REFUSE_QUARANTINED] = { CA_EVENT_REQUEST_REFUSED, "request quarantined" },
+  [CA_REFUSE_QUARANTINED_PART]
+  = { CA_EVENT_REQUEST_REFUSED, "prompt part quarantined" },
   [CA_REFUSE_NO_ENDPOINT]
   = { CA_EVENT_REQUEST_REFUSED, "no endpoint available" },
   [CA_REFUSE_OVERLOADED] = { CA_EVENT_REQUEST_REFUSED, "endpoints overloaded" },
--- a/packages/gateway/gateway.c
+++ b/packages/gateway/gateway.c
@@ -6,7 +6,7 @@
 #include <string.h>
 #include <xxhash.h>
 
-#define LOG_DETAIL_BYTES 256
+#define LOG_DETAIL_BYTES 512
 
 uint64_t
 ca_gateway_id (const char *name)
--- a/tests/gateway/crashing_fleet.c
+++ b/tests/gateway/crashing_fleet.c
@@ -231,6 +231,7 @@
 static void
 on_log (void *context, const ca_log_event_t *event)
 {
+  assert_non_null (ca_event_info (event->event));
   if (getenv ("NOTES") != NULL && event->event >= CA_EVENT_REQUEST_SUSPECT
       && event->event <= CA_EVENT_PART_RELEASED)
     print_message (
--- a/tests/gateway/script.c
+++ b/tests/gateway/script.c
@@ -184,6 +184,8 @@
 static void
 script_log (void *context, const ca_log_event_t *event)
 {
+  if (ca_event_info (event->event) == NULL)
+    printf ("event %d is not in the catalogue\n", (int)event->event);
   if (getenv ("NOTES") != NULL)
     printf ("%" PRIu64 "   log %d %s %s %s\n", script_ms (context),
             (int)event->event, event->request == NULL ? "-" : event->request,
--- a/tests/site/lib.sh
+++ b/tests/site/lib.sh
@@ -60,7 +60,8 @@
   local port=$((BASE + 10 + $1))
   start "endpoint$1" "$BUILD/tests/site/site-replica" --id "i-$1" --service "$2" \
     --zone "$3" --port "$port" --store "$BASE" --runs "$RUNS" \
-    --listed "${4:-$port}" --ends-on "${ENDS_ON:-}"
+    --listed "${4:-$port}" --ends-on "${ENDS_ON:-}" \
+    --ends-on-part "${ENDS_ON_PART:-}"
 }
 
 # First port of entry NUMBER; the others follow it.
--- a/tests/site/replica.c
+++ b/tests/site/replica.c
@@ -1,13 +1,15 @@
 /* Stand-in for one endpoint of the platform.
  *
  *   site-replica --id ID --service S --zone Z --port N --store N --runs FILE
- *                [--listed N] [--ends-on TEXT]
+ *                [--listed N] [--ends-on TEXT] [--ends-on-part ID]
  *
  * Registers itself in the store (with port --listed instead of --port, for a
  * proxy in front of it), responds as the users' pages specify, and appends a
  * line to FILE for each run that starts: "run ID REQUEST PATH WORKSPACE KEY".
- * A run whose path contains TEXT ends the process at its start.  On SIGTERM it
- * reports draining, serves for another second, and exits.  POST /control takes
+ * A run whose path contains TEXT ends the process at its start; one with ID in
+ * the parts of its prompt, but for the last, at its second event.  On SIGTERM
+ * it reports draining, serves for another second, and exits.  POST /control
+ * takes
  * {"fault": NAME, "next": N} for the next N requests: reject, error, reset,
  * cut, lost, encoded, unsigned; or {"limit": TEXT}, which all responses then
  * name as the limit on requests per second, "" for none.  GET /record returns
@@ -49,6 +51,7 @@
   const char *service;
   const char *zone;
   const char *ends_on;
+  const char *ends_on_part;
   uint16_t listed_port;
   uint16_t store;
   int runs_fd;
@@ -76,6 +79,7 @@
   char fault[16];
   uint32_t next;  /* number of the next event */
   uint32_t count; /* events to send; 0: a plain response */
+  bool ends;      /* this process, as it sends its second event */
   bool started;
 } run_t;
 
@@ -265,6 +269,8 @@
       ca_http_response_end (run->request);
       return false;
     }
+  if (run->ends && run->next > 1)
+    _exit (1);
   bytes = snprintf (event, sizeof event, "id: %u\ndata: %s piece %u\n\n",
                     run->next, run->id, run->next);
   ca_http_response_write (run->request, event, (size_t)bytes);
@@ -298,6 +304,16 @@
   run_free (run);
 }
 
+/* True if the part is in the prompt before the last one. */
+static bool
+has_part (const ca_http_server_request_t *request, const char *part)
+{
+  const char *prefix = header_of (request, "Camphorarch-Prompt-Prefix");
+  const char *found = part[0] == '\0' ? NULL : strstr (prefix, part);
+
+  return found != NULL && strchr (found, ',') != NULL;
+}
+
 static void
 run_start (ca_http_server_request_t *request, const char *fault)
 {
@@ -313,6 +329,7 @@
   if (ca_headers_find (&request->head->headers, "Camphorarch-Token-Usage")
       != NULL)
     run->count = REPLICA_EVENTS;
+  run->ends = has_part (request, replica.ends_on_part);
   run->timer = evtimer_new (replica.site.base, run_step, run);
   event_add (run->timer, &wait);
   request->user_data = run;
@@ -436,6 +453,7 @@
   replica.service = site_argument (argc, argv, "service", "s");
   replica.zone = site_argument (argc, argv, "zone", "z1");
   replica.ends_on = site_argument (argc, argv, "ends-on", "");
+  replica.ends_on_part = site_argument (argc, argv, "ends-on-part", "");
   replica.listed_port = (uint16_t)strtoul (
       site_argument (argc, argv, "listed", port), NULL, 10);
   replica.store
