Test: count the requests that reach endpoints before asking the log

Seen failing with real processes on the code before (8 entries and 8 endpoints): 71 endpoints ended, 74 requests with the part reached endpoints, 48 of them later than contact_ms after the fifth crash.

--- a/tests/regress/test_crashing_prompt_part.sh
+++ b/tests/regress/test_crashing_prompt_part.sh
@@ -96,11 +96,11 @@
 done
 echo "$ENDED endpoints ended, $(crashing_runs) crashing requests reached endpoints, ${BEFORE:-0} of them before the bound"
 [ $ENDED -ge 3 ] || fail "$ENDED endpoints ended, the test needs 3 or more"
+[ $(($(crashing_runs) - ${BEFORE:-$(crashing_runs)})) -le $REPEATS_MAX ] \
+  || fail "$(crashing_runs) crashing requests reached endpoints, $BEFORE before the bound"
 for i in $(seq $ENTRIES); do
   blocks "$i" || fail "entry $i has not blocked the part"
 done
-[ $(($(crashing_runs) - ${BEFORE:-$(crashing_runs)})) -le $REPEATS_MAX ] \
-  || fail "$(crashing_runs) crashing requests reached endpoints, $BEFORE before the bound"
 
 # An entry that starts learns of the part from its peers.
 signal KILL entry1
