--- a/tests/gateway/test_crash_prompt_part.c
+++ b/tests/gateway/test_crash_prompt_part.c
@@ -89,6 +89,27 @@
   crashing_fleet_check (&fleet);
 }
 
+/* The cut begins before the first crash and ends after the bound begins. */
+static void
+test_small_fleet_with_a_zone_that_hears_nothing (void **state)
+{
+  static const crashing_fleet_t fleet = { CRASHING_FLEET_SMALL, .by_part = true,
+                                          .cut_period_us = 40 * CA_US_PER_S };
+
+  (void)state;
+  crashing_fleet_check (&fleet);
+}
+
+static void
+test_large_fleet_with_a_zone_that_hears_nothing (void **state)
+{
+  static const crashing_fleet_t fleet = { CRASHING_FLEET_LARGE, .by_part = true,
+                                          .cut_period_us = 40 * CA_US_PER_S };
+
+  (void)state;
+  crashing_fleet_check (&fleet);
+}
+
 static void
 test_small_fleet_among_waves (void **state)
 {
@@ -123,6 +144,8 @@
     cmocka_unit_test (test_large_fleet_with_restarts),
     cmocka_unit_test (test_small_fleet_with_cut_zones),
     cmocka_unit_test (test_large_fleet_with_cut_zones),
+    cmocka_unit_test (test_small_fleet_with_a_zone_that_hears_nothing),
+    cmocka_unit_test (test_large_fleet_with_a_zone_that_hears_nothing),
     cmocka_unit_test (test_small_fleet_among_waves),
     cmocka_unit_test (test_large_fleet_among_waves),
   };
