Give up answers without end, at a bound in bytes

What callers saw: an endpoint whose answer never ends kept its callers until the route's timeout (504 after 8 s, 12 of 12, with real processes), and the entry read on for as long; interim responses without end were read until the call's timeout (225 MB in 2 s). Cause: bytes beyond the limit of a response were dropped and the connection read on; responses that are skipped, and one event, had no limit, nor had all responses together.

Change: the body callback says that it wants no more, which closes the connection and ends the call as malformed. A body that goes on slowly ends with the route's timeout or with its caller, as before. Heads, trailers and chunk extensions were bounded.

Evidence: test_http's test_answers_without_end (12 kinds of bytes) failed on interim responses before the bounds were kept; regress/test_endless_answers failed with the code before.

--- a/packages/http/client.c
+++ b/packages/http/client.c
@@ -13,6 +13,12 @@
 
 #define CLIENT_MAX_HEAD_BYTES (64 * 1024)
 
+/* Interim responses, and those to earlier calls, that are discarded in one
+ * call, and the bytes of their bodies.  A server in trouble may send them
+ * without end. */
+#define CLIENT_MAX_SKIPPED 16
+#define CLIENT_MAX_SKIPPED_BYTES (16 * 1024 * 1024)
+
 /* Idle connections kept per address. */
 #define CLIENT_MAX_IDLE_PER_HOST 8
 
@@ -54,6 +60,8 @@
   bool idle;
   bool connected;
   bool skipping;          /* the current response belongs to an earlier call */
+  uint32_t skipped;       /* interim and earlier responses of this call */
+  size_t skipped_bytes;   /* of their bodies */
   bool response_complete; /* read to its end: the request was received */
   bool cancelled;         /* by one of its own callbacks */
   bool parsing;
@@ -209,13 +217,19 @@
                    == CA_HTTP_HEAD_SKIP;
 }
 
-static void
+static bool
 call_on_body (void *context, const char *bytes, size_t count)
 {
   ca_http_pool_call_t *call = context;
 
-  if (!call->skipping && !call->cancelled)
-    call->options.on_body (call->options.context, bytes, count);
+  if (call->cancelled)
+    return true;
+  if (call->skipping)
+    {
+      call->skipped_bytes += count;
+      return call->skipped_bytes <= CLIENT_MAX_SKIPPED_BYTES;
+    }
+  return call->options.on_body (call->options.context, bytes, count);
 }
 
 /* Parses responses until the one to this call is complete. */
@@ -230,6 +244,8 @@
       read = ca_http_reader_feed (&call->reader, input);
       if (read != CA_HTTP_READ_COMPLETE || !call->skipping)
         return read;
+      if (++call->skipped > CLIENT_MAX_SKIPPED)
+        return CA_HTTP_READ_MALFORMED;
       ca_http_reader_reset (&call->reader);
       call->reader.response_to_head
           = strcmp (call->options.method, "HEAD") == 0;
@@ -459,6 +475,8 @@
   call->options.target = NULL;
   call->options.body = NULL;
   call->skipping = false;
+  call->skipped = 0;
+  call->skipped_bytes = 0;
   call->reader.response_to_head = strcmp (options->method, "HEAD") == 0;
   call->options.method = call->reader.response_to_head ? "HEAD" : "";
   call->deadline_us
--- a/packages/http/client.h
+++ b/packages/http/client.h
@@ -55,7 +55,9 @@
   uint32_t max_idle_ms; /* maximum idle time of a reused connection; 0: open a
                            new one */
   ca_http_head_action_t (*on_head) (void *context, const ca_http_head_t *head);
-  void (*on_body) (void *context, const char *bytes, size_t count);
+  /* If false, the response is not wanted: its connection is closed, and the
+   * outcome is CA_HTTP_OUTCOME_MALFORMED. */
+  bool (*on_body) (void *context, const char *bytes, size_t count);
   void (*on_done) (void *context, ca_http_outcome_t outcome);
   void *context;
 } ca_http_pool_call_options_t;
--- a/packages/http/reader.c
+++ b/packages/http/reader.c
@@ -100,8 +100,9 @@
 {
   ca_http_reader_t *reader = parser->data;
 
-  if (reader->on_body != NULL)
-    reader->on_body (reader->context, bytes, count);
+  if (reader->on_body != NULL
+      && !reader->on_body (reader->context, bytes, count))
+    return 1;
   return 0;
 }
 
--- a/packages/http/reader.h
+++ b/packages/http/reader.h
@@ -44,8 +44,9 @@
   size_t name_bytes;
   size_t value_bytes;
   size_t target_bytes;
-  /* Called for each part of the body; must not use the reader. */
-  void (*on_body) (void *context, const char *bytes, size_t count);
+  /* Called for each part of the body; must not use the reader.  If it returns
+   * false, the message counts as malformed. */
+  bool (*on_body) (void *context, const char *bytes, size_t count);
   /* Called when the head is complete. */
   void (*on_head) (void *context);
   void *context;
--- a/packages/http/server.c
+++ b/packages/http/server.c
@@ -212,12 +212,13 @@
   ca_http_respond (&connection->request, status, NULL, "", 0);
 }
 
-static void
+static bool
 connection_on_body (void *context, const char *bytes, size_t count)
 {
   ca_http_connection_t *connection = context;
 
   evbuffer_add (connection->request.body, bytes, count);
+  return true;
 }
 
 /* Answers Expect: 100-continue. */
--- a/tests/gateway/test_http.c
+++ b/tests/gateway/test_http.c
@@ -23,6 +23,8 @@
 /* Connections that the raw server keeps open. */
 #define RAW_MAX_OPEN 16
 
+#define RAW_FILL_BYTES 16384
+
 /* What the raw server does with a connection after its response. */
 typedef enum
 {
@@ -37,6 +39,8 @@
   struct evconnlistener *listener;
   ca_address_t address;
   const char *answers[2]; /* to the first request and to later ones */
+  const char *filler;     /* sent after the response without end, or NULL */
+  size_t filled;          /* bytes of it */
   after_response_t after;
   int requests;
   char got[4096];
@@ -61,12 +65,30 @@
     raw_free (context, stream);
 }
 
+/* Sends some more of a response that never ends. */
+static void
+raw_fill (raw_server_t *server, struct bufferevent *stream)
+{
+  size_t bytes = strlen (server->filler);
+
+  for (size_t sent = 0; sent < RAW_FILL_BYTES; sent += bytes)
+    {
+      bufferevent_write (stream, server->filler, bytes);
+      server->filled += bytes;
+    }
+}
+
 static void
 raw_written (struct bufferevent *stream, void *context)
 {
   raw_server_t *server = context;
   struct linger now = { 1, 0 };
 
+  if (server->filler != NULL && server->requests > 0)
+    {
+      raw_fill (server, stream);
+      return;
+    }
   if (server->after == AFTER_KEEP_OPEN || server->requests == 0)
     return;
   if (server->after == AFTER_RESET)
@@ -178,13 +200,16 @@
              : CA_HTTP_HEAD_ACCEPT;
 }
 
-static void
+static bool
 result_on_body (void *context, const char *bytes, size_t count)
 {
   call_result_t *result = context;
 
+  if (result->bytes + count >= sizeof result->body)
+    return false;
   memcpy (result->body + result->bytes, bytes, count);
   result->bytes += count;
+  return true;
 }
 
 static void
@@ -285,6 +310,64 @@
     }
 }
 
+/* Bytes that may be sent of a response without end: what may be discarded, and
+ * the buffers of the sockets. */
+#define ENDLESS_MAX_BYTES (32 * 1024 * 1024)
+
+typedef struct
+{
+  const char *name;
+  const char *answer;
+  const char *filler;
+} endless_case_t;
+
+static const endless_case_t endless_cases[] = {
+  { "field value", HEAD "X-A: ", "aaaaaaaaaaaaaaaa" },
+  { "field lines", HEAD, "X-A: b\r\n" },
+  { "status line", "HTTP/1.1 200 ", "aaaaaaaaaaaaaaaa" },
+  { "blank lines", "\r\n", "\r\n" },
+  { "bytes that are no response", "garbage", "garbage" },
+  { "interim responses", "HTTP/1.1 100 Continue\r\n\r\n",
+    "HTTP/1.1 100 Continue\r\n\r\n" },
+  { "unframed body", HEAD "\r\n", "aaaaaaaaaaaaaaaa" },
+  { "chunks", HEAD "Transfer-Encoding: chunked\r\n\r\n", "5\r\nhello\r\n" },
+  { "chunk extension", HEAD "Transfer-Encoding: chunked\r\n\r\n5;",
+    "aaaaaaaaaaaaaaaa" },
+  { "trailer", HEAD "Transfer-Encoding: chunked\r\n\r\n0\r\n", "X-A: b\r\n" },
+  { "responses to other requests",
+    HEAD "X-Id: old\r\nContent-Length: 2\r\n\r\nno",
+    HEAD "X-Id: old\r\nContent-Length: 2\r\n\r\nno" },
+  { "unframed body of a response to another request", HEAD "X-Id: old\r\n\r\n",
+    "aaaaaaaaaaaaaaaa" },
+};
+
+/* Bytes without end are given up long before the call's timeout. */
+static void
+test_answers_without_end (void **state)
+{
+  (void)state;
+  for (size_t i = 0; i < sizeof endless_cases / sizeof endless_cases[0]; i++)
+    {
+      const endless_case_t *row = &endless_cases[i];
+      raw_server_t server;
+      ca_http_pool_t pool;
+      call_result_t result;
+
+      raw_start (&server, row->answer, AFTER_KEEP_OPEN);
+      server.filler = row->filler;
+      ca_http_pool_init (&pool, server.base);
+      result = make_call (&server, &pool, "new");
+      if (result.outcome != CA_HTTP_OUTCOME_MALFORMED
+          || server.filled > ENDLESS_MAX_BYTES)
+        print_message ("%s: outcome %d, %zu bytes sent\n", row->name,
+                       (int)result.outcome, server.filled);
+      assert_int_equal (result.outcome, CA_HTTP_OUTCOME_MALFORMED);
+      assert_true (server.filled <= ENDLESS_MAX_BYTES);
+      ca_http_pool_finish (&pool);
+      raw_end (&server);
+    }
+}
+
 /* A second response after the first: the connection is not reused. */
 static void
 test_extra_answer (void **state)
@@ -635,6 +718,7 @@
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_answers),
+    cmocka_unit_test (test_answers_without_end),
     cmocka_unit_test (test_extra_answer),
     cmocka_unit_test (test_late_answer),
     cmocka_unit_test (test_kept_connection),
--- a/tests/site/callers.c
+++ b/tests/site/callers.c
@@ -93,7 +93,7 @@
   return CA_HTTP_HEAD_ACCEPT;
 }
 
-static void
+static bool
 on_body (void *context, const char *bytes, size_t count)
 {
   request_t *request = context;
@@ -102,6 +102,7 @@
     count = sizeof request->body - 1 - request->bytes;
   memcpy (request->body + request->bytes, bytes, count);
   request->bytes += count;
+  return true;
 }
 
 /* Expected body of a complete response. */
--- a/tests/site/replica.c
+++ b/tests/site/replica.c
@@ -11,10 +11,12 @@
  * it reports draining, serves for another second, and exits.  POST /control
  * takes
  * {"fault": NAME, "next": N} for the next N requests: reject, error, reset,
- * cut, lost, encoded, unsigned; or {"limit": TEXT}, which all responses then
- * name as the limit on requests per second, "" for none.  GET /record returns
- * the requests since then, and the most in a span of 4 s that began 4 s or more
- * after it: {"requests": N, "most": N}; {"register": true} writes its record
+ * cut, lost, encoded, unsigned, endless (a body, or an event, that never ends),
+ * drip (the same, a byte at a time); or {"limit": TEXT}, which all responses
+ * then name as the limit on requests per second, "" for none.  GET /record
+ * returns the requests since then, and the most in a span of 4 s that began 4 s
+ * or more after it: {"requests": N, "most": N, "open": N}, the last of
+ * responses without end that still go on; {"register": true} writes its record
  * again. */
 #include "tests/site/site.h"
 
@@ -34,6 +36,8 @@
 #define REPLICA_REGISTER_PERIOD_MS 500
 #define REPLICA_EVENTS 6
 #define REPLICA_LIMIT_BYTES 32
+#define REPLICA_ENDLESS_BYTES (256 * 1024)
+#define REPLICA_DRIP_MS 50
 
 /* Spans over which limited requests are counted, and the time that the entries
  * have to learn of the limit. */
@@ -64,6 +68,7 @@
   uint64_t requests_us[REPLICA_SPAN_MAX]; /* by number, the latest */
   uint64_t requests;                      /* since the limit was set */
   uint64_t most;                          /* of them in a span */
+  uint64_t open;                          /* responses that never end */
   struct event *register_timer;
   uint64_t born_ms;
 } replica_t;
@@ -92,12 +97,13 @@
   return CA_HTTP_HEAD_ACCEPT;
 }
 
-static void
+static bool
 on_put_body (void *context, const char *bytes, size_t count)
 {
   (void)context;
   (void)bytes;
   (void)count;
+  return true;
 }
 
 static void
@@ -278,6 +284,32 @@
   return true;
 }
 
+/* Sends the next part of a response that never ends; false if it does. */
+static bool
+run_step_endless (run_t *run)
+{
+  static char bytes[REPLICA_ENDLESS_BYTES];
+  bool drips = strcmp (run->fault, "drip") == 0;
+  struct timeval wait = { 0, (drips ? REPLICA_DRIP_MS : 1) * 1000 };
+
+  if (!drips && strcmp (run->fault, "endless") != 0)
+    return false;
+  if (!run->started)
+    {
+      ca_headers_t headers;
+
+      memset (bytes, 'x', sizeof bytes);
+      run_headers (run, &headers);
+      ca_http_response_begin (run->request, 200, &headers);
+      ca_headers_finish (&headers);
+      run->started = true;
+      replica.open++;
+    }
+  ca_http_response_write (run->request, bytes, drips ? 1 : sizeof bytes);
+  event_add (run->timer, &wait);
+  return true;
+}
+
 /* Sends the next part of a response; applies the faults that end it. */
 static void
 run_step (evutil_socket_t fd, short what, void *context)
@@ -287,6 +319,8 @@
 
   (void)fd;
   (void)what;
+  if (run_step_endless (run))
+    return;
   if (strcmp (run->fault, "lost") == 0
       || (strcmp (run->fault, "cut") == 0 && run->count == 0))
     {
@@ -391,9 +425,10 @@
   if (site_is_path (request, "/record"))
     {
       site_respond (request, 200,
-                    json_pack ("{s:I, s:I}", "requests",
+                    json_pack ("{s:I, s:I, s:I}", "requests",
                                (json_int_t)replica.requests, "most",
-                               (json_int_t)replica.most));
+                               (json_int_t)replica.most, "open",
+                               (json_int_t)replica.open));
       return;
     }
   count_request ();
@@ -419,9 +454,14 @@
 static void
 on_disconnect (void *context, ca_http_server_request_t *request)
 {
+  run_t *run = request->user_data;
+
   (void)context;
-  if (request->user_data != NULL)
-    run_free (request->user_data);
+  if (run == NULL)
+    return;
+  if (run->started && run->next == 1)
+    replica.open--;
+  run_free (run);
 }
 
 /* Reports draining and exits after the drain time. */
