Recognise that an endpoint has ended behind something that accepts connections

What callers saw, with real processes: a request goes on to further endpoints after it has ended three. Cause: an interrupted run counts as a crash if the endpoint then refuses a connection; a proxy in front of it accepts one and closes it, so that no crash is counted (crash_unconfirmed each time). Class: a sign of the network taken for one of the process.

--- a/packages/http/client.c
+++ b/packages/http/client.c
@@ -503,6 +503,25 @@
     call_free (call);
 }
 
+bool
+ca_http_pool_is_connected (const ca_http_pool_t *pool,
+                           const ca_address_t *address)
+{
+  uint64_t key = client_key (address);
+  const ca_http_host_t *host = NULL;
+  const ca_http_pool_call_t *call;
+
+  HASH_FIND (hh, pool->hosts, &key, sizeof key, host);
+  if (host == NULL)
+    return false;
+  TAILQ_FOREACH (call, &pool->busy, entries)
+  {
+    if (call->host == host && call->connected)
+      return true;
+  }
+  return !TAILQ_EMPTY (&host->idle);
+}
+
 void
 ca_http_pool_init (ca_http_pool_t *pool, struct event_base *base)
 {
--- a/packages/http/client.h
+++ b/packages/http/client.h
@@ -74,6 +74,10 @@
 ca_http_pool_call_start (ca_http_pool_t *pool,
                          const ca_http_pool_call_options_t *options);
 
+/* True if a connection to the address is open. */
+bool ca_http_pool_is_connected (const ca_http_pool_t *pool,
+                                const ca_address_t *address);
+
 /* Closes the call's connection; none of its callbacks run afterwards. */
 void ca_http_pool_call_cancel (ca_http_pool_call_t *call);
 
