Tests: the small sites have a shorter time to learn of crashes

contact_ms is 3 s on the small sites, 4 s on the grown ones; the tests of crashing requests gave 4 s to all.

--- a/tests/gateway/crashing_fleet.c
+++ b/tests/gateway/crashing_fleet.c
@@ -125,6 +125,13 @@
   return (size_t)(uniform () * (double)count);
 }
 
+static uint64_t
+contact_us (void)
+{
+  return world.fleet->entries <= SMALL_ENTRIES_MAX ? CONTACT_SMALL_US
+                                                   : CONTACT_US;
+}
+
 static bool
 is_crashing (const ca_exchange_t *exchange)
 {
@@ -148,7 +155,7 @@
       && world.now_us > world.bound_us)
     {
       world.reached_late++;
-      if (world.now_us < world.started_us[run->entry] + CONTACT_US)
+      if (world.now_us < world.started_us[run->entry] + contact_us ())
         world.reached_new++;
     }
 }
@@ -429,11 +436,7 @@
 {
   world.ended++;
   if (world.ended == (world.fleet->by_part ? CRASHES_BY_PART_MAX : CRASHES_MAX))
-    world.bound_us
-        = world.now_us
-          + (world.fleet->by_part && world.fleet->entries <= SMALL_ENTRIES_MAX
-                 ? CONTACT_SMALL_US
-                 : CONTACT_US);
+    world.bound_us = world.now_us + contact_us ();
   endpoint_end (index);
 }
 
--- a/tests/regress/test_crashing_request.sh
+++ b/tests/regress/test_crashing_request.sh
@@ -8,7 +8,7 @@
 ENTRIES=3
 ENDPOINTS=6
 CRASHES_MAX=3
-CONTACT_STEPS=40 # of 100 ms; contact_ms is 4000 on the users' platform
+CONTACT_STEPS=30 # of 100 ms; contact_ms is 3000 on the small sites
 
 request_status () { # ENTRY PATH KEY: prints the HTTP status
   curl -s -m 3 -o /dev/null -w '%{http_code}' -X POST -H "Host: host.example" \
