--- a/tests/gateway/crashing_fleet.c
+++ b/tests/gateway/crashing_fleet.c
@@ -520,6 +520,13 @@
     }
 }
 
+static uint64_t
+by_part_period_us (void)
+{
+  return world.fleet->by_part_period_us == 0 ? BY_PART_PERIOD_US
+                                             : world.fleet->by_part_period_us;
+}
+
 static void
 step_requests (void)
 {
@@ -537,7 +544,7 @@
   if (world.fleet->by_part)
     {
       if (world.now_us >= START_US + BY_PART_START_US
-          && uniform () < (double)STEP_US / BY_PART_PERIOD_US)
+          && uniform () < (double)STEP_US / by_part_period_us ())
         send_request (CRASHING_BY_PART + world.numbers);
     }
   else if (!world.fleet->sound && world.now_us % CRASHING_PERIOD_US < STEP_US)
--- a/tests/gateway/crashing_fleet.h
+++ b/tests/gateway/crashing_fleet.h
@@ -29,8 +29,9 @@
   uint64_t cut_period_us; /* a zone is cut off in its first half; 0: never */
   bool silent;            /* endpoints end without closing connections */
   bool by_part;           /* requests with one prompt part end endpoints */
-  bool breaks_off;        /* such a response begins before the endpoint ends */
-  bool renamed;           /* an endpoint comes back under another id */
+  uint64_t by_part_period_us; /* between these; 0: 150 ms */
+  bool breaks_off;    /* such a response begins before the endpoint ends */
+  bool renamed;       /* an endpoint comes back under another id */
   bool only_in_touch; /* entries started within the bound may not know yet */
   bool sound;         /* no request ends endpoints */
 } crashing_fleet_t;
--- a/tests/gateway/test_crash_prompt_part.c
+++ b/tests/gateway/test_crash_prompt_part.c
@@ -132,6 +132,28 @@
   crashing_fleet_check (&fleet);
 }
 
+static void
+test_small_fleet_in_a_flood (void **state)
+{
+  static const crashing_fleet_t fleet
+      = { CRASHING_FLEET_SMALL, .by_part = true,
+          .by_part_period_us = 30 * CA_US_PER_MS };
+
+  (void)state;
+  crashing_fleet_check (&fleet);
+}
+
+static void
+test_large_fleet_in_a_flood (void **state)
+{
+  static const crashing_fleet_t fleet
+      = { CRASHING_FLEET_LARGE, .by_part = true, .breaks_off = true,
+          .by_part_period_us = 30 * CA_US_PER_MS };
+
+  (void)state;
+  crashing_fleet_check (&fleet);
+}
+
 int
 main (void)
 {
@@ -148,6 +170,8 @@
     cmocka_unit_test (test_large_fleet_with_a_zone_that_hears_nothing),
     cmocka_unit_test (test_small_fleet_among_waves),
     cmocka_unit_test (test_large_fleet_among_waves),
+    cmocka_unit_test (test_small_fleet_in_a_flood),
+    cmocka_unit_test (test_large_fleet_in_a_flood),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
