Name a blocked prompt part by its id in the log; log a crash before counting its parts

Read as by a newcomer: on call could not tell from part_quarantined which part it is. The record that the line names could also be dropped, were the records full, while the crash is counted for the parts.

--- a/packages/base/events.c
+++ b/packages/base/events.c
@@ -99,8 +99,7 @@
   { CA_EVENT_PART_QUARANTINED, CA_LEVEL_ERROR, "part_quarantined",
     "endpoints crashed under requests that share a prompt part; requests with "
     "it are refused",
-    "pass the part to the owners of the model; it is in the crash_counted "
-    "lines" },
+    "pass the part to the owners of the model" },
   { CA_EVENT_PART_RELEASED, CA_LEVEL_INFO, "part_released",
     "requests with a prompt part are no longer refused: one has completed, "
     "another part explains the crashes, or they are long past",
--- a/packages/gateway/crash_parts.c
+++ b/packages/gateway/crash_parts.c
@@ -164,8 +164,8 @@
   record->changed_us = gateway->now_us;
   ca_gateway_log (
       gateway, blocked ? CA_EVENT_PART_QUARANTINED : CA_EVENT_PART_RELEASED,
-      NULL, NULL, "part with fingerprint %016" PRIx64 ": %u endpoints crashed",
-      record->fingerprint, record->count);
+      NULL, NULL, "part %" PRIx64 ": %u endpoints crashed",
+      record->fingerprint ^ CA_PART_FINGERPRINT_MASK, record->count);
 }
 
 void
--- a/packages/gateway/crash_tracker.c
+++ b/packages/gateway/crash_tracker.c
@@ -49,9 +49,6 @@
  * complete, and a part may stop being sound. */
 #define CRASH_PART_REFUTED_US (2 * CA_US_PER_S)
 
-/* Separates the fingerprints of prompt parts from those of requests. */
-#define CRASH_PART_SEED 3
-
 /* Records are reported for this long after a change, and for this many
  * heartbeats at least; those that block requests for as long as they exist. */
 #define CRASH_REPORT_US (5 * CA_US_PER_S)
@@ -83,8 +80,7 @@
 static uint64_t
 crash_tracker_part (const ca_prompt_t *prompt, uint32_t k)
 {
-  return XXH3_64bits_withSeed (&prompt->parts[k].id, sizeof prompt->parts[k].id,
-                               CRASH_PART_SEED);
+  return prompt->parts[k].id ^ CA_PART_FINGERPRINT_MASK;
 }
 
 ca_gateway_refusal_t
@@ -326,18 +322,20 @@
   char parts[CA_PROMPT_TEXT_BYTES];
 
   ca_counters_add (&gateway->counters, CA_COUNT_CRASHES_CONFIRMED, 1);
+  if (record != NULL)
+    {
+      ca_prompt_print_shared (&suspect->prompt, parts);
+      ca_gateway_log (
+          gateway, CA_EVENT_CRASH_COUNTED, NULL, suspect->endpoint->id,
+          "fingerprint %016" PRIx64
+          ": %u endpoints, %u of them seen by this entry, shared "
+          "prompt parts %s",
+          suspect->fingerprint, record->count, record->own_count, parts);
+    }
+  /* May drop older records. */
   for (uint32_t i = 0; i < ca_prompt_shared_parts (&suspect->prompt); i++)
     crash_tracker_count_one (gateway, suspect,
                              crash_tracker_part (&suspect->prompt, i), true);
-  if (record == NULL)
-    return;
-  ca_prompt_print_shared (&suspect->prompt, parts);
-  ca_gateway_log (gateway, CA_EVENT_CRASH_COUNTED, NULL, suspect->endpoint->id,
-                  "fingerprint %016" PRIx64
-                  ": %u endpoints, %u of them seen by this entry, shared "
-                  "prompt parts %s",
-                  suspect->fingerprint, record->count, record->own_count,
-                  parts);
 }
 
 /* Drops a suspected crash and its reference to the endpoint. */
--- a/packages/gateway/gateway.h
+++ b/packages/gateway/gateway.h
@@ -308,8 +308,7 @@
   UT_hash_handle hh;
 } ca_crash_record_t;
 
-/* Latest completed runs by fingerprint of the request or of a prompt part, one
- * per slot. */
+/* Latest completed runs by fingerprint, one per slot. */
 #define CA_COMPLETED_RUNS 1024
 
 typedef struct
--- a/packages/gateway/private.h
+++ b/packages/gateway/private.h
@@ -168,6 +168,10 @@
 
 /* crash_parts.c */
 
+/* The fingerprint of a prompt part is its id XOR this, which separates it from
+ * those of requests. */
+#define CA_PART_FINGERPRINT_MASK UINT64_C (0x9e3779b97f4a7c15)
+
 /* Decides which prompt parts are blocked, if a crash or a completed run has
  * become known since the last time. */
 void ca_crash_parts_decide (ca_gateway_t *gateway);
