Heed what endpoints say of themselves: that they leave, or want no requests now

What callers saw: requests went on to an endpoint whose answers said that it leaves (Server-Leaving), until its record said so too, and to one that had turned a request away for a time (503 with Retry-After): no line read either field.

If all of a service's endpoints have asked for that, callers are refused at once, with the end of the first such time, spread over half a second.

--- a/packages/gateway/endpoint_limit.c
+++ b/packages/gateway/endpoint_limit.c
@@ -93,13 +93,6 @@
                     limit->known.per_s, source);
 }
 
-/* True if the response is known to be the endpoint's own. */
-static bool
-limit_is_from_endpoint (const ca_answer_facts_t *facts)
-{
-  return !facts->wrong_endpoint && (facts->is_signed || facts->not_run);
-}
-
 void
 ca_endpoint_limit_observe (ca_gateway_t *gateway, const ca_exchange_t *exchange,
                            const ca_answer_facts_t *facts)
@@ -107,7 +100,7 @@
   ca_gateway_endpoint_t *endpoint = exchange->endpoint;
   ca_limit_statement_t *own = &endpoint->limit.own;
 
-  if (!limit_is_from_endpoint (facts))
+  if (!ca_endpoint_notice_is_genuine (facts))
     return;
   if (facts->bad_limit != NULL)
     {
--- a/packages/gateway/exchange.c
+++ b/packages/gateway/exchange.c
@@ -372,6 +372,18 @@
   exchange_give_up (gateway, exchange, CA_REFUSE_LIMITED, wait_us);
 }
 
+/* Time after which callers may return if no endpoint takes requests: if some
+ * have paused, spread after the end of the first pause. */
+static uint64_t
+exchange_resume_after_us (ca_gateway_t *gateway,
+                          const ca_selection_t *selection)
+{
+  if (selection->any_open || selection->resumes_us <= gateway->now_us)
+    return RETRY_AFTER_DEFAULT_US;
+  return selection->resumes_us - gateway->now_us
+         + (uint64_t)(ca_gateway_random (gateway) * RETRY_AFTER_DEFAULT_US);
+}
+
 /* Sends the request to the best endpoint, keeps it waiting, or gives up. */
 static void
 exchange_dispatch (ca_gateway_t *gateway, ca_exchange_t *exchange)
@@ -420,7 +432,7 @@
   else if ((!selection.any_open && !exchange->head_sent)
            || gateway->now_us >= exchange_wait_until_us (exchange))
     exchange_give_up (gateway, exchange, CA_REFUSE_NO_ENDPOINT,
-                      RETRY_AFTER_DEFAULT_US);
+                      exchange_resume_after_us (gateway, &selection));
 }
 
 /* Adds the endpoint to those that the exchange avoids; when the list is full,
@@ -610,6 +622,7 @@
   exchange->facts = *facts;
   exchange->facts.bad_limit = NULL;
   ca_endpoint_limit_observe (gateway, exchange, facts);
+  ca_endpoint_notice_observe (gateway, exchange, facts);
   return exchange_is_stream (facts);
 }
 
--- a/packages/gateway/gateway.h
+++ b/packages/gateway/gateway.h
@@ -63,6 +63,9 @@
   bool has_limit;        /* limits the endpoint's requests to `limit_per_s` */
   double limit_per_s;    /* of all entries together */
   const char *bad_limit; /* text of a limit that is not a number; else NULL */
+  bool leaving;          /* the endpoint leaves */
+  uint64_t pause_us;     /* turned away: it wants nothing from this entry for so
+                            long; 0 if it does not say so */
 } ca_answer_facts_t;
 
 typedef enum
--- a/packages/gateway/private.h
+++ b/packages/gateway/private.h
@@ -57,7 +57,9 @@
   ca_gateway_endpoint_t *endpoint; /* NULL if none can take it now */
   bool any_open;    /* the service has an open endpoint that is not limited */
   bool any_limited; /* it has one that gets no more now due to its limit */
-  uint64_t predicted_us;               /* time to the first event or response */
+  uint64_t resumes_us;   /* when the first one that paused takes requests; 0 if
+                            none has */
+  uint64_t predicted_us; /* time to the first event or response */
   uint32_t prefill_tokens;             /* prompt tokens that it must prefill */
   uint32_t fetched_tokens;             /* prompt tokens fetched from `source` */
   const ca_gateway_endpoint_t *source; /* NULL if there is none */
@@ -176,6 +178,17 @@
  * become known since the last time. */
 void ca_crash_parts_decide (ca_gateway_t *gateway);
 
+/* endpoint_notice.c */
+
+/* True if the response is known to be the endpoint's own. */
+bool ca_endpoint_notice_is_genuine (const ca_answer_facts_t *facts);
+
+/* Records what a response says of the endpoint: that it leaves, or wants no
+ * requests for a time. */
+void ca_endpoint_notice_observe (ca_gateway_t *gateway,
+                                 const ca_exchange_t *exchange,
+                                 const ca_answer_facts_t *facts);
+
 /* endpoint_limit.c */
 
 /* True if the endpoint limits the requests that it takes. */
--- a/packages/gateway/registry.h
+++ b/packages/gateway/registry.h
@@ -90,6 +90,7 @@
   double error_share; /* smoothed fraction of failed responses */
   uint64_t ejected_until_us;
   uint64_t full_until_us;     /* reported no capacity */
+  uint64_t paused_until_us;   /* asked for no requests until then */
   uint64_t connect_failed_us; /* last failed connection */
   uint64_t probe_at_us;       /* earliest time of the next probe */
   double latency_us;          /* smoothed, of plain responses */
--- a/packages/gateway/select.c
+++ b/packages/gateway/select.c
@@ -157,6 +157,7 @@
 typedef enum
 {
   SELECT_INELIGIBLE, /* draining, not listed, or of another service */
+  SELECT_PAUSED,     /* asked for no requests for a time */
   SELECT_LIMITED,    /* at the limit that it names */
   SELECT_FULL,       /* reported no capacity a moment ago */
   SELECT_FALLBACK,   /* failed for this request, or ejected */
@@ -170,6 +171,8 @@
   if (!ca_gateway_endpoint_is_open (endpoint)
       || strcmp (endpoint->service, exchange->service->name) != 0)
     return SELECT_INELIGIBLE;
+  if (gateway->now_us < endpoint->paused_until_us)
+    return SELECT_PAUSED;
   if (!ca_endpoint_limit_allows (gateway, endpoint))
     return SELECT_LIMITED;
   if (gateway->now_us < endpoint->full_until_us)
@@ -406,6 +409,10 @@
 
       if (eligibility == SELECT_LIMITED)
         best.any_limited = true;
+      if (eligibility == SELECT_PAUSED
+          && (best.resumes_us == 0
+              || endpoint->paused_until_us < best.resumes_us))
+        best.resumes_us = endpoint->paused_until_us;
       if (eligibility <= SELECT_LIMITED)
         continue;
       best.any_open = true;
--- a/tests/gateway/script.c
+++ b/tests/gateway/script.c
@@ -12,7 +12,7 @@
  *   request ID PATH [key=K] [wait=MS] [cost=IN,OUT] [parts=ID:N,...]
  *           [fingerprint=N]
  *   head ID STATUS [signed] [not-run] [wrong-endpoint] [encoded] [stream]
- *           [limit=REQUESTS-PER-SECOND] [bad-limit=TEXT]
+ *           [limit=REQUESTS-PER-SECOND] [bad-limit=TEXT] [leaving] [pause=MS]
  *   event ID [N]                 a complete event, with its id
  *   end ID complete|unreachable|interrupted|malformed
  *   disconnect ID                the caller closes its connection
@@ -389,6 +389,7 @@
 script_head (script_t *script, char **words)
 {
   const char *limit = script_value (words, "limit");
+  const char *pause = script_value (words, "pause");
   ca_answer_facts_t facts;
 
   memset (&facts, 0, sizeof facts);
@@ -401,6 +402,9 @@
   facts.has_limit = limit != NULL;
   facts.limit_per_s = limit == NULL ? 0 : strtod (limit, NULL);
   facts.bad_limit = script_value (words, "bad-limit");
+  facts.leaving = script_has (words, "leaving");
+  facts.pause_us
+      = pause == NULL ? 0 : strtoull (pause, NULL, 10) * CA_US_PER_MS;
   ca_exchange_head (&script->gateway, script->now_us,
                     script_open (script, words[1]), &facts);
 }
--- a/tests/site/replica.c
+++ b/tests/site/replica.c
@@ -12,12 +12,13 @@
  * takes
  * {"fault": NAME, "next": N} for the next N requests: reject, error, reset,
  * cut, lost, encoded, unsigned, endless (a body, or an event, that never ends),
- * drip (the same, a byte at a time); or {"limit": TEXT}, which all responses
- * then name as the limit on requests per second, "" for none.  GET /record
- * returns the requests since then, and the most in a span of 4 s that began 4 s
- * or more after it: {"requests": N, "most": N, "open": N}, the last of
- * responses without end that still go on; {"register": true} writes its record
- * again. */
+ * drip (the same, a byte at a time); or {"leaving": true}, which all responses
+ * then say, {"pause": TEXT}, with which requests are turned away, "" for none,
+ * or {"limit": TEXT}, which all responses then name as the limit on requests
+ * per second, "" for none.  GET /record returns the requests since then, and
+ * the most in a span of 4 s that began 4 s or more after it: {"requests": N,
+ * "most": N, "open": N}, the last of responses without end that still go on;
+ * {"register": true} writes its record again. */
 #include "tests/site/site.h"
 
 #include "base/clock.h"
@@ -64,6 +65,8 @@
   char fault[16];
   int faults_left;
   char limit[REPLICA_LIMIT_BYTES]; /* named in responses; empty: none */
+  char pause[REPLICA_LIMIT_BYTES]; /* asked for by all; empty: none */
+  bool leaving;                    /* said in responses */
   uint64_t limit_since_us;
   uint64_t requests_us[REPLICA_SPAN_MAX]; /* by number, the latest */
   uint64_t requests;                      /* since the limit was set */
@@ -192,9 +195,12 @@
   free (run);
 }
 
+/* Adds what this endpoint says about itself. */
 static void
-add_limit (ca_headers_t *headers)
+add_notices (ca_headers_t *headers)
 {
+  if (replica.leaving)
+    ca_headers_add (headers, "Server-Leaving", "1");
   if (replica.limit[0] != '\0')
     ca_headers_add (headers, "Server-Limit", replica.limit);
 }
@@ -225,7 +231,7 @@
 run_headers (const run_t *run, ca_headers_t *headers)
 {
   ca_headers_init (headers);
-  add_limit (headers);
+  add_notices (headers);
   ca_headers_add (headers, "Camphorarch-Attempt-Id", run->id);
   if (strcmp (run->fault, "unsigned") != 0)
     ca_headers_printf (headers, "Camphorarch-Replica-Signature", "%s.%s",
@@ -383,7 +389,9 @@
   ca_headers_add (&headers, "Camphorarch-Attempt-Id",
                   header_of (request, "Camphorarch-Attempt-Id"));
   ca_headers_add (&headers, "Camphorarch-Not-Executed", "1");
-  add_limit (&headers);
+  add_notices (&headers);
+  if (replica.pause[0] != '\0')
+    ca_headers_add (&headers, "Retry-After", replica.pause);
   ca_http_respond (request, status, &headers, "", 0);
   ca_headers_finish (&headers);
 }
@@ -394,6 +402,7 @@
   json_t *body = site_body (request);
   const char *fault = json_string_value (json_object_get (body, "fault"));
   const char *limit = json_string_value (json_object_get (body, "limit"));
+  const char *pause = json_string_value (json_object_get (body, "pause"));
 
   if (limit != NULL)
     {
@@ -402,6 +411,13 @@
       replica.requests = 0;
       replica.most = 0;
     }
+  if (pause != NULL)
+    strlcpy (replica.pause, pause, sizeof replica.pause);
+  if (limit == NULL && pause != NULL)
+    replica.requests = 0;
+  replica.leaving = json_is_true (json_object_get (body, "leaving"));
+  if (replica.leaving)
+    replica.requests = 0;
   strlcpy (replica.fault, fault == NULL ? "" : fault, sizeof replica.fault);
   replica.faults_left
       = (int)json_integer_value (json_object_get (body, "next"));
@@ -443,7 +459,7 @@
       replica.faults_left--;
       fault = replica.fault;
     }
-  if (strcmp (fault, "reject") == 0)
+  if (strcmp (fault, "reject") == 0 || replica.pause[0] != '\0')
     reject (request, 503);
   else if (strcmp (fault, "reset") == 0)
     ca_http_response_abort (request);
