--- a/packages/gateway/exchange.c
+++ b/packages/gateway/exchange.c
@@ -260,12 +260,14 @@
       "send %u: first event expected in %" PRIu64
       " ms, %u of %u prompt tokens to prefill, %u to fetch from %s, %u "
       "requests open there from this entry and %u from peers, fingerprint "
-      "%016" PRIx64,
+      "%016" PRIx64 ", software version %s, stream of %s",
       exchange->sends + 1, selection->predicted_us / CA_US_PER_MS,
       exchange->prefill_tokens, exchange->prompt.tokens,
       selection->fetched_tokens,
       selection->source == NULL ? "nobody" : selection->source->id,
-      endpoint->own_load.open, endpoint->peer_load.open, exchange->fingerprint);
+      endpoint->own_load.open, endpoint->peer_load.open, exchange->fingerprint,
+      endpoint->version[0] == '\0' ? "unknown" : endpoint->version,
+      exchange->resumes[0] == '\0' ? "this request" : exchange->resumes);
   gateway->ports.attempt (gateway->ports.context, exchange, &attempt);
 }
 
@@ -857,6 +859,8 @@
 
   gateway->now_us = now_us;
   strlcpy (exchange->id, facts->id, sizeof exchange->id);
+  if (facts->resumes != NULL)
+    strlcpy (exchange->resumes, facts->resumes, sizeof exchange->resumes);
   exchange->fingerprint = facts->fingerprint;
   exchange->prompt = facts->prompt;
   exchange->adapter_data = facts->adapter_data;
--- a/packages/gateway/gateway.h
+++ b/packages/gateway/gateway.h
@@ -91,6 +91,7 @@
 typedef struct ca_exchange
 {
   char id[64];           /* chosen by the caller */
+  char resumes[64];      /* request that began the stream; "" if this one */
   uint64_t fingerprint;  /* of the content and the workspace */
   ca_catalog_t *catalog; /* that admitted it; holds a reference */
   const ca_route_t *route;
@@ -131,6 +132,8 @@
   const char *host;
   const char *path;
   const char *key;      /* NULL if none */
+  const char *resumes;  /* id of the request whose response began the stream
+                           that is to go on; NULL if none */
   uint64_t fingerprint; /* of the content, without the caller */
   uint32_t wait_ms;     /* longest wait of the caller; 0 if not given */
   bool has_cost;
--- a/packages/gateway/registry.c
+++ b/packages/gateway/registry.c
@@ -30,6 +30,7 @@
   free (endpoint->id);
   free (endpoint->service);
   free (endpoint->zone);
+  free (endpoint->version);
   free (endpoint);
 }
 
@@ -95,6 +96,7 @@
   endpoint->id = strdup (record->id);
   endpoint->service = strdup (record->service);
   endpoint->zone = strdup (record->zone);
+  endpoint->version = strdup (record->version == NULL ? "" : record->version);
   endpoint->address = record->address;
   endpoint->started_ms = record->started_ms;
   endpoint->hash = XXH3_64bits (record->id, strlen (record->id));
--- a/packages/gateway/registry.h
+++ b/packages/gateway/registry.h
@@ -23,6 +23,7 @@
   const char *id;
   const char *service;
   const char *zone;
+  const char *version; /* of its software; "" if unknown */
   ca_address_t address;
   bool draining;
   bool reclaimable;
@@ -75,6 +76,7 @@
   char *id;
   char *service;
   char *zone;
+  char *version; /* of its software; "" if unknown */
   ca_address_t address;
   ca_gateway_endpoint_state_t state;
   bool reclaimable;
--- a/packages/gateway/state_sync.c
+++ b/packages/gateway/state_sync.c
@@ -182,8 +182,10 @@
   ca_gateway_log (gateway,
                   record->draining ? CA_EVENT_ENDPOINT_LEAVING
                                    : CA_EVENT_ENDPOINT_ADDED,
-                  NULL, record->id, "service %s zone %s started %" PRIu64,
-                  record->service, record->zone, record->started_ms);
+                  NULL, record->id,
+                  "service %s zone %s started %" PRIu64 " software version %s",
+                  record->service, record->zone, record->started_ms,
+                  record->version == NULL ? "" : record->version);
 }
 
 void
