--- /dev/null
+++ b/tests/gateway/streaming_fleet.c
@@ -0,0 +1,831 @@
+/* Fleet in virtual time whose endpoints run several versions. */
+#include "streaming_fleet.h"
+
+#include "cluster.h"
+#include "gateway/gateway.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/queue.h>
+
+#define ENTRIES_MAX 300
+#define ENDPOINTS_MAX 90
+#define VERSIONS_MAX 8
+#define CHANGES_MAX 4096
+#define ZONES 4
+#define WALL_US UINT64_C (1700000000000000)
+#define STEP_US (5 * CA_US_PER_MS)
+#define START_US UINT64_C (1000000000)
+#define RUN_US (20 * CA_US_PER_S)
+#define WARM_US (3 * CA_US_PER_S)
+
+/* Bounds of the users' platform. */
+#define MIXED_MAX 2
+#define TAKEN_UP_MIN 12
+#define CONTACT_US (3 * CA_US_PER_S)
+
+#define FIRST_EVENT_US (100 * CA_US_PER_MS)
+#define EVENT_US (80 * CA_US_PER_MS)
+#define EVENTS 12
+#define CONNECT_US (2 * CA_US_PER_MS)
+#define LIST_LAG_MAX_US (300 * CA_US_PER_MS)
+#define ENDPOINT_DOWN_US (1500 * CA_US_PER_MS)
+#define DRAIN_US (2 * CA_US_PER_S)
+#define ENTRY_DOWN_US (700 * CA_US_PER_MS)
+#define STOP_US (1200 * CA_US_PER_MS)
+#define DEADLINE_US (8 * CA_US_PER_S)
+#define RETRY_US (40 * CA_US_PER_MS)
+#define TRIES_MAX 4
+#define CUT_SHARE 0.25
+
+/* A release replaces a third of the endpoints by the next version. */
+#define RELEASE_PERIOD_US (5 * CA_US_PER_S)
+#define RELEASE_SHARE 0.33
+#define RELEASE_GAP_US (200 * CA_US_PER_MS)
+
+/* A caller's stream, over all of its tries. */
+typedef struct request
+{
+  uint64_t number;
+  char id[32];     /* of the current try */
+  char origin[32]; /* of the try that brought the first event; empty: none */
+  uint32_t tries;
+  uint64_t deadline_us;
+  uint64_t next_us; /* of the next try; 0: one is open */
+  size_t entry;
+  uint64_t last_event;
+  uint32_t versions; /* bits */
+  uint32_t first_version;
+  bool counted; /* the open try is, as a new stream or one taken up */
+  TAILQ_ENTRY (request) entries;
+} request_t;
+
+typedef struct run
+{
+  ca_exchange_t *exchange;
+  request_t *request;
+  size_t entry;
+  size_t endpoint;
+  uint32_t start; /* of the endpoint */
+  bool refused;
+  bool streams;
+  uint64_t next_event;
+  uint64_t next_us;
+  TAILQ_ENTRY (run) entries;
+} run_t;
+
+typedef struct
+{
+  bool up;
+  uint32_t start; /* number, part of the id */
+  uint32_t version;
+  uint32_t next_version;
+  uint64_t back_us;
+  uint64_t started_ms;
+} endpoint_t;
+
+/* A change of the list of endpoints in the store. */
+typedef struct
+{
+  uint64_t at_us;
+  size_t endpoint;
+  uint32_t start;
+  uint32_t version;
+  uint64_t started_ms;
+  bool removed;
+} change_t;
+
+typedef struct
+{
+  bool up;
+  bool cut;
+  bool stopping;
+  uint64_t back_us;
+  uint64_t started_us;
+  uint64_t touched_us; /* in touch since, if later than the contact time */
+  uint64_t list_lag_us;
+  size_t list_cursor;
+} entry_t;
+
+typedef struct message
+{
+  size_t from;
+  size_t to;
+  size_t bytes;
+  uint8_t *packed;
+  STAILQ_ENTRY (message) entries;
+} message_t;
+
+static struct
+{
+  const streaming_fleet_t *fleet;
+  ca_gateway_t gateways[ENTRIES_MAX];
+  entry_t entries[ENTRIES_MAX];
+  endpoint_t endpoints[ENDPOINTS_MAX];
+  change_t changes[CHANGES_MAX];
+  size_t change_count;
+  TAILQ_HEAD (, request) requests;
+  TAILQ_HEAD (, run) runs;
+  STAILQ_HEAD (, message) messages;
+  uint64_t now_us;
+  uint64_t seed;
+  uint64_t numbers;
+  size_t next_roll;
+  uint32_t latest_version;
+  size_t release_left;
+  uint64_t message_bytes;
+  uint64_t new_sent;
+  uint64_t new_begun;
+  uint64_t taken_up;
+  uint64_t gone_on;
+  uint64_t mixed;
+  uint64_t complete;
+} world;
+
+static const char config[]
+    = "{\"version\":1,\"routes\":["
+      "{\"name\":\"e\",\"host\":\"h\",\"prefix\":\"/e/\","
+      "\"route_kind\":\"streaming\",\"timeout_ms\":8000,"
+      "\"target_latency_ms\":1000,\"service\":\"e\",\"max_attempts\":2,"
+      "\"public\":true,\"sticky_sessions\":true,\"stream_resumption\":true}],"
+      "\"services\":[{\"name\":\"e\",\"inference_engine\":"
+      "{\"slots\":64,\"kv_cache_tokens\":3000000}}],\"tenants\":[]}";
+
+static double
+uniform (void)
+{
+  world.seed = world.seed * UINT64_C (6364136223846793005)
+               + UINT64_C (1442695040888963407);
+  return (double)(world.seed >> 11) / (double)(UINT64_C (1) << 53);
+}
+
+static size_t
+random_below (size_t count)
+{
+  return (size_t)(uniform () * (double)count);
+}
+
+static bool
+is_in_touch (size_t entry)
+{
+  const entry_t *state = &world.entries[entry];
+
+  return state->up && !state->cut && !state->stopping
+         && world.now_us - state->touched_us >= CONTACT_US;
+}
+
+static size_t
+serving (uint32_t version)
+{
+  size_t count = 0;
+
+  for (size_t i = 0; i < world.fleet->endpoints; i++)
+    {
+      if (world.endpoints[i].up && world.endpoints[i].version == version
+          && world.endpoints[i].next_version == version)
+        count++;
+    }
+  return count;
+}
+
+/* Endpoints. */
+
+static void
+endpoint_id (size_t index, uint32_t start, char *id, size_t bytes)
+{
+  snprintf (id, bytes, "e%zu.%u", index, start);
+}
+
+static void
+append_change (size_t index, bool removed)
+{
+  change_t *change = &world.changes[world.change_count++];
+
+  assert_true (world.change_count < CHANGES_MAX);
+  change->at_us = world.now_us;
+  change->endpoint = index;
+  change->start = world.endpoints[index].start;
+  change->version = world.endpoints[index].version;
+  change->started_ms = world.endpoints[index].started_ms;
+  change->removed = removed;
+}
+
+static void
+apply_change (size_t entry, const change_t *change)
+{
+  char id[16];
+  char zone[16];
+  char version[16];
+  ca_endpoint_record_t record = { .id = id,
+                                  .service = "e",
+                                  .zone = zone,
+                                  .version = version,
+                                  .address = { 2, (uint16_t)change->endpoint },
+                                  .slots = 64,
+                                  .started_ms = change->started_ms };
+
+  endpoint_id (change->endpoint, change->start, id, sizeof id);
+  snprintf (zone, sizeof zone, "z%zu", change->endpoint % ZONES);
+  snprintf (version, sizeof version, "v1.%u", change->version);
+  if (change->removed)
+    ca_gateway_endpoint_removed (&world.gateways[entry], world.now_us, id);
+  else
+    ca_gateway_endpoint_listed (&world.gateways[entry], world.now_us, &record);
+}
+
+/* Interrupts what runs at the endpoint's current process. */
+static void
+endpoint_end (size_t index)
+{
+  endpoint_t *endpoint = &world.endpoints[index];
+  run_t *run;
+
+  endpoint->up = false;
+  endpoint->back_us = world.now_us + ENDPOINT_DOWN_US;
+  append_change (index, true);
+  /* An interrupted request may start another run. */
+  for (;;)
+    {
+      TAILQ_FOREACH (run, &world.runs, entries)
+      {
+        if (run->endpoint == index && run->start == endpoint->start
+            && !run->refused)
+          break;
+      }
+      if (run == NULL)
+        return;
+      ca_exchange_t *exchange = run->exchange;
+      ca_gateway_t *gateway = &world.gateways[run->entry];
+
+      TAILQ_REMOVE (&world.runs, run, entries);
+      free (run);
+      ca_exchange_end (gateway, world.now_us, exchange, CA_END_INTERRUPTED);
+    }
+}
+
+static void
+endpoint_start (size_t index, uint32_t version)
+{
+  endpoint_t *endpoint = &world.endpoints[index];
+
+  endpoint->up = true;
+  endpoint->start++;
+  endpoint->version = endpoint->next_version = version;
+  endpoint->started_ms = (WALL_US + world.now_us) / CA_US_PER_MS;
+  append_change (index, false);
+}
+
+/* Callers. */
+
+static void
+request_free (request_t *request)
+{
+  TAILQ_REMOVE (&world.requests, request, entries);
+  free (request);
+}
+
+/* The caller's connection ended without a complete stream. */
+static void
+request_broken (request_t *request, uint64_t wait_us)
+{
+  request->counted = false;
+  if (request->tries >= TRIES_MAX
+      || world.now_us + wait_us >= request->deadline_us)
+    request_free (request);
+  else
+    request->next_us = world.now_us + wait_us;
+}
+
+static void
+request_send (request_t *request)
+{
+  ca_request_facts_t facts = { .id = request->id,
+                               .host = "h",
+                               .path = "/e/x",
+                               .fingerprint = 1000 + request->number,
+                               .adapter_data = request };
+  size_t entry;
+
+  do
+    entry = random_below (world.fleet->entries);
+  while (!world.entries[entry].up || world.entries[entry].stopping);
+  request->entry = entry;
+  request->next_us = 0;
+  snprintf (request->id, sizeof request->id, "r%llu.%u",
+            (unsigned long long)request->number, request->tries++);
+  facts.wait_ms
+      = (uint32_t)((request->deadline_us - world.now_us) / CA_US_PER_MS);
+  facts.prompt.tokens = 200;
+  facts.prompt.output_tokens = 80;
+  ca_prompt_add (&facts.prompt, 1000 + request->number, 50);
+  if (request->last_event > 0)
+    facts.resumes = request->origin;
+  if (is_in_touch (entry) && request->last_event == 0 && request->tries == 1)
+    {
+      request->counted = true;
+      world.new_sent++;
+    }
+  else if (is_in_touch (entry) && request->last_event > 0
+           && serving (request->first_version) >= 2)
+    {
+      request->counted = true;
+      world.taken_up++;
+    }
+  ca_gateway_request (&world.gateways[entry], world.now_us, &facts);
+}
+
+static void
+step_requests (void)
+{
+  double expected = world.fleet->streams_per_s * STEP_US / CA_US_PER_S;
+  request_t *request = TAILQ_FIRST (&world.requests);
+
+  while (request != NULL)
+    {
+      request_t *next = TAILQ_NEXT (request, entries);
+
+      if (request->next_us != 0 && request->next_us <= world.now_us)
+        request_send (request);
+      request = next;
+    }
+  for (; expected > 0; expected--)
+    {
+      if (uniform () >= expected)
+        continue;
+      request = calloc (1, sizeof *request);
+      request->number = world.numbers++;
+      request->deadline_us = world.now_us + DEADLINE_US;
+      TAILQ_INSERT_TAIL (&world.requests, request, entries);
+      request_send (request);
+    }
+}
+
+/* Ports of the entries. */
+
+static void
+on_attempt (void *context, ca_exchange_t *exchange, const ca_attempt_t *attempt)
+{
+  run_t *run = calloc (1, sizeof *run);
+  const endpoint_t *endpoint;
+
+  run->exchange = exchange;
+  run->request = exchange->adapter_data;
+  run->entry = (size_t)(uintptr_t)context;
+  sscanf (exchange->endpoint->id, "e%zu.%u", &run->endpoint, &run->start);
+  endpoint = &world.endpoints[run->endpoint];
+  run->refused = !endpoint->up || endpoint->start != run->start;
+  run->next_event
+      = (attempt->resumes ? attempt->last_event : run->request->last_event) + 1;
+  run->next_us = world.now_us + (run->refused ? CONNECT_US : FIRST_EVENT_US);
+  TAILQ_INSERT_TAIL (&world.runs, run, entries);
+}
+
+static void
+on_cancel (void *context, ca_exchange_t *exchange)
+{
+  run_t *run;
+
+  (void)context;
+  TAILQ_FOREACH (run, &world.runs, entries)
+  {
+    if (run->exchange == exchange)
+      {
+        TAILQ_REMOVE (&world.runs, run, entries);
+        free (run);
+        return;
+      }
+  }
+}
+
+static void
+on_check (void *context, const ca_gateway_endpoint_t *endpoint)
+{
+  (void)context;
+  (void)endpoint;
+}
+
+static void
+on_begin (void *context, ca_exchange_t *exchange)
+{
+  (void)context;
+  (void)exchange;
+}
+
+static void
+on_finish (void *context, ca_exchange_t *exchange)
+{
+  request_t *request = exchange->adapter_data;
+
+  (void)context;
+  world.complete++;
+  if (request->counted)
+    world.gone_on++;
+  request_free (request);
+}
+
+static void
+on_abort (void *context, ca_exchange_t *exchange)
+{
+  (void)context;
+  request_broken (exchange->adapter_data, RETRY_US);
+}
+
+static void
+on_refuse (void *context, ca_exchange_t *exchange, ca_gateway_refusal_t reason,
+           uint64_t retry_after_us)
+{
+  (void)context;
+  (void)reason;
+  request_broken (exchange->adapter_data,
+                  retry_after_us > RETRY_US ? retry_after_us : RETRY_US);
+}
+
+static void
+on_send (void *context, const ca_address_t *to,
+         const Camphor__Envelope *envelope)
+{
+  message_t *message = calloc (1, sizeof *message);
+
+  message->from = (size_t)(uintptr_t)context;
+  message->to = to->port;
+  message->bytes = camphor__envelope__get_packed_size (envelope);
+  message->packed = malloc (message->bytes);
+  camphor__envelope__pack (envelope, message->packed);
+  STAILQ_INSERT_TAIL (&world.messages, message, entries);
+}
+
+static void
+on_log (void *context, const ca_log_event_t *event)
+{
+  assert_non_null (ca_event_info (event->event));
+  if (getenv ("NOTES") != NULL && event->request != NULL)
+    print_message ("%.3f s entry %zu %s %s %s: %s\n",
+                   (double)world.now_us / 1e6, (size_t)(uintptr_t)context,
+                   ca_event_info (event->event)->name, event->request,
+                   event->subject == NULL ? "-" : event->subject,
+                   event->detail);
+}
+
+/* Entries. */
+
+static void
+entry_list (size_t index)
+{
+  world.entries[index].list_cursor = world.change_count;
+  ca_gateway_list_begin (&world.gateways[index], world.now_us);
+  for (size_t i = 0; i < world.fleet->endpoints; i++)
+    {
+      const endpoint_t *endpoint = &world.endpoints[i];
+      change_t change
+          = { world.now_us,         i,    endpoint->start, endpoint->version,
+              endpoint->started_ms, false };
+
+      if (endpoint->up)
+        apply_change (index, &change);
+    }
+  ca_gateway_list_end (&world.gateways[index], world.now_us);
+}
+
+static void
+entry_start (size_t index)
+{
+  ca_gateway_ports_t ports = { .context = (void *)(uintptr_t)index,
+                               .attempt = on_attempt,
+                               .cancel = on_cancel,
+                               .check_endpoint = on_check,
+                               .deliver = on_begin,
+                               .begin = on_begin,
+                               .finish = on_finish,
+                               .abort_stream = on_abort,
+                               .refuse = on_refuse,
+                               .send_peer = on_send,
+                               .log = on_log };
+  entry_t *entry = &world.entries[index];
+  ca_gateway_options_t options;
+  char zone[16];
+
+  snprintf (zone, sizeof zone, "z%zu", index % ZONES);
+  cluster_options (&options, index, zone);
+  options.seed = (uint32_t)index + 1;
+  options.bounds = (ca_bounds_t){ .propagation_ms = 3000,
+                                  .retry_ratio = 0.2,
+                                  .retry_allowance = 204,
+                                  .retry_window_ms = 10000,
+                                  .quota_window_ms = 8000,
+                                  .usage_window_s = 5,
+                                  .usage_delay_s = 10,
+                                  .lease_ms = 3000,
+                                  .grace_ms = 8000 };
+  ca_gateway_init (&world.gateways[index], &options, &ports, world.now_us,
+                   WALL_US + world.now_us + index);
+  entry->up = true;
+  entry->stopping = false;
+  entry->started_us = entry->touched_us = world.now_us;
+  entry->list_lag_us = (uint64_t)(uniform () * LIST_LAG_MAX_US);
+  cluster_add_peers (&world.gateways[index], world.fleet->entries);
+  cluster_configure (&world.gateways[index], world.now_us, config);
+  entry_list (index);
+}
+
+static void
+entry_end (size_t index)
+{
+  run_t *run = TAILQ_FIRST (&world.runs);
+  request_t *request = TAILQ_FIRST (&world.requests);
+
+  world.entries[index].up = false;
+  world.entries[index].back_us = world.now_us + ENTRY_DOWN_US;
+  while (run != NULL)
+    {
+      run_t *next = TAILQ_NEXT (run, entries);
+
+      if (run->entry == index)
+        {
+          TAILQ_REMOVE (&world.runs, run, entries);
+          free (run);
+        }
+      run = next;
+    }
+  ca_gateway_finish (&world.gateways[index]);
+  while (request != NULL)
+    {
+      request_t *next = TAILQ_NEXT (request, entries);
+
+      if (request->entry == index && request->next_us == 0)
+        request_broken (request, RETRY_US);
+      request = next;
+    }
+}
+
+/* Steps of virtual time. */
+
+static void
+step_messages (void)
+{
+  message_t *message;
+  size_t count = 0;
+
+  STAILQ_FOREACH (message, &world.messages, entries)
+  count++;
+  while (count-- > 0 && (message = STAILQ_FIRST (&world.messages)) != NULL)
+    {
+      const entry_t *from = &world.entries[message->from];
+      const entry_t *to = &world.entries[message->to];
+
+      STAILQ_REMOVE_HEAD (&world.messages, entries);
+      if (to->up && !to->cut && !from->cut)
+        {
+          Camphor__Envelope *envelope = camphor__envelope__unpack (
+              NULL, message->bytes, message->packed);
+
+          ca_gateway_envelope (&world.gateways[message->to], world.now_us,
+                               envelope);
+          camphor__envelope__free_unpacked (envelope, NULL);
+        }
+      free (message->packed);
+      free (message);
+    }
+}
+
+static void
+run_step (run_t *run)
+{
+  ca_gateway_t *gateway = &world.gateways[run->entry];
+  ca_exchange_t *exchange = run->exchange;
+  request_t *request = run->request;
+  uint32_t version = world.endpoints[run->endpoint].version;
+  ca_answer_facts_t facts
+      = { .status = 200, .is_signed = true, .is_stream = true };
+
+  if (!run->refused && !run->streams)
+    ca_exchange_head (gateway, world.now_us, exchange, &facts);
+  run->streams = true;
+  if (run->refused || run->next_event > EVENTS)
+    {
+      bool refused = run->refused;
+
+      TAILQ_REMOVE (&world.runs, run, entries);
+      free (run);
+      ca_exchange_end (gateway, world.now_us, exchange,
+                       refused ? CA_END_UNREACHABLE : CA_END_COMPLETE);
+      return;
+    }
+  run->next_us = world.now_us + EVENT_US;
+  if (ca_exchange_event (gateway, world.now_us, exchange, true,
+                         run->next_event++))
+    {
+      bool was_mixed = (request->versions & (request->versions - 1)) != 0;
+
+      request->versions |= 1U << version;
+      if (!was_mixed && (request->versions & (request->versions - 1)) != 0)
+        world.mixed++;
+      if (request->last_event == 0)
+        {
+          request->first_version = version;
+          snprintf (request->origin, sizeof request->origin, "%s", request->id);
+          if (request->counted)
+            world.new_begun++;
+        }
+      else if (request->counted)
+        world.gone_on++;
+      request->counted = false;
+      request->last_event = run->next_event - 1;
+    }
+}
+
+static void
+step_runs (void)
+{
+  run_t *run = TAILQ_FIRST (&world.runs);
+
+  while (run != NULL)
+    {
+      run_t *next = TAILQ_NEXT (run, entries);
+
+      /* A step frees no other run. */
+      if (run->next_us <= world.now_us)
+        run_step (run);
+      run = next;
+    }
+}
+
+static bool
+is_due (uint64_t period_us)
+{
+  return period_us != 0 && world.now_us >= START_US + WARM_US
+         && (world.now_us - START_US) % period_us < STEP_US;
+}
+
+/* Versions come, replace others, and go as endpoints crash. */
+static void
+step_endpoints (void)
+{
+  if (!world.fleet->versions_fixed && is_due (RELEASE_PERIOD_US)
+      && world.latest_version + 1 < VERSIONS_MAX)
+    {
+      world.latest_version++;
+      world.release_left
+          = (size_t)(RELEASE_SHARE * (double)world.fleet->endpoints);
+    }
+  if (world.release_left > 0 && is_due (RELEASE_GAP_US))
+    {
+      size_t index = random_below (world.fleet->endpoints);
+
+      world.release_left--;
+      if (world.endpoints[index].up)
+        {
+          world.endpoints[index].next_version = world.latest_version;
+          endpoint_end (index);
+        }
+    }
+  if (is_due (world.fleet->crash_period_us))
+    {
+      size_t index = random_below (world.fleet->endpoints);
+
+      if (world.endpoints[index].up)
+        endpoint_end (index);
+    }
+  for (size_t i = 0; i < world.fleet->endpoints; i++)
+    {
+      if (!world.endpoints[i].up && world.now_us >= world.endpoints[i].back_us)
+        endpoint_start (i, world.endpoints[i].next_version);
+    }
+}
+
+static void
+step_entries (void)
+{
+  const streaming_fleet_t *fleet = world.fleet;
+
+  if (is_due (fleet->kill_period_us))
+    {
+      for (size_t i = 0; i < fleet->kill_count; i++)
+        {
+          size_t index = random_below (fleet->entries);
+
+          if (world.entries[index].up)
+            entry_end (index);
+        }
+    }
+  if (is_due (fleet->roll_period_us))
+    {
+      size_t index = world.next_roll++ % fleet->entries;
+
+      if (world.entries[index].up)
+        {
+          world.entries[index].stopping = true;
+          world.entries[index].back_us = world.now_us + STOP_US;
+          ca_gateway_stop (&world.gateways[index], world.now_us);
+        }
+    }
+  for (size_t i = 0; i < fleet->entries; i++)
+    {
+      entry_t *entry = &world.entries[i];
+      bool cut = fleet->cut_period_us != 0 && world.now_us >= START_US + WARM_US
+                 && (world.now_us - START_US) % fleet->cut_period_us
+                        < fleet->cut_period_us / 2
+                 && (double)i < CUT_SHARE * (double)fleet->entries;
+
+      if (cut || entry->cut)
+        entry->touched_us = world.now_us;
+      entry->cut = cut;
+      if (!entry->up && world.now_us >= entry->back_us)
+        entry_start (i);
+      else if (entry->stopping && world.now_us >= entry->back_us)
+        entry_end (i);
+      while (entry->up && !entry->cut && entry->list_cursor < world.change_count
+             && world.changes[entry->list_cursor].at_us + entry->list_lag_us
+                    <= world.now_us)
+        apply_change (i, &world.changes[entry->list_cursor++]);
+    }
+}
+
+static void
+step_ticks (void)
+{
+  for (size_t i = 0; i < world.fleet->entries; i++)
+    {
+      if (world.entries[i].up)
+        ca_gateway_tick (&world.gateways[i], world.now_us,
+                         WALL_US + world.now_us);
+    }
+}
+
+static void
+world_run (const streaming_fleet_t *fleet, uint64_t seed)
+{
+  uint64_t run_us = fleet->run_us == 0 ? RUN_US : fleet->run_us;
+
+  memset (&world, 0, sizeof world);
+  world.fleet = fleet;
+  world.seed = seed;
+  world.now_us = START_US;
+  TAILQ_INIT (&world.requests);
+  TAILQ_INIT (&world.runs);
+  STAILQ_INIT (&world.messages);
+  for (size_t i = 0; i < fleet->endpoints; i++)
+    endpoint_start (i, fleet->versions_fixed ? (uint32_t)i % 2 : 0);
+  for (size_t i = 0; i < fleet->entries; i++)
+    entry_start (i);
+  for (; world.now_us < START_US + run_us; world.now_us += STEP_US)
+    {
+      step_endpoints ();
+      step_entries ();
+      step_messages ();
+      step_runs ();
+      if (world.now_us % CA_GATEWAY_TICK_US == 0)
+        step_ticks ();
+      if (world.now_us >= START_US + WARM_US)
+        step_requests ();
+    }
+  for (size_t i = 0; i < fleet->entries; i++)
+    {
+      if (world.entries[i].up)
+        entry_end (i);
+    }
+  while (!TAILQ_EMPTY (&world.requests))
+    request_free (TAILQ_FIRST (&world.requests));
+  while (!STAILQ_EMPTY (&world.messages))
+    {
+      message_t *message = STAILQ_FIRST (&world.messages);
+
+      STAILQ_REMOVE_HEAD (&world.messages, entries);
+      free (message->packed);
+      free (message);
+    }
+  print_message (
+      "%zu entries, %zu endpoints, seed %llu: %llu streams of two versions; "
+      "%llu of %llu new ones begun, %llu of %llu taken up gone on, %llu "
+      "complete; %.0f bytes/s an entry\n",
+      fleet->entries, fleet->endpoints, (unsigned long long)seed,
+      (unsigned long long)world.mixed, (unsigned long long)world.new_begun,
+      (unsigned long long)world.new_sent, (unsigned long long)world.gone_on,
+      (unsigned long long)world.taken_up, (unsigned long long)world.complete,
+      streaming_fleet_message_bytes ());
+}
+
+double
+streaming_fleet_message_bytes (void)
+{
+  const streaming_fleet_t *fleet = world.fleet;
+  uint64_t run_us = (fleet->run_us == 0 ? RUN_US : fleet->run_us) - WARM_US;
+
+  return (double)world.message_bytes * CA_US_PER_S / (double)run_us
+         / (double)fleet->entries;
+}
+
+void
+streaming_fleet_check (const streaming_fleet_t *fleet)
+{
+  uint64_t seeds = fleet->entries > 100 ? 1 : 3;
+
+  for (uint64_t seed = 1; seed <= seeds; seed++)
+    {
+      world_run (fleet, seed);
+      assert_true (world.mixed <= MIXED_MAX);
+      if (world.taken_up >= TAKEN_UP_MIN)
+        assert_true (2 * (double)world.gone_on / (double)world.taken_up
+                     >= (double)world.new_begun / (double)world.new_sent);
+    }
+}
--- /dev/null
+++ b/tests/gateway/streaming_fleet.h
@@ -0,0 +1,50 @@
+/* Fleet in virtual time whose endpoints run several versions of their software.
+ * Callers take interrupted streams up at other entries. */
+#ifndef TESTS_GATEWAY_STREAMING_FLEET_H
+#define TESTS_GATEWAY_STREAMING_FLEET_H
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <cmocka.h>
+
+#include "base/clock.h"
+
+typedef struct
+{
+  size_t entries;
+  size_t endpoints;
+  double streams_per_s;     /* at all entries together */
+  uint64_t kill_period_us;  /* between kills of entries; 0: none */
+  size_t kill_count;        /* entries killed at a time, at random */
+  uint64_t roll_period_us;  /* between planned restarts, in turn; 0: none */
+  uint64_t cut_period_us;   /* some entries are cut off from the store and
+                               their peers in its first half; 0: never */
+  uint64_t crash_period_us; /* between crashes of an endpoint; 0: none */
+  bool versions_fixed;      /* half of the endpoints run the other version all
+                               the time; else versions come and go */
+  uint64_t run_us;          /* 0: the default */
+} streaming_fleet_t;
+
+/* Sizes with the rates of the users' deployments, and one of 300 entries. */
+#define STREAMING_FLEET_SMALL .entries = 8, .endpoints = 9, .streams_per_s = 50
+#define STREAMING_FLEET_LARGE                                                  \
+  .entries = 82, .endpoints = 90, .streams_per_s = 613
+#define STREAMING_FLEET_HUGE                                                   \
+  .entries = 300, .endpoints = 90, .streams_per_s = 613,                       \
+  .run_us = 12 * CA_US_PER_S
+
+/* Runs the fleet with several seeds.  Fails if more streams hold events of two
+ * versions than the platform allows, or if, at entries in touch and while two
+ * endpoints of their version serve, streams that are taken up go on less than
+ * half as often as new ones begin. */
+void streaming_fleet_check (const streaming_fleet_t *fleet);
+
+/* Bytes per second and entry of the messages that streams cause, of the latest
+ * run. */
+double streaming_fleet_message_bytes (void);
+
+#endif
--- /dev/null
+++ b/tests/gateway/test_stream_versions.c
@@ -0,0 +1,112 @@
+/* Guards against streams that go on at another software version than the one
+ * that began them, and against streams that are not taken up for no reason. */
+#include "streaming_fleet.h"
+
+/* Entries are killed, endpoints crash; versions come and go. */
+static void
+check_kills (streaming_fleet_t fleet)
+{
+  fleet.kill_period_us = 700 * CA_US_PER_MS;
+  fleet.kill_count = fleet.entries < 30 ? 1 : fleet.entries / 20;
+  fleet.crash_period_us = 500 * CA_US_PER_MS;
+  streaming_fleet_check (&fleet);
+}
+
+static void
+test_kills_8_entries (void **state)
+{
+  (void)state;
+  check_kills ((streaming_fleet_t){ STREAMING_FLEET_SMALL });
+}
+
+static void
+test_kills_82_entries (void **state)
+{
+  (void)state;
+  check_kills ((streaming_fleet_t){ STREAMING_FLEET_LARGE });
+}
+
+static void
+test_kills_300_entries (void **state)
+{
+  (void)state;
+  check_kills ((streaming_fleet_t){ STREAMING_FLEET_HUGE });
+}
+
+static void
+test_rolling_restart (void **state)
+{
+  static const streaming_fleet_t small
+      = { STREAMING_FLEET_SMALL, .roll_period_us = 1500 * CA_US_PER_MS,
+          .crash_period_us = 600 * CA_US_PER_MS };
+  static const streaming_fleet_t large
+      = { STREAMING_FLEET_LARGE, .roll_period_us = 200 * CA_US_PER_MS,
+          .crash_period_us = 600 * CA_US_PER_MS };
+
+  (void)state;
+  streaming_fleet_check (&small);
+  streaming_fleet_check (&large);
+}
+
+/* A quarter of the entries is cut off from the store and the others, while
+ * versions come and go and entries are killed. */
+static void
+test_entries_cut_off (void **state)
+{
+  static const streaming_fleet_t small
+      = { STREAMING_FLEET_SMALL, .cut_period_us = 9 * CA_US_PER_S,
+          .kill_period_us = 700 * CA_US_PER_MS, .kill_count = 1,
+          .crash_period_us = 500 * CA_US_PER_MS };
+  static const streaming_fleet_t large
+      = { STREAMING_FLEET_LARGE, .cut_period_us = 9 * CA_US_PER_S,
+          .kill_period_us = 700 * CA_US_PER_MS, .kill_count = 4,
+          .crash_period_us = 500 * CA_US_PER_MS };
+
+  (void)state;
+  streaming_fleet_check (&small);
+  streaming_fleet_check (&large);
+}
+
+/* Within one answer: endpoints crash, entries stay. */
+static void
+test_endpoints_crash (void **state)
+{
+  static const streaming_fleet_t fleet
+      = { STREAMING_FLEET_SMALL, .versions_fixed = true,
+          .crash_period_us = 400 * CA_US_PER_MS };
+
+  (void)state;
+  streaming_fleet_check (&fleet);
+}
+
+/* Half of all entries are killed at once, again and again. */
+static void
+test_half_of_the_entries_killed (void **state)
+{
+  static const streaming_fleet_t small
+      = { STREAMING_FLEET_SMALL, .versions_fixed = true,
+          .kill_period_us = 4500 * CA_US_PER_MS, .kill_count = 4 };
+  static const streaming_fleet_t large
+      = { STREAMING_FLEET_LARGE, .versions_fixed = true,
+          .kill_period_us = 4500 * CA_US_PER_MS, .kill_count = 41 };
+
+  (void)state;
+  streaming_fleet_check (&small);
+  streaming_fleet_check (&large);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_kills_8_entries),
+    cmocka_unit_test (test_kills_82_entries),
+    cmocka_unit_test (test_kills_300_entries),
+    cmocka_unit_test (test_rolling_restart),
+    cmocka_unit_test (test_entries_cut_off),
+    cmocka_unit_test (test_endpoints_crash),
+    cmocka_unit_test (test_half_of_the_entries_killed),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
--- a/tests/site/lib.sh
+++ b/tests/site/lib.sh
@@ -11,6 +11,7 @@
 RUNS=$WORK/runs
 STORE_ADDRESS=127.0.0.1:$BASE
 declare -A PID
+declare -A VERSION_OF # software versions of endpoints, by number
 
 . tests/wait.sh
 
@@ -61,7 +62,8 @@
   start "endpoint$1" "$BUILD/tests/site/site-replica" --id "i-$1" --service "$2" \
     --zone "$3" --port "$port" --store "$BASE" --runs "$RUNS" \
     --listed "${4:-$port}" --ends-on "${ENDS_ON:-}" \
-    --ends-on-part "${ENDS_ON_PART:-}"
+    --ends-on-part "${ENDS_ON_PART:-}" --version "${VERSION_OF[$1]:-}" \
+    --event-ms "${EVENT_MS:-4}"
 }
 
 # First port of entry NUMBER; the others follow it.
--- a/tests/site/replica.c
+++ b/tests/site/replica.c
@@ -2,12 +2,14 @@
  *
  *   site-replica --id ID --service S --zone Z --port N --store N --runs FILE
  *                [--listed N] [--ends-on TEXT] [--ends-on-part ID]
+ *                [--version V] [--event-ms N]
  *
  * Registers itself in the store (with port --listed instead of --port, for a
  * proxy in front of it), responds as the users' pages specify, and appends a
  * line to FILE for each run that starts: "run ID REQUEST PATH WORKSPACE KEY".
  * A run whose path contains TEXT ends the process at its start; one with ID in
- * the parts of its prompt, but for the last, at its second event.  On SIGTERM
+ * the parts of its prompt, but for the last, at its second event.  With
+ * --version the pieces of streams name the version of its software.  On SIGTERM
  * it reports draining, serves for another second, and exits.  POST /control
  * takes
  * {"fault": NAME, "next": N} for the next N requests: reject, error, reset,
@@ -31,7 +33,7 @@
 #include <sys/time.h>
 #include <unistd.h>
 
-#define REPLICA_EVENT_MS 4
+#define REPLICA_EVENT_MS "4"
 #define REPLICA_WORK_MS 3
 #define REPLICA_DRAIN_S 1
 #define REPLICA_REGISTER_PERIOD_MS 500
@@ -55,6 +57,8 @@
   const char *id;
   const char *service;
   const char *zone;
+  const char *version; /* "" if pieces do not name it */
+  uint32_t event_ms;
   const char *ends_on;
   const char *ends_on_part;
   uint16_t listed_port;
@@ -120,13 +124,14 @@
 static void
 put_record (void)
 {
-  json_t *record
-      = json_pack ("{s:s, s:o, s:s, s:s, s:i, s:s, s:i, s:i, s:I}", "service",
-                   replica.service, "address",
-                   json_sprintf ("127.0.0.1:%u", (unsigned)replica.listed_port),
-                   "zone", replica.zone, "version", "v1", "slots", 8, "state",
-                   replica.draining ? "draining" : "ready", "cold_remaining_ms",
-                   0, "sequence", 1, "born", (json_int_t)replica.born_ms);
+  json_t *record = json_pack (
+      "{s:s, s:o, s:s, s:s, s:i, s:s, s:i, s:i, s:I}", "service",
+      replica.service, "address",
+      json_sprintf ("127.0.0.1:%u", (unsigned)replica.listed_port), "zone",
+      replica.zone, "version",
+      replica.version[0] == '\0' ? "v1" : replica.version, "slots", 8, "state",
+      replica.draining ? "draining" : "ready", "cold_remaining_ms", 0,
+      "sequence", 1, "born", (json_int_t)replica.born_ms);
   char *text = json_dumps (record, JSON_COMPACT);
   char value[2048];
   json_t *root;
@@ -283,8 +288,9 @@
     }
   if (run->ends && run->next > 1)
     _exit (1);
-  bytes = snprintf (event, sizeof event, "id: %u\ndata: %s piece %u\n\n",
-                    run->next, run->id, run->next);
+  bytes = snprintf (event, sizeof event, "id: %u\ndata: %s piece %u%s%s\n\n",
+                    run->next, run->id, run->next,
+                    replica.version[0] == '\0' ? "" : " of ", replica.version);
   ca_http_response_write (run->request, event, (size_t)bytes);
   run->next++;
   return true;
@@ -321,7 +327,7 @@
 run_step (evutil_socket_t fd, short what, void *context)
 {
   run_t *run = context;
-  struct timeval wait = { 0, REPLICA_EVENT_MS * 1000 };
+  struct timeval wait = { 0, replica.event_ms * 1000 };
 
   (void)fd;
   (void)what;
@@ -508,6 +514,9 @@
   replica.id = site_argument (argc, argv, "id", "e");
   replica.service = site_argument (argc, argv, "service", "s");
   replica.zone = site_argument (argc, argv, "zone", "z1");
+  replica.version = site_argument (argc, argv, "version", "");
+  replica.event_ms = (uint32_t)strtoul (
+      site_argument (argc, argv, "event-ms", REPLICA_EVENT_MS), NULL, 10);
   replica.ends_on = site_argument (argc, argv, "ends-on", "");
   replica.ends_on_part = site_argument (argc, argv, "ends-on-part", "");
   replica.listed_port = (uint16_t)strtoul (
