Let streams go on only at the software version that began them

Cause: the version in an endpoint's record was not read. An entry resumed a stream at any endpoint of the service, and an entry at which a caller took a stream up could not know where it had begun.

Change: an exchange keeps the version that began its stream, and only endpoints of that version are eligible. The entry records the version, before it forwards the first event, at two peers that follow from the request's id by the ranking that all entries share; the entry that is to go on asks them, 200 ms at most, and refuses (503, not run) if nobody knows. No broadcast. While one version has served for 120 s, nothing is recorded. A version is used for new streams 2 s after it was first listed, so that all entries know of it; no stream goes on at an endpoint that was interrupted until its record was written again; one that was sent to a process which had been replaced by another version does not go on. Cached prompt tokens are fetched within a version only.

--- a/packages/base/counters.c
+++ b/packages/base/counters.c
@@ -35,6 +35,8 @@
   "store_restores",
   "store_bad_eras",
   "limited_attempts",
+  "streams_taken_up",
+  "streams_unknown",
 };
 
 static const char *const latency_names[CA_LATENCY_KINDS]
--- a/packages/base/counters.h
+++ b/packages/base/counters.h
@@ -36,6 +36,8 @@
   CA_COUNT_STORE_RESTORES,   /* rises of the store's era */
   CA_COUNT_STORE_BAD_ERAS,   /* answers that were not used for their era */
   CA_COUNT_LIMITED_ATTEMPTS, /* at endpoints that name a limit */
+  CA_COUNT_STREAMS_TAKEN_UP, /* by callers, after they had been interrupted */
+  CA_COUNT_STREAMS_UNKNOWN,  /* of these, refused: the version is unknown */
   CA_COUNT_KINDS
 } ca_count_t;
 
--- a/packages/gateway/contact.c
+++ b/packages/gateway/contact.c
@@ -8,6 +8,10 @@
 /* A peer is in contact if it has sent a heartbeat within this many periods and
  * the network delay, or within the timeout of peers if that is longer. */
 #define CONTACT_PERIODS 2
+
+/* Periods after which a peer is no longer in close contact: one heartbeat may
+ * be late. */
+#define CONTACT_CLOSE_PERIODS 3
 #define CONTACT_LATENCY_US (50 * CA_US_PER_MS)
 
 /* Silence after which a peer is no longer in contact. */
@@ -20,6 +24,15 @@
   return contact_us > CA_PEER_TIMEOUT_US ? contact_us : CA_PEER_TIMEOUT_US;
 }
 
+bool
+ca_peers_in_close_contact (const ca_gateway_t *gateway, const ca_peer_t *peer)
+{
+  return peer->received_us != 0
+         && gateway->now_us - peer->received_us
+                < CONTACT_CLOSE_PERIODS * gateway->heartbeat_period_us
+                      + CONTACT_LATENCY_US;
+}
+
 bool
 ca_peers_are_known (const ca_gateway_t *gateway)
 {
@@ -123,3 +136,31 @@
     peer_find_coordinator (gateway, NULL, key, &coordinator, is_self, share);
   return coordinator;
 }
+
+size_t
+ca_peers_ranked (const ca_gateway_t *gateway, uint64_t key, bool in_contact,
+                 const ca_peer_t **peers, size_t max)
+{
+  const ca_peer_t *peer;
+  size_t count = 0;
+
+  for (peer = gateway->peers; peer != NULL; peer = peer->hh.next)
+    {
+      uint64_t rank = peer_rank (peer->id, key);
+      size_t at = count;
+
+      if (in_contact
+          && (peer->leaving || !ca_peers_in_close_contact (gateway, peer)))
+        continue;
+      while (at > 0 && rank > peer_rank (peers[at - 1]->id, key))
+        at--;
+      if (at == max)
+        continue;
+      if (count < max)
+        count++;
+      for (size_t i = count - 1; i > at; i--)
+        peers[i] = peers[i - 1];
+      peers[at] = peer;
+    }
+  return count;
+}
--- a/packages/gateway/exchange.c
+++ b/packages/gateway/exchange.c
@@ -126,6 +126,8 @@
   [CA_REFUSE_NO_ENDPOINT]
   = { CA_EVENT_REQUEST_REFUSED, "no endpoint available" },
   [CA_REFUSE_OVERLOADED] = { CA_EVENT_REQUEST_REFUSED, "endpoints overloaded" },
+  [CA_REFUSE_UNKNOWN_VERSION]
+  = { CA_EVENT_REQUEST_REFUSED, "unknown which version began the stream" },
   [CA_REFUSE_LIMITED]
   = { CA_EVENT_REQUEST_REFUSED, "endpoints at their limits" },
   [CA_REFUSE_EXPIRED]
@@ -391,6 +393,7 @@
 exchange_dispatch (ca_gateway_t *gateway, ca_exchange_t *exchange)
 {
   ca_gateway_refusal_t blocked = ca_crash_tracker_check (gateway, exchange);
+  ca_stream_lookup_t lookup;
   ca_selection_t selection;
 
   if (blocked != CA_REFUSE_COUNT)
@@ -399,6 +402,16 @@
       exchange_give_up (gateway, exchange, blocked, RETRY_AFTER_QUARANTINE_US);
       return;
     }
+  lookup = ca_stream_versions_resolve (gateway, exchange);
+  if (lookup == CA_STREAM_LOOKUP_PENDING)
+    return;
+  if (lookup == CA_STREAM_LOOKUP_UNKNOWN)
+    {
+      ca_counters_add (&gateway->counters, CA_COUNT_STREAMS_UNKNOWN, 1);
+      exchange_give_up (gateway, exchange, CA_REFUSE_UNKNOWN_VERSION,
+                        RETRY_AFTER_DEFAULT_US);
+      return;
+    }
   selection = ca_select_endpoint (gateway, exchange);
   exchange_count_demand (
       gateway, exchange,
@@ -507,6 +520,7 @@
   exchange_begin_run (gateway, exchange, exchange->sent_us);
   ca_crash_tracker_suspect (gateway, exchange);
   ca_gateway_endpoint_failed (exchange->endpoint, gateway->now_us, false);
+  exchange->endpoint->interrupted_us = gateway->now_us;
   exchange_avoid (exchange, exchange->endpoint);
   exchange_retry (gateway, exchange, true);
 }
@@ -642,6 +656,7 @@
       exchange->endpoint->own_load.unread_tokens -= exchange->unread_tokens;
       exchange->unread_tokens = 0;
       ca_gateway_endpoint_succeeded (exchange->endpoint, 0);
+      ca_stream_versions_began (gateway, exchange);
       ca_counters_observe (&gateway->counters, CA_LATENCY_FIRST_TOKEN,
                            now_us - exchange->accepted_us);
     }
@@ -674,6 +689,7 @@
   exchange->runs++;
   exchange_begin_run (gateway, exchange, exchange->sent_us);
   ca_crash_tracker_completed (gateway, exchange);
+  ca_stream_versions_completed (gateway, exchange);
   exchange_record_response (gateway, exchange);
   exchange_release_endpoint (gateway, exchange);
   if (!exchange->head_sent)
@@ -860,7 +876,10 @@
   gateway->now_us = now_us;
   strlcpy (exchange->id, facts->id, sizeof exchange->id);
   if (facts->resumes != NULL)
-    strlcpy (exchange->resumes, facts->resumes, sizeof exchange->resumes);
+    {
+      strlcpy (exchange->resumes, facts->resumes, sizeof exchange->resumes);
+      ca_counters_add (&gateway->counters, CA_COUNT_STREAMS_TAKEN_UP, 1);
+    }
   exchange->fingerprint = facts->fingerprint;
   exchange->prompt = facts->prompt;
   exchange->adapter_data = facts->adapter_data;
--- a/packages/gateway/gateway.c
+++ b/packages/gateway/gateway.c
@@ -37,6 +37,7 @@
   TAILQ_INIT (&gateway->exchanges);
   TAILQ_INIT (&gateway->usage);
   TAILQ_INIT (&gateway->suspected_crashes);
+  TAILQ_INIT (&gateway->own_streams);
 }
 
 void
@@ -45,6 +46,7 @@
   ca_exchanges_finish (gateway);
   ca_peers_finish (gateway);
   ca_crash_tracker_finish (gateway);
+  ca_stream_versions_finish (gateway);
   ca_quota_finish (gateway);
   ca_service_stats_finish (gateway);
   ca_usage_rows_finish (&gateway->usage);
@@ -61,6 +63,7 @@
   ca_quota_tick (gateway);
   ca_crash_tracker_tick (gateway);
   ca_endpoint_limits_tick (gateway);
+  ca_stream_versions_tick (gateway);
   ca_usage_expire (gateway);
   ca_exchanges_tick (gateway);
 }
@@ -99,6 +102,12 @@
   return ca_gateway_wall_us (gateway, at_us) / CA_US_PER_MS < wall_ms;
 }
 
+void
+ca_gateway_list_validated (ca_gateway_t *gateway, uint64_t validated_us)
+{
+  gateway->list_validated_us = validated_us;
+}
+
 bool
 ca_gateway_ready (const ca_gateway_t *gateway)
 {
--- a/packages/gateway/gateway.h
+++ b/packages/gateway/gateway.h
@@ -15,6 +15,7 @@
 #include "gateway/catalog.h"
 #include "gateway/freshness.h"
 #include "gateway/registry.h"
+#include "gateway/stream_versions.h"
 #include "gateway/window.h"
 #include "wire/peer.pb-c.h"
 
@@ -92,6 +93,9 @@
 {
   char id[64];           /* chosen by the caller */
   char resumes[64];      /* request that began the stream; "" if this one */
+  uint32_t version;      /* that began the stream; 0 until it is known */
+  uint64_t lookup_us;    /* peers were asked for it; 0: not yet */
+  uint32_t lookups;      /* answers of peers that are awaited */
   uint64_t fingerprint;  /* of the content and the workspace */
   ca_catalog_t *catalog; /* that admitted it; holds a reference */
   const ca_route_t *route;
@@ -166,6 +170,7 @@
   CA_REFUSE_QUARANTINED_PART, /* for a part of its prompt */
   CA_REFUSE_NO_ENDPOINT,
   CA_REFUSE_OVERLOADED,
+  CA_REFUSE_UNKNOWN_VERSION, /* which began the stream that is taken up */
   CA_REFUSE_LIMITED, /* all endpoints are at the limits that they name */
   CA_REFUSE_EXPIRED, /* deadline passed before it ran */
   CA_REFUSE_LOST,    /* may have run and must not run again */
@@ -227,6 +232,7 @@
   ca_window_t arrivals;
   double held_tokens;
   double baseline_need; /* endpoints, smoothed while none is reclaimed */
+  ca_software_version_t versions[CA_SOFTWARE_VERSIONS_MAX];
   UT_hash_handle hh;
 } ca_service_stats_t;
 
@@ -372,6 +378,12 @@
   ca_completed_run_t completed_runs[CA_COMPLETED_RUNS];
   ca_completed_run_t completed_parts[CA_COMPLETED_RUNS];
   TAILQ_HEAD (, ca_suspected_crash) suspected_crashes;
+  ca_stream_record_t *streams; /* by number, of this entry and others */
+  TAILQ_HEAD (, ca_stream_record) own_streams; /* begun or gone on here */
+  uint64_t stream_peers_signature; /* of the peers that may keep records */
+  uint64_t next_stream_expiry_us;
+  uint64_t next_version_survey_us;
+  uint64_t list_validated_us; /* all changes of the list up to then are known */
   bool stopping;
   uint64_t stop_us; /* start of the stop */
   bool leads;       /* holds the leader lease */
@@ -442,6 +454,9 @@
 void ca_gateway_endpoint_removed (ca_gateway_t *gateway, uint64_t now_us,
                                   const char *id);
 
+/* Records that the list of endpoints has all changes up to `validated_us`. */
+void ca_gateway_list_validated (ca_gateway_t *gateway, uint64_t validated_us);
+
 /* True if the balancer may send callers here. */
 bool ca_gateway_ready (const ca_gateway_t *gateway);
 
--- a/packages/gateway/peers.c
+++ b/packages/gateway/peers.c
@@ -853,6 +853,12 @@
     case CAMPHOR__ENVELOPE__BODY_PERMIT:
       ca_endpoint_limit_apply_permit (gateway, envelope->permit);
       return;
+    case CAMPHOR__ENVELOPE__BODY_STREAM_VERSIONS:
+      ca_stream_versions_apply (gateway, envelope->stream_versions);
+      return;
+    case CAMPHOR__ENVELOPE__BODY_STREAM_WANT:
+      ca_stream_versions_answer (gateway, envelope);
+      return;
     case CAMPHOR__ENVELOPE__BODY_CATALOG_WANT:
       peer_send_catalog (gateway, envelope);
       return;
--- a/packages/gateway/private.h
+++ b/packages/gateway/private.h
@@ -119,6 +119,50 @@
  * counted. */
 bool ca_retry_budget_take (ca_gateway_t *gateway, const char *service);
 
+/* stream_versions.c */
+
+typedef enum
+{
+  CA_STREAM_LOOKUP_KNOWN, /* or the request begins a stream */
+  CA_STREAM_LOOKUP_PENDING,
+  CA_STREAM_LOOKUP_UNKNOWN
+} ca_stream_lookup_t;
+
+/* Finds out which version began the stream that the request takes up. */
+ca_stream_lookup_t ca_stream_versions_resolve (ca_gateway_t *gateway,
+                                               ca_exchange_t *exchange);
+
+/* True if the exchange's stream may begin or go on at the endpoint. */
+bool ca_stream_versions_allows (const ca_gateway_t *gateway,
+                                const ca_exchange_t *exchange,
+                                const ca_gateway_endpoint_t *endpoint);
+
+/* Notes that the endpoint is listed, and from when on all entries know that its
+ * version serves. */
+void ca_stream_versions_listed (ca_gateway_t *gateway,
+                                ca_gateway_endpoint_t *endpoint);
+
+/* Record that the exchange's stream has begun or goes on at its endpoint, and
+ * that it is complete. */
+void ca_stream_versions_began (ca_gateway_t *gateway, ca_exchange_t *exchange);
+void ca_stream_versions_completed (ca_gateway_t *gateway,
+                                   const ca_exchange_t *exchange);
+
+/* Streams that were sent to the endpoint after another process had started
+ * under its id, of another version, cannot go on. */
+void ca_stream_versions_replaced (ca_gateway_t *gateway,
+                                  const ca_gateway_endpoint_t *endpoint,
+                                  uint64_t started_ms);
+
+/* Answers a peer's question, and applies a peer's records or its answer. */
+void ca_stream_versions_answer (ca_gateway_t *gateway,
+                                const Camphor__Envelope *envelope);
+void ca_stream_versions_apply (ca_gateway_t *gateway,
+                               const Camphor__StreamVersions *message);
+
+void ca_stream_versions_tick (ca_gateway_t *gateway);
+void ca_stream_versions_finish (ca_gateway_t *gateway);
+
 /* crash_tracker.c */
 
 /* Returns CA_REFUSE_COUNT if the request may be sent, else the reason for its
@@ -357,6 +401,16 @@
                                        const char *zone, uint64_t key,
                                        bool *is_self, double *share);
 
+/* True if at most one or two heartbeats of the peer are missing. */
+bool ca_peers_in_close_contact (const ca_gateway_t *gateway,
+                                const ca_peer_t *peer);
+
+/* Fills in the first `max` peers in a ranking by `key` that is the same at all
+ * entries: of those in close contact that are not stopping, or of all.  Returns
+ * their number. */
+size_t ca_peers_ranked (const ca_gateway_t *gateway, uint64_t key,
+                        bool in_contact, const ca_peer_t **peers, size_t max);
+
 /* relay.c */
 
 /* Applies a table update from a peer. */
--- a/packages/gateway/registry.c
+++ b/packages/gateway/registry.c
@@ -3,6 +3,7 @@
 
 #include "base/clock.h"
 #include "gateway/affinity.h"
+#include "gateway/stream_versions.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -97,6 +98,8 @@
   endpoint->service = strdup (record->service);
   endpoint->zone = strdup (record->zone);
   endpoint->version = strdup (record->version == NULL ? "" : record->version);
+  endpoint->version_number
+      = ca_stream_version (endpoint->service, endpoint->version);
   endpoint->address = record->address;
   endpoint->started_ms = record->started_ms;
   endpoint->hash = XXH3_64bits (record->id, strlen (record->id));
@@ -106,7 +109,8 @@
   return endpoint;
 }
 
-/* The same id with another start time, address or service is a new instance. */
+/* The same id with another start time, address, service or version is a new
+ * instance. */
 static bool
 registry_is_same_instance (const ca_gateway_endpoint_t *endpoint,
                            const ca_endpoint_record_t *record)
@@ -114,7 +118,10 @@
   return endpoint->started_ms == record->started_ms
          && endpoint->address.ip == record->address.ip
          && endpoint->address.port == record->address.port
-         && strcmp (endpoint->service, record->service) == 0;
+         && strcmp (endpoint->service, record->service) == 0
+         && strcmp (endpoint->version,
+                    record->version == NULL ? "" : record->version)
+                == 0;
 }
 
 const ca_gateway_endpoint_t *
@@ -157,6 +164,7 @@
   endpoint->reclaimable = record->reclaimable;
   endpoint->slots = record->slots;
   endpoint->missing_since_us = 0;
+  endpoint->listed_us = now_us;
   if (record->leaves_ms > 0)
     endpoint->leaves_at_us = now_us + record->leaves_ms * CA_US_PER_MS;
   return changed;
--- a/packages/gateway/registry.h
+++ b/packages/gateway/registry.h
@@ -23,7 +23,7 @@
   const char *id;
   const char *service;
   const char *zone;
-  const char *version; /* of its software; "" if unknown */
+  const char *version; /* of its software; NULL or "" if unknown */
   ca_address_t address;
   bool draining;
   bool reclaimable;
@@ -76,7 +76,8 @@
   char *id;
   char *service;
   char *zone;
-  char *version; /* of its software; "" if unknown */
+  char *version;           /* of its software; "" if unknown */
+  uint32_t version_number; /* of the service and the version */
   ca_address_t address;
   ca_gateway_endpoint_state_t state;
   bool reclaimable;
@@ -94,6 +95,9 @@
   uint64_t full_until_us;     /* reported no capacity */
   uint64_t paused_until_us;   /* asked for no requests until then */
   uint64_t connect_failed_us; /* last failed connection */
+  uint64_t interrupted_us;    /* last response that was interrupted */
+  uint64_t listed_us;         /* its record was last read */
+  uint64_t settles_us;        /* all entries know its version from then on */
   uint64_t probe_at_us;       /* earliest time of the next probe */
   double latency_us;          /* smoothed, of plain responses */
   ca_endpoint_limit_t limit;
--- a/packages/gateway/select.c
+++ b/packages/gateway/select.c
@@ -156,11 +156,13 @@
 
 typedef enum
 {
-  SELECT_INELIGIBLE, /* draining, not listed, or of another service */
+  SELECT_INELIGIBLE, /* draining, not listed, of another service, or of a
+                        version at which the stream cannot go on */
   SELECT_PAUSED,     /* asked for no requests for a time */
   SELECT_LIMITED,    /* at the limit that it names */
   SELECT_FULL,       /* reported no capacity a moment ago */
-  SELECT_FALLBACK,   /* failed for this request, or ejected */
+  SELECT_FALLBACK,   /* failed for this request, ejected, or of a version that
+                        some entries may not know */
   SELECT_ELIGIBLE
 } select_eligibility_t;
 
@@ -169,7 +171,8 @@
                     ca_gateway_endpoint_t *endpoint)
 {
   if (!ca_gateway_endpoint_is_open (endpoint)
-      || strcmp (endpoint->service, exchange->service->name) != 0)
+      || strcmp (endpoint->service, exchange->service->name) != 0
+      || !ca_stream_versions_allows (gateway, exchange, endpoint))
     return SELECT_INELIGIBLE;
   if (gateway->now_us < endpoint->paused_until_us)
     return SELECT_PAUSED;
@@ -178,7 +181,9 @@
   if (gateway->now_us < endpoint->full_until_us)
     return SELECT_FULL;
   if (select_is_avoided (exchange, endpoint)
-      || gateway->now_us < endpoint->ejected_until_us)
+      || gateway->now_us < endpoint->ejected_until_us
+      || (exchange->route->resumable && exchange->version == 0
+          && gateway->now_us < endpoint->settles_us))
     return SELECT_FALLBACK;
   return SELECT_ELIGIBLE;
 }
@@ -456,16 +461,18 @@
   return best;
 }
 
-/* True if cached tokens can be fetched from the endpoint.  Draining ones
- * qualify. */
+/* True if cached tokens can be fetched from the endpoint to the chosen one.
+ * Draining ones qualify. */
 static bool
 select_is_source (const ca_gateway_t *gateway, const ca_exchange_t *exchange,
+                  const ca_gateway_endpoint_t *chosen,
                   const ca_gateway_endpoint_t *endpoint)
 {
   return endpoint->state != CA_GATEWAY_ENDPOINT_GONE
          && gateway->now_us >= endpoint->ejected_until_us
          && !select_is_unreachable (gateway, endpoint)
-         && strcmp (endpoint->service, exchange->service->name) == 0;
+         && strcmp (endpoint->service, exchange->service->name) == 0
+         && endpoint->version_number == chosen->version_number;
 }
 
 /* The endpoint to fetch shared prompt tokens from: the one with most of them
@@ -492,7 +499,8 @@
       uint32_t cached;
       uint64_t rank;
 
-      if (endpoint == chosen || !select_is_source (gateway, exchange, endpoint))
+      if (endpoint == chosen
+          || !select_is_source (gateway, exchange, chosen, endpoint))
         continue;
       cached = ca_affinity_cached_tokens (endpoint, &exchange->prompt);
       rank = ca_affinity_rank (endpoint, session);
--- a/packages/gateway/state_sync.c
+++ b/packages/gateway/state_sync.c
@@ -176,9 +176,14 @@
     {
       ca_exchanges_suspect_replaced (gateway, replaced, record->started_ms);
       ca_crash_tracker_replaced (gateway, replaced, record->started_ms);
+      if (ca_stream_version (record->service, record->version)
+          != replaced->version_number)
+        ca_stream_versions_replaced (gateway, replaced, record->started_ms);
     }
   if (!ca_registry_put (&gateway->registry, now_us, record))
     return;
+  ca_stream_versions_listed (gateway,
+                             ca_registry_find (&gateway->registry, record->id));
   ca_gateway_log (gateway,
                   record->draining ? CA_EVENT_ENDPOINT_LEAVING
                                    : CA_EVENT_ENDPOINT_ADDED,
--- /dev/null
+++ b/packages/gateway/stream_versions.h
@@ -0,0 +1,43 @@
+/* Records of the software versions that began streams. */
+#ifndef CA_GATEWAY_STREAM_VERSIONS_H
+#define CA_GATEWAY_STREAM_VERSIONS_H
+
+#include <stdbool.h>
+#include <stdint.h>
+#include <sys/queue.h>
+#include <uthash.h>
+
+/* Versions of one service that an entry distinguishes. */
+#define CA_SOFTWARE_VERSIONS_MAX 8
+
+/* Peers that keep the record of a stream. */
+#define CA_STREAM_HOLDERS 2
+
+/* A version of a service's software. */
+typedef struct
+{
+  uint32_t version;   /* ca_stream_version; 0: unused */
+  uint64_t first_us;  /* first listed; 0 if it was when this entry started */
+  uint64_t listed_us; /* last listed */
+} ca_software_version_t;
+
+struct ca_service_stats;
+
+/* The version that began a stream. */
+typedef struct ca_stream_record
+{
+  uint64_t stream; /* hash of the request that began it */
+  uint32_t version;
+  uint64_t updated_us;
+  /* Of streams that began or go on at this entry. */
+  struct ca_service_stats *service; /* NULL for others */
+  bool sent;
+  uint64_t holders[CA_STREAM_HOLDERS]; /* processes that it was sent to */
+  TAILQ_ENTRY (ca_stream_record) entries;
+  UT_hash_handle hh;
+} ca_stream_record_t;
+
+/* Number of a version of a service's software; never 0. */
+uint32_t ca_stream_version (const char *service, const char *version);
+
+#endif
--- a/packages/wire/peer.pb-c.c
+++ b/packages/wire/peer.pb-c.c
@@ -1177,6 +1177,96 @@
   assert(message->base.descriptor == &camphor__permit__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   camphor__stream_versions__init
+                     (Camphor__StreamVersions         *message)
+{
+  static const Camphor__StreamVersions init_value = CAMPHOR__STREAM_VERSIONS__INIT;
+  *message = init_value;
+}
+size_t camphor__stream_versions__get_packed_size
+                     (const Camphor__StreamVersions *message)
+{
+  assert(message->base.descriptor == &camphor__stream_versions__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t camphor__stream_versions__pack
+                     (const Camphor__StreamVersions *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &camphor__stream_versions__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t camphor__stream_versions__pack_to_buffer
+                     (const Camphor__StreamVersions *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &camphor__stream_versions__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Camphor__StreamVersions *
+       camphor__stream_versions__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Camphor__StreamVersions *)
+     protobuf_c_message_unpack (&camphor__stream_versions__descriptor,
+                                allocator, len, data);
+}
+void   camphor__stream_versions__free_unpacked
+                     (Camphor__StreamVersions *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &camphor__stream_versions__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   camphor__stream_want__init
+                     (Camphor__StreamWant         *message)
+{
+  static const Camphor__StreamWant init_value = CAMPHOR__STREAM_WANT__INIT;
+  *message = init_value;
+}
+size_t camphor__stream_want__get_packed_size
+                     (const Camphor__StreamWant *message)
+{
+  assert(message->base.descriptor == &camphor__stream_want__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t camphor__stream_want__pack
+                     (const Camphor__StreamWant *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &camphor__stream_want__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t camphor__stream_want__pack_to_buffer
+                     (const Camphor__StreamWant *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &camphor__stream_want__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Camphor__StreamWant *
+       camphor__stream_want__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Camphor__StreamWant *)
+     protobuf_c_message_unpack (&camphor__stream_want__descriptor,
+                                allocator, len, data);
+}
+void   camphor__stream_want__free_unpacked
+                     (Camphor__StreamWant *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &camphor__stream_want__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   camphor__lease_notice__init
                      (Camphor__LeaseNotice         *message)
 {
@@ -3819,6 +3909,121 @@
   (ProtobufCMessageInit) camphor__permit__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor camphor__stream_versions__field_descriptors[3] =
+{
+  {
+    "streams",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Camphor__StreamVersions, n_streams),
+    offsetof(Camphor__StreamVersions, streams),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "versions",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED32,
+    offsetof(Camphor__StreamVersions, n_versions),
+    offsetof(Camphor__StreamVersions, versions),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "answers",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Camphor__StreamVersions, answers),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned camphor__stream_versions__field_indices_by_name[] = {
+  2,   /* field[2] = answers */
+  0,   /* field[0] = streams */
+  1,   /* field[1] = versions */
+};
+static const ProtobufCIntRange camphor__stream_versions__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor camphor__stream_versions__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "camphor.StreamVersions",
+  "StreamVersions",
+  "Camphor__StreamVersions",
+  "camphor",
+  sizeof(Camphor__StreamVersions),
+  3,
+  camphor__stream_versions__field_descriptors,
+  camphor__stream_versions__field_indices_by_name,
+  1,  camphor__stream_versions__number_ranges,
+  (ProtobufCMessageInit) camphor__stream_versions__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor camphor__stream_want__field_descriptors[2] =
+{
+  {
+    "stream",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Camphor__StreamWant, stream),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "service",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Camphor__StreamWant, service),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned camphor__stream_want__field_indices_by_name[] = {
+  1,   /* field[1] = service */
+  0,   /* field[0] = stream */
+};
+static const ProtobufCIntRange camphor__stream_want__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor camphor__stream_want__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "camphor.StreamWant",
+  "StreamWant",
+  "Camphor__StreamWant",
+  "camphor",
+  sizeof(Camphor__StreamWant),
+  2,
+  camphor__stream_want__field_descriptors,
+  camphor__stream_want__field_indices_by_name,
+  1,  camphor__stream_want__number_ranges,
+  (ProtobufCMessageInit) camphor__stream_want__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor camphor__lease_notice__field_descriptors[2] =
 {
   {
@@ -4591,7 +4796,7 @@
   (ProtobufCMessageInit) camphor__catalog_text__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor camphor__envelope__field_descriptors[30] =
+static const ProtobufCFieldDescriptor camphor__envelope__field_descriptors[32] =
 {
   {
     "version",
@@ -4953,6 +5158,30 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "stream_versions",
+    33,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Camphor__Envelope, body_case),
+    offsetof(Camphor__Envelope, stream_versions),
+    &camphor__stream_versions__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "stream_want",
+    34,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Camphor__Envelope, body_case),
+    offsetof(Camphor__Envelope, stream_want),
+    &camphor__stream_want__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned camphor__envelope__field_indices_by_name[] = {
   8,   /* field[8] = ack */
@@ -4983,6 +5212,8 @@
   21,   /* field[21] = pulse */
   13,   /* field[13] = reject */
   14,   /* field[14] = release */
+  30,   /* field[30] = stream_versions */
+  31,   /* field[31] = stream_want */
   26,   /* field[26] = table_word */
   0,   /* field[0] = version */
 };
@@ -4990,7 +5221,7 @@
 {
   { 1, 0 },
   { 10, 7 },
-  { 0, 30 }
+  { 0, 32 }
 };
 const ProtobufCMessageDescriptor camphor__envelope__descriptor =
 {
@@ -5000,7 +5231,7 @@
   "Camphor__Envelope",
   "camphor",
   sizeof(Camphor__Envelope),
-  30,
+  32,
   camphor__envelope__field_descriptors,
   camphor__envelope__field_indices_by_name,
   2,  camphor__envelope__number_ranges,
--- a/packages/wire/peer.pb-c.h
+++ b/packages/wire/peer.pb-c.h
@@ -41,6 +41,8 @@
 typedef struct Camphor__EndpointLimit Camphor__EndpointLimit;
 typedef struct Camphor__PermitWant Camphor__PermitWant;
 typedef struct Camphor__Permit Camphor__Permit;
+typedef struct Camphor__StreamVersions Camphor__StreamVersions;
+typedef struct Camphor__StreamWant Camphor__StreamWant;
 typedef struct Camphor__LeaseNotice Camphor__LeaseNotice;
 typedef struct Camphor__Pulse Camphor__Pulse;
 typedef struct Camphor__ProofWant Camphor__ProofWant;
@@ -499,6 +501,38 @@
     , 0, 0, 0, 0 }
 
 
+/*
+ * Software versions that began streams, for the receiver to keep or, with
+ * `answers`, as it asked; 0 if the sender does not know.
+ */
+struct  Camphor__StreamVersions
+{
+  ProtobufCMessage base;
+  size_t n_streams;
+  uint64_t *streams;
+  size_t n_versions;
+  uint32_t *versions;
+  protobuf_c_boolean answers;
+};
+#define CAMPHOR__STREAM_VERSIONS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&camphor__stream_versions__descriptor) \
+    , 0,NULL, 0,NULL, 0 }
+
+
+/*
+ * Asks which version began a stream of a service.
+ */
+struct  Camphor__StreamWant
+{
+  ProtobufCMessage base;
+  uint64_t stream;
+  char *service;
+};
+#define CAMPHOR__STREAM_WANT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&camphor__stream_want__descriptor) \
+    , 0, (char *)protobuf_c_empty_string }
+
+
 /*
  * Sent by the leader before it reports a window, in case the store loses its row
  * and the leader ends before its next heartbeat.
@@ -710,7 +744,9 @@
   CAMPHOR__ENVELOPE__BODY_TABLE_WORD = 29,
   CAMPHOR__ENVELOPE__BODY_PERMIT_WANT = 30,
   CAMPHOR__ENVELOPE__BODY_PERMIT = 31,
-  CAMPHOR__ENVELOPE__BODY_LEASE_NOTICE = 32
+  CAMPHOR__ENVELOPE__BODY_LEASE_NOTICE = 32,
+  CAMPHOR__ENVELOPE__BODY_STREAM_VERSIONS = 33,
+  CAMPHOR__ENVELOPE__BODY_STREAM_WANT = 34
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(CAMPHOR__ENVELOPE__BODY__CASE)
 } Camphor__Envelope__BodyCase;
 
@@ -752,6 +788,8 @@
     Camphor__PermitWant *permit_want;
     Camphor__Permit *permit;
     Camphor__LeaseNotice *lease_notice;
+    Camphor__StreamVersions *stream_versions;
+    Camphor__StreamWant *stream_want;
   };
 };
 #define CAMPHOR__ENVELOPE__INIT \
@@ -1253,6 +1291,44 @@
 void   camphor__permit__free_unpacked
                      (Camphor__Permit *message,
                       ProtobufCAllocator *allocator);
+/* Camphor__StreamVersions methods */
+void   camphor__stream_versions__init
+                     (Camphor__StreamVersions         *message);
+size_t camphor__stream_versions__get_packed_size
+                     (const Camphor__StreamVersions   *message);
+size_t camphor__stream_versions__pack
+                     (const Camphor__StreamVersions   *message,
+                      uint8_t             *out);
+size_t camphor__stream_versions__pack_to_buffer
+                     (const Camphor__StreamVersions   *message,
+                      ProtobufCBuffer     *buffer);
+Camphor__StreamVersions *
+       camphor__stream_versions__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   camphor__stream_versions__free_unpacked
+                     (Camphor__StreamVersions *message,
+                      ProtobufCAllocator *allocator);
+/* Camphor__StreamWant methods */
+void   camphor__stream_want__init
+                     (Camphor__StreamWant         *message);
+size_t camphor__stream_want__get_packed_size
+                     (const Camphor__StreamWant   *message);
+size_t camphor__stream_want__pack
+                     (const Camphor__StreamWant   *message,
+                      uint8_t             *out);
+size_t camphor__stream_want__pack_to_buffer
+                     (const Camphor__StreamWant   *message,
+                      ProtobufCBuffer     *buffer);
+Camphor__StreamWant *
+       camphor__stream_want__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   camphor__stream_want__free_unpacked
+                     (Camphor__StreamWant *message,
+                      ProtobufCAllocator *allocator);
 /* Camphor__LeaseNotice methods */
 void   camphor__lease_notice__init
                      (Camphor__LeaseNotice         *message);
@@ -1504,6 +1580,12 @@
 typedef void (*Camphor__Permit_Closure)
                  (const Camphor__Permit *message,
                   void *closure_data);
+typedef void (*Camphor__StreamVersions_Closure)
+                 (const Camphor__StreamVersions *message,
+                  void *closure_data);
+typedef void (*Camphor__StreamWant_Closure)
+                 (const Camphor__StreamWant *message,
+                  void *closure_data);
 typedef void (*Camphor__LeaseNotice_Closure)
                  (const Camphor__LeaseNotice *message,
                   void *closure_data);
@@ -1563,6 +1645,8 @@
 extern const ProtobufCMessageDescriptor camphor__endpoint_limit__descriptor;
 extern const ProtobufCMessageDescriptor camphor__permit_want__descriptor;
 extern const ProtobufCMessageDescriptor camphor__permit__descriptor;
+extern const ProtobufCMessageDescriptor camphor__stream_versions__descriptor;
+extern const ProtobufCMessageDescriptor camphor__stream_want__descriptor;
 extern const ProtobufCMessageDescriptor camphor__lease_notice__descriptor;
 extern const ProtobufCMessageDescriptor camphor__pulse__descriptor;
 extern const ProtobufCMessageDescriptor camphor__proof_want__descriptor;
--- a/tests/gateway/script.c
+++ b/tests/gateway/script.c
@@ -7,10 +7,12 @@
  *   validated                    the store confirms it as the newest
  *   store up|down|gone           store calls succeed, fail in part or all fail
  *   list begin|end               encloses a complete list of endpoints
+ *   list validated               the store confirms it as complete
  *   endpoint ID SERVICE ZONE [draining] [reclaimable] [started=N] [slots=N]
+ *           [version=V]
  *   removed ID                   the endpoint is no longer listed
  *   request ID PATH [key=K] [wait=MS] [cost=IN,OUT] [parts=ID:N,...]
- *           [fingerprint=N]
+ *           [fingerprint=N] [resumes=ID]
  *   head ID STATUS [signed] [not-run] [wrong-endpoint] [encoded] [stream]
  *           [limit=REQUESTS-PER-SECOND] [bad-limit=TEXT] [leaving] [pause=MS]
  *   event ID [N]                 a complete event, with its id
@@ -151,6 +153,7 @@
           [CA_REFUSE_QUARANTINED_PART] = "quarantined-part",
           [CA_REFUSE_NO_ENDPOINT] = "no-endpoint",
           [CA_REFUSE_OVERLOADED] = "overloaded",
+          [CA_REFUSE_UNKNOWN_VERSION] = "unknown-version",
           [CA_REFUSE_LIMITED] = "limited",
           [CA_REFUSE_EXPIRED] = "expired",
           [CA_REFUSE_LOST] = "lost",
@@ -294,6 +297,8 @@
 {
   if (strcmp (words[1], "begin") == 0)
     ca_gateway_list_begin (&script->gateway, script->now_us);
+  else if (strcmp (words[1], "validated") == 0)
+    ca_gateway_list_validated (&script->gateway, script->now_us);
   else
     ca_gateway_list_end (&script->gateway, script->now_us);
 }
@@ -303,12 +308,14 @@
 {
   const char *started = script_value (words, "started");
   const char *slots = script_value (words, "slots");
+  const char *version = script_value (words, "version");
   ca_endpoint_record_t record;
 
   memset (&record, 0, sizeof record);
   record.id = words[1];
   record.service = words[2];
   record.zone = words[3];
+  record.version = version;
   record.address.ip = 1;
   record.address.port = 1;
   record.draining = script_has (words, "draining");
@@ -356,6 +363,7 @@
   facts.host = "host.example";
   facts.path = words[2];
   facts.key = script_value (words, "key");
+  facts.resumes = script_value (words, "resumes");
   facts.wait_ms = wait == NULL ? 0 : (uint32_t)strtoul (wait, NULL, 10);
   facts.fingerprint = fingerprint == NULL
                           ? XXH3_64bits (words[1], strlen (words[1]))
--- a/tests/gateway/streaming_fleet.c
+++ b/tests/gateway/streaming_fleet.c
@@ -3,6 +3,7 @@
 
 #include "cluster.h"
 #include "gateway/gateway.h"
+#include "wire/frame.h"
 
 #include <stdio.h>
 #include <stdlib.h>
@@ -11,6 +12,7 @@
 
 #define ENTRIES_MAX 300
 #define ENDPOINTS_MAX 90
+#define SMALL_ENTRIES_MAX 30
 #define VERSIONS_MAX 8
 #define CHANGES_MAX 4096
 #define ZONES 4
@@ -449,10 +451,13 @@
 
   message->from = (size_t)(uintptr_t)context;
   message->to = to->port;
-  message->bytes = camphor__envelope__get_packed_size (envelope);
+  message->bytes = ca_frame_bytes (envelope);
   message->packed = malloc (message->bytes);
-  camphor__envelope__pack (envelope, message->packed);
+  ca_frame_pack (envelope, message->packed);
   STAILQ_INSERT_TAIL (&world.messages, message, entries);
+  if (envelope->body_case == CAMPHOR__ENVELOPE__BODY_STREAM_VERSIONS
+      || envelope->body_case == CAMPHOR__ENVELOPE__BODY_STREAM_WANT)
+    world.message_bytes += message->bytes;
 }
 
 static void
@@ -576,9 +581,14 @@
       STAILQ_REMOVE_HEAD (&world.messages, entries);
       if (to->up && !to->cut && !from->cut)
         {
-          Camphor__Envelope *envelope = camphor__envelope__unpack (
-              NULL, message->bytes, message->packed);
-
+          ca_error_t error;
+          Camphor__Envelope *envelope;
+
+          ca_error_init (&error);
+          envelope = ca_frame_unpack (message->packed + CA_FRAME_HEADER_BYTES,
+                                      message->bytes - CA_FRAME_HEADER_BYTES,
+                                      &error);
+          assert_non_null (envelope);
           ca_gateway_envelope (&world.gateways[message->to], world.now_us,
                                envelope);
           camphor__envelope__free_unpacked (envelope, NULL);
@@ -818,7 +828,7 @@
 void
 streaming_fleet_check (const streaming_fleet_t *fleet)
 {
-  uint64_t seeds = fleet->entries > 100 ? 1 : 3;
+  uint64_t seeds = fleet->entries > SMALL_ENTRIES_MAX ? 1 : 3;
 
   for (uint64_t seed = 1; seed <= seeds; seed++)
     {
--- a/tests/site/streamers.c
+++ b/tests/site/streamers.c
@@ -29,6 +29,7 @@
   char version[STREAMERS_VERSION_BYTES];
   bool mixed;
   bool misplaced;
+  uint32_t status; /* of the current try; 0: none */
   char buffer[STREAMERS_PIECE_BYTES];
   size_t buffered;
   struct event *timer;
@@ -55,8 +56,9 @@
 static ca_http_head_action_t
 on_head (void *context, const ca_http_head_t *head)
 {
-  (void)context;
-  (void)head;
+  stream_t *stream = context;
+
+  stream->status = head->status;
   return CA_HTTP_HEAD_ACCEPT;
 }
 
@@ -131,8 +133,13 @@
   stream_t *stream = context;
   struct timeval wait = { 0, STREAMERS_RETRY_MS * 1000 };
 
-  if (outcome == CA_HTTP_OUTCOME_COMPLETE
-      && stream->pieces > stream->pieces_before)
+  /* A try that reached no entry is none. */
+  if (stream->pieces_before > 0 && outcome != CA_HTTP_OUTCOME_NOT_SENT)
+    streamers.taken_up++;
+  if (stream->status == 200 && stream->pieces == stream->pieces_before
+      && outcome == CA_HTTP_OUTCOME_COMPLETE)
+    streamers.gone_on++;
+  if (stream->status == 200 && outcome == CA_HTTP_OUTCOME_COMPLETE)
     streamers.complete++;
   else if (stream->tries < STREAMERS_TRIES_MAX)
     {
@@ -164,6 +171,7 @@
             stream->tries++, (unsigned)rand ());
   stream->pieces_before = stream->pieces;
   stream->buffered = 0;
+  stream->status = 0;
   ca_headers_init (&headers);
   ca_headers_add (&headers, "Host", "host.example");
   ca_headers_add (&headers, "Camphorarch-Attempt-Id", stream->id);
@@ -178,7 +186,6 @@
       ca_headers_add (&headers, "Resumes", stream->origin);
       ca_headers_printf (&headers, "Last-Event-Id", "%u",
                          (unsigned)stream->pieces);
-      streamers.taken_up++;
     }
   ca_http_pool_call_start (&streamers.pool, &options);
   ca_headers_finish (&headers);
