--- a/packages/base/events.c
+++ b/packages/base/events.c
@@ -81,6 +81,9 @@
   { CA_EVENT_ENDPOINT_PAUSED, CA_LEVEL_INFO, "endpoint_paused",
     "an endpoint turned a request away and asked for none for a time",
     "add endpoints if requests are refused for it" },
+  { CA_EVENT_ENDPOINTS_LOST, CA_LEVEL_WARNING, "endpoints_lost",
+    "this entry reaches none of a service's endpoints",
+    "check its links to them; other entries may reach them" },
   { CA_EVENT_REQUEST_SUSPECT, CA_LEVEL_WARNING, "request_suspect",
     "an endpoint crashed while this request ran; it runs alone next",
     NO_ACTION },
@@ -107,6 +110,8 @@
     "requests with a prompt part are no longer refused: one has completed, "
     "another part explains the crashes, or they are long past",
     NO_ACTION },
+  { CA_EVENT_ENDPOINTS_REACHED, CA_LEVEL_INFO, "endpoints_reached",
+    "this entry reaches endpoints of a service again", NO_ACTION },
   { CA_EVENT_MEMBER_JOINED, CA_LEVEL_INFO, "member_joined",
     "an entry joined or returned", NO_ACTION },
   { CA_EVENT_MEMBER_SUSPECT, CA_LEVEL_INFO, "member_suspect",
--- a/packages/gateway/exchange.c
+++ b/packages/gateway/exchange.c
@@ -637,6 +637,7 @@
   gateway->now_us = now_us;
   exchange->facts = *facts;
   exchange->facts.bad_limit = NULL;
+  ca_reach_heard (gateway, exchange->endpoint);
   ca_endpoint_limit_observe (gateway, exchange, facts);
   ca_endpoint_notice_observe (gateway, exchange, facts);
   return exchange_is_stream (facts);
@@ -647,6 +648,7 @@
                    ca_exchange_t *exchange, bool has_id, uint64_t id)
 {
   gateway->now_us = now_us;
+  ca_reach_heard (gateway, exchange->endpoint);
   if (exchange->phase == CA_EXCHANGE_SENT)
     {
       exchange->phase = CA_EXCHANGE_STREAMING;
@@ -709,6 +711,7 @@
       exchange->connect_failures++;
       ca_gateway_endpoint_failed (exchange->endpoint, now_us, true);
       ca_crash_tracker_unreachable (gateway, exchange->endpoint);
+      ca_reach_failed (gateway, exchange->endpoint);
       exchange_avoid (exchange, exchange->endpoint);
       exchange_retry (gateway, exchange, false);
       return;
--- a/packages/gateway/gateway.h
+++ b/packages/gateway/gateway.h
@@ -221,6 +221,14 @@
   void (*log) (void *context, const ca_log_event_t *event);
 } ca_gateway_ports_t;
 
+/* Whether this entry reaches the endpoints of a service. */
+typedef struct
+{
+  uint64_t heard_us; /* last byte from any of them */
+  bool lost;         /* it reaches none */
+  uint64_t lost_us;  /* since then */
+} ca_reach_t;
+
 /* Statistics of one service, measured by this entry. */
 typedef struct ca_service_stats
 {
@@ -232,6 +240,7 @@
   ca_window_t arrivals;
   double held_tokens;
   double baseline_need; /* endpoints, smoothed while none is reclaimed */
+  ca_reach_t reach;
   ca_software_version_t versions[CA_SOFTWARE_VERSIONS_MAX];
   UT_hash_handle hh;
 } ca_service_stats_t;
--- a/packages/gateway/private.h
+++ b/packages/gateway/private.h
@@ -163,6 +163,15 @@
 void ca_stream_versions_tick (ca_gateway_t *gateway);
 void ca_stream_versions_finish (ca_gateway_t *gateway);
 
+/* reach.c */
+
+/* Record that the endpoint has sent something, or that a connection to it
+ * failed. */
+void ca_reach_heard (ca_gateway_t *gateway,
+                     const ca_gateway_endpoint_t *endpoint);
+void ca_reach_failed (ca_gateway_t *gateway,
+                      const ca_gateway_endpoint_t *endpoint);
+
 /* crash_tracker.c */
 
 /* Returns CA_REFUSE_COUNT if the request may be sent, else the reason for its
