--- a/tests/gateway/streaming_fleet.c
+++ b/tests/gateway/streaming_fleet.c
@@ -26,6 +26,9 @@
 #define MIXED_MAX 2
 #define TAKEN_UP_MIN 12
 #define CONTACT_US (3 * CA_US_PER_S)
+#define FIRST_TRIES_SHARE (2.0 / 3)
+#define FIRST_TRIES_FAILED 10
+#define FIRST_TRIES_FAILED_SHARE 0.02
 
 #define FIRST_EVENT_US (100 * CA_US_PER_MS)
 #define EVENT_US (80 * CA_US_PER_MS)
@@ -37,6 +40,11 @@
 #define ENTRY_DOWN_US (700 * CA_US_PER_MS)
 #define STOP_US (1200 * CA_US_PER_MS)
 #define DEADLINE_US (8 * CA_US_PER_S)
+#define PLAIN_DEADLINE_US (1 * CA_US_PER_S)
+#define PLAIN_US (30 * CA_US_PER_MS)
+#define CONNECT_TIMEOUT_US (400 * CA_US_PER_MS)
+#define CHECKS_MAX 4096
+#define IDLE_MAX 8
 #define RETRY_US (40 * CA_US_PER_MS)
 #define TRIES_MAX 4
 #define CUT_SHARE 0.25
@@ -46,10 +54,21 @@
 #define RELEASE_SHARE 0.33
 #define RELEASE_GAP_US (200 * CA_US_PER_MS)
 
-/* A caller's stream, over all of its tries. */
+typedef enum
+{
+  KIND_STREAM,
+  KIND_PLAIN,
+  KIND_ONCE /* plain, must not run twice */
+} kind_t;
+
+/* A caller's request, over all of its tries. */
 typedef struct request
 {
   uint64_t number;
+  kind_t kind;
+  uint32_t runs;   /* of the current try */
+  bool cut_off;    /* the entry was, as it got the current try */
+  bool first_try;  /* the open try is the first, within the cut */
   char id[32];     /* of the current try */
   char origin[32]; /* of the try that brought the first event; empty: none */
   uint32_t tries;
@@ -71,6 +90,7 @@
   size_t endpoint;
   uint32_t start; /* of the endpoint */
   bool refused;
+  bool hangs; /* nothing arrives any more */
   bool streams;
   uint64_t next_event;
   uint64_t next_us;
@@ -110,6 +130,16 @@
   size_t list_cursor;
 } entry_t;
 
+/* A connection that tests whether an endpoint can be reached. */
+typedef struct
+{
+  size_t entry;
+  size_t endpoint;
+  uint32_t start;
+  uint64_t instance;
+  uint64_t ends_us;
+} check_t;
+
 typedef struct message
 {
   size_t from;
@@ -127,6 +157,8 @@
   endpoint_t endpoints[ENDPOINTS_MAX];
   change_t changes[CHANGES_MAX];
   size_t change_count;
+  check_t checks[CHECKS_MAX];
+  size_t check_count;
   TAILQ_HEAD (, request) requests;
   TAILQ_HEAD (, run) runs;
   STAILQ_HEAD (, message) messages;
@@ -142,6 +174,14 @@
   uint64_t taken_up;
   uint64_t gone_on;
   uint64_t mixed;
+  uint64_t
+      first_tries[2]; /* within the cut, at others and at entries cut off */
+  uint64_t first_served[2];
+  uint64_t ran_twice;
+  uint64_t arrivals;       /* at endpoints */
+  uint64_t forwarded_late; /* to other entries, after the cut */
+  uint8_t idle[ENTRIES_MAX]
+              [ENDPOINTS_MAX]; /* open connections without a call */
   uint64_t complete;
 } world;
 
@@ -150,9 +190,18 @@
       "{\"name\":\"e\",\"host\":\"h\",\"prefix\":\"/e/\","
       "\"route_kind\":\"streaming\",\"timeout_ms\":8000,"
       "\"target_latency_ms\":1000,\"service\":\"e\",\"max_attempts\":2,"
-      "\"public\":true,\"sticky_sessions\":true,\"stream_resumption\":true}],"
+      "\"public\":true,\"sticky_sessions\":true,\"stream_resumption\":true},"
+      "{\"name\":\"p\",\"host\":\"h\",\"prefix\":\"/p/\","
+      "\"route_kind\":\"idempotent\",\"timeout_ms\":1000,"
+      "\"target_latency_ms\":150,\"service\":\"s\",\"max_attempts\":2,"
+      "\"public\":true},"
+      "{\"name\":\"o\",\"host\":\"h\",\"prefix\":\"/o/\","
+      "\"route_kind\":\"non_idempotent\",\"timeout_ms\":1000,"
+      "\"target_latency_ms\":150,\"service\":\"s\",\"max_attempts\":1,"
+      "\"public\":true}],"
       "\"services\":[{\"name\":\"e\",\"inference_engine\":"
-      "{\"slots\":64,\"kv_cache_tokens\":3000000}}],\"tenants\":[]}";
+      "{\"slots\":64,\"kv_cache_tokens\":3000000}},{\"name\":\"s\"}],"
+      "\"tenants\":[]}";
 
 static double
 uniform (void)
@@ -177,6 +226,35 @@
          && world.now_us - state->touched_us >= CONTACT_US;
 }
 
+/* True while some entries are cut off from all endpoints. */
+static bool
+cut_lasts (void)
+{
+  uint64_t start_us = START_US + STREAMING_FLEET_CUT_START_US;
+
+  return world.fleet->cut_how != STREAMING_FLEET_CONNECTED
+         && world.now_us >= start_us
+         && world.now_us < start_us + STREAMING_FLEET_CUT_US;
+}
+
+/* How the entry is cut off from the endpoints.  Whole zones come first. */
+static streaming_fleet_cut_t
+cut_of (size_t entry)
+{
+  size_t zone_entries = (world.fleet->entries + ZONES - 1) / ZONES;
+  size_t rank = entry % ZONES * zone_entries + entry / ZONES;
+
+  return cut_lasts () && rank < world.fleet->cut_entries
+             ? world.fleet->cut_how
+             : STREAMING_FLEET_CONNECTED;
+}
+
+static const char *
+service_of (size_t endpoint)
+{
+  return world.fleet->plain_share > 0 && endpoint % 4 == 3 ? "s" : "e";
+}
+
 static size_t
 serving (uint32_t version)
 {
@@ -220,7 +298,7 @@
   char zone[16];
   char version[16];
   ca_endpoint_record_t record = { .id = id,
-                                  .service = "e",
+                                  .service = service_of (change->endpoint),
                                   .zone = zone,
                                   .version = version,
                                   .address = { 2, (uint16_t)change->endpoint },
@@ -245,6 +323,8 @@
 
   endpoint->up = false;
   endpoint->back_us = world.now_us + ENDPOINT_DOWN_US;
+  for (size_t i = 0; i < world.fleet->entries; i++)
+    world.idle[i][index] = 0;
   append_change (index, true);
   /* An interrupted request may start another run. */
   for (;;)
@@ -287,11 +367,20 @@
   free (request);
 }
 
+/* The caller has its whole answer. */
+static void
+request_served (request_t *request)
+{
+  if (request->first_try)
+    world.first_served[request->cut_off]++;
+}
+
 /* The caller's connection ended without a complete stream. */
 static void
 request_broken (request_t *request, uint64_t wait_us)
 {
   request->counted = false;
+  request->first_try = false;
   if (request->tries >= TRIES_MAX
       || world.now_us + wait_us >= request->deadline_us)
     request_free (request);
@@ -302,9 +391,10 @@
 static void
 request_send (request_t *request)
 {
+  static const char *const paths[] = { "/e/x", "/p/x", "/o/x" };
   ca_request_facts_t facts = { .id = request->id,
                                .host = "h",
-                               .path = "/e/x",
+                               .path = paths[request->kind],
                                .fingerprint = 1000 + request->number,
                                .adapter_data = request };
   size_t entry;
@@ -318,9 +408,19 @@
             (unsigned long long)request->number, request->tries++);
   facts.wait_ms
       = (uint32_t)((request->deadline_us - world.now_us) / CA_US_PER_MS);
-  facts.prompt.tokens = 200;
-  facts.prompt.output_tokens = 80;
-  ca_prompt_add (&facts.prompt, 1000 + request->number, 50);
+  if (request->kind == KIND_STREAM)
+    {
+      facts.prompt.tokens = 200;
+      facts.prompt.output_tokens = 80;
+      ca_prompt_add (&facts.prompt, 1000 + request->number, 50);
+    }
+  request->runs = 0;
+  request->first_try
+      = request->tries == 1 && cut_lasts ()
+        && world.now_us >= START_US + STREAMING_FLEET_CUT_START_US + CONTACT_US;
+  request->cut_off = cut_of (entry) != STREAMING_FLEET_CONNECTED;
+  if (request->first_try)
+    world.first_tries[request->cut_off]++;
   if (request->last_event > 0)
     facts.resumes = request->origin;
   if (is_in_touch (entry) && request->last_event == 0 && request->tries == 1)
@@ -357,7 +457,11 @@
         continue;
       request = calloc (1, sizeof *request);
       request->number = world.numbers++;
-      request->deadline_us = world.now_us + DEADLINE_US;
+      if (uniform () < world.fleet->plain_share)
+        request->kind = uniform () < 0.5 ? KIND_PLAIN : KIND_ONCE;
+      request->deadline_us
+          = world.now_us
+            + (request->kind == KIND_STREAM ? DEADLINE_US : PLAIN_DEADLINE_US);
       TAILQ_INSERT_TAIL (&world.requests, request, entries);
       request_send (request);
     }
@@ -365,6 +469,31 @@
 
 /* Ports of the entries. */
 
+/* Uses an open connection, or a new one, unless the entry is cut off. */
+static void
+run_connect (run_t *run)
+{
+  uint8_t *idle = &world.idle[run->entry][run->endpoint];
+  streaming_fleet_cut_t cut = cut_of (run->entry);
+  bool reused = *idle > 0;
+
+  if (reused)
+    (*idle)--;
+  if (cut == STREAMING_FLEET_CONNECTED
+      || (reused && cut == STREAMING_FLEET_NO_NEW))
+    return;
+  if (reused && cut == STREAMING_FLEET_HANGING)
+    {
+      run->hangs = true;
+      run->next_us = UINT64_MAX;
+      return;
+    }
+  run->refused = true;
+  run->next_us
+      = world.now_us
+        + (cut == STREAMING_FLEET_HANGING ? CONNECT_TIMEOUT_US : CONNECT_US);
+}
+
 static void
 on_attempt (void *context, ca_exchange_t *exchange, const ca_attempt_t *attempt)
 {
@@ -379,8 +508,17 @@
   run->refused = !endpoint->up || endpoint->start != run->start;
   run->next_event
       = (attempt->resumes ? attempt->last_event : run->request->last_event) + 1;
-  run->next_us = world.now_us + (run->refused ? CONNECT_US : FIRST_EVENT_US);
+  run->next_us = world.now_us
+                 + (run->refused                        ? CONNECT_US
+                    : run->request->kind == KIND_STREAM ? FIRST_EVENT_US
+                                                        : PLAIN_US);
+  run_connect (run);
   TAILQ_INSERT_TAIL (&world.runs, run, entries);
+  if (run->refused || run->hangs)
+    return;
+  world.arrivals++;
+  if (++run->request->runs > 1 && run->request->kind == KIND_ONCE)
+    world.ran_twice++;
 }
 
 static void
@@ -403,8 +541,54 @@
 static void
 on_check (void *context, const ca_gateway_endpoint_t *endpoint)
 {
+  check_t *check = &world.checks[world.check_count++];
+  streaming_fleet_cut_t cut;
+
+  assert_true (world.check_count < CHECKS_MAX);
+  check->entry = (size_t)(uintptr_t)context;
+  check->instance = ca_gateway_endpoint_instance (endpoint);
+  sscanf (endpoint->id, "e%zu.%u", &check->endpoint, &check->start);
+  cut = cut_of (check->entry);
+  check->ends_us
+      = world.now_us
+        + (cut == STREAMING_FLEET_HANGING ? CONNECT_TIMEOUT_US : CONNECT_US);
+}
+
+static void
+step_checks (void)
+{
+  for (size_t i = 0; i < world.check_count;)
+    {
+      check_t check = world.checks[i];
+      const endpoint_t *endpoint = &world.endpoints[check.endpoint];
+
+      if (world.now_us < check.ends_us)
+        {
+          i++;
+          continue;
+        }
+      world.checks[i] = world.checks[--world.check_count];
+      if (world.entries[check.entry].up)
+        ca_gateway_endpoint_checked (
+            &world.gateways[check.entry], world.now_us, check.instance,
+            endpoint->up && endpoint->start == check.start
+                && cut_of (check.entry) == STREAMING_FLEET_CONNECTED);
+    }
+}
+
+static void
+on_deliver (void *context, ca_exchange_t *exchange)
+{
+  request_t *request = exchange->adapter_data;
+
   (void)context;
-  (void)endpoint;
+  if (exchange->facts.status == 200)
+    {
+      request_served (request);
+      request_free (request);
+    }
+  else
+    request_broken (request, RETRY_US);
 }
 
 static void
@@ -423,6 +607,7 @@
   world.complete++;
   if (request->counted)
     world.gone_on++;
+  request_served (request);
   request_free (request);
 }
 
@@ -499,7 +684,7 @@
                                .attempt = on_attempt,
                                .cancel = on_cancel,
                                .check_endpoint = on_check,
-                               .deliver = on_begin,
+                               .deliver = on_deliver,
                                .begin = on_begin,
                                .finish = on_finish,
                                .abort_stream = on_abort,
@@ -553,6 +738,7 @@
       run = next;
     }
   ca_gateway_finish (&world.gateways[index]);
+  memset (world.idle[index], 0, sizeof world.idle[index]);
   while (request != NULL)
     {
       request_t *next = TAILQ_NEXT (request, entries);
@@ -608,13 +794,18 @@
   ca_answer_facts_t facts
       = { .status = 200, .is_signed = true, .is_stream = true };
 
+  if (request->kind != KIND_STREAM)
+    facts.is_stream = false;
   if (!run->refused && !run->streams)
     ca_exchange_head (gateway, world.now_us, exchange, &facts);
   run->streams = true;
-  if (run->refused || run->next_event > EVENTS)
+  if (run->refused || run->next_event > EVENTS || !facts.is_stream)
     {
       bool refused = run->refused;
 
+      if (!refused && world.idle[run->entry][run->endpoint] < IDLE_MAX)
+        world.idle[run->entry][run->endpoint]++;
+
       TAILQ_REMOVE (&world.runs, run, entries);
       free (run);
       ca_exchange_end (gateway, world.now_us, exchange,
@@ -667,6 +858,43 @@
          && (world.now_us - START_US) % period_us < STEP_US;
 }
 
+/* The connections of entries that are cut off hang or are reset. */
+static void
+step_cut (void)
+{
+  run_t *run = TAILQ_FIRST (&world.runs);
+  uint64_t start_us = START_US + STREAMING_FLEET_CUT_START_US;
+
+  if (!cut_lasts () || world.now_us - start_us >= STEP_US)
+    return;
+  while (run != NULL)
+    {
+      run_t *next = TAILQ_NEXT (run, entries);
+      streaming_fleet_cut_t cut = cut_of (run->entry);
+
+      if (cut == STREAMING_FLEET_HANGING)
+        {
+          run->hangs = true;
+          run->next_us = UINT64_MAX;
+        }
+      else if (cut == STREAMING_FLEET_RESET)
+        {
+          ca_exchange_t *exchange = run->exchange;
+          ca_gateway_t *gateway = &world.gateways[run->entry];
+
+          TAILQ_REMOVE (&world.runs, run, entries);
+          free (run);
+          ca_exchange_end (gateway, world.now_us, exchange, CA_END_INTERRUPTED);
+        }
+      run = next;
+    }
+  for (size_t i = 0; i < world.fleet->entries; i++)
+    {
+      if (cut_of (i) == STREAMING_FLEET_RESET)
+        memset (world.idle[i], 0, sizeof world.idle[i]);
+    }
+}
+
 /* Versions come, replace others, and go as endpoints crash. */
 static void
 step_endpoints (void)
@@ -783,7 +1011,9 @@
       step_endpoints ();
       step_entries ();
       step_messages ();
+      step_cut ();
       step_runs ();
+      step_checks ();
       if (world.now_us % CA_GATEWAY_TICK_US == 0)
         step_ticks ();
       if (world.now_us >= START_US + WARM_US)
@@ -839,3 +1069,41 @@
                      >= (double)world.new_begun / (double)world.new_sent);
     }
 }
+
+void
+streaming_fleet_check_cut (const streaming_fleet_t *fleet)
+{
+  uint64_t seeds = fleet->entries > SMALL_ENTRIES_MAX ? 1 : 3;
+
+  for (uint64_t seed = 1; seed <= seeds; seed++)
+    {
+      double failed;
+      double share;
+      double other_share;
+
+      world_run (fleet, seed);
+      failed = (double)(world.first_tries[1] - world.first_served[1]);
+      share = (double)world.first_served[1] / (double)world.first_tries[1];
+      other_share
+          = (double)world.first_served[0] / (double)world.first_tries[0];
+      print_message ("cut %d of %zu: first tries served: %llu of %llu there, "
+                     "%llu of %llu at others; %llu ran twice, %llu arrivals "
+                     "at endpoints, %llu passed on after the cut\n",
+                     (int)fleet->cut_how, fleet->cut_entries,
+                     (unsigned long long)world.first_served[1],
+                     (unsigned long long)world.first_tries[1],
+                     (unsigned long long)world.first_served[0],
+                     (unsigned long long)world.first_tries[0],
+                     (unsigned long long)world.ran_twice,
+                     (unsigned long long)world.arrivals,
+                     (unsigned long long)world.forwarded_late);
+      assert_true (share >= FIRST_TRIES_SHARE * other_share
+                   || failed <= FIRST_TRIES_FAILED
+                                    + FIRST_TRIES_FAILED_SHARE
+                                          * (double)(world.first_tries[0]
+                                                     + world.first_tries[1]));
+      assert_int_equal (world.ran_twice, 0);
+      assert_int_equal (world.forwarded_late, 0);
+      assert_true (world.mixed <= MIXED_MAX);
+    }
+}
--- a/tests/gateway/streaming_fleet.h
+++ b/tests/gateway/streaming_fleet.h
@@ -1,5 +1,6 @@
-/* Fleet in virtual time whose endpoints run several versions of their software.
- * Callers take interrupted streams up at other entries. */
+/* Fleet in virtual time whose endpoints run several versions of their software,
+ * or of which some entries are cut off from all endpoints.  Callers take
+ * interrupted streams up at other entries. */
 #ifndef TESTS_GATEWAY_STREAMING_FLEET_H
 #define TESTS_GATEWAY_STREAMING_FLEET_H
 
@@ -13,6 +14,15 @@
 
 #include "base/clock.h"
 
+/* What happens to the connections between an entry and the endpoints. */
+typedef enum
+{
+  STREAMING_FLEET_CONNECTED,
+  STREAMING_FLEET_HANGING, /* nothing arrives, new ones are not established */
+  STREAMING_FLEET_RESET,   /* all are reset */
+  STREAMING_FLEET_NO_NEW   /* those that are open live on */
+} streaming_fleet_cut_t;
+
 typedef struct
 {
   size_t entries;
@@ -27,8 +37,17 @@
   bool versions_fixed;      /* half of the endpoints run the other version all
                                the time; else versions come and go */
   uint64_t run_us;          /* 0: the default */
+  double plain_share; /* of the requests: plain ones, half of which may run once
+                         only */
+  streaming_fleet_cut_t
+      cut_how;        /* from all endpoints, from STREAMING_FLEET_CUT_START_US
+                         on for STREAMING_FLEET_CUT_US */
+  size_t cut_entries; /* the first ones in order of their zones */
 } streaming_fleet_t;
 
+#define STREAMING_FLEET_CUT_START_US (5 * CA_US_PER_S)
+#define STREAMING_FLEET_CUT_US (9 * CA_US_PER_S)
+
 /* Sizes with the rates of the users' deployments, and one of 300 entries. */
 #define STREAMING_FLEET_SMALL .entries = 8, .endpoints = 9, .streams_per_s = 50
 #define STREAMING_FLEET_LARGE                                                  \
@@ -43,6 +62,12 @@
  * half as often as new ones begin. */
 void streaming_fleet_check (const streaming_fleet_t *fleet);
 
+/* Runs the fleet.  Fails if callers' first tries at entries that are cut off
+ * from all endpoints are served less than two thirds as often as at the others
+ * and too many fail there, if a request runs more often than it may, or if
+ * requests are still passed on to other entries after the cut. */
+void streaming_fleet_check_cut (const streaming_fleet_t *fleet);
+
 /* Bytes per second and entry of the messages that streams cause, of the latest
  * run. */
 double streaming_fleet_message_bytes (void);
