Delegate requests to other entries while none of a service's endpoints is reached

Cause: an entry could serve a request only by an endpoint that it reaches itself. It noticed the partition one connection at a time, each by a request: these hung until their deadlines, or waited for half of their objective before a refusal.

Change: an entry tells the loss of all endpoints from that of one: several are unreachable, and no byte has arrived from any since (reach.c). Silence of all that owe a response makes it try connections; one that is silent alone keeps its traffic. While they are lost, or once two connections of a request have failed, the request is delegated over HTTP to a second internal port of an entry that reaches them, chosen by load out of two (delegation.c); three are tried at most. That entry serves it like one of its own callers, with its retry budget, limits, pauses, blocked requests and versions; the quota is charged once, runs before it count, and it delegates no further. Runs that stall and may be repeated are given up; a stream goes on at its version. Ejections are forgotten when an endpoint responds again. Runs interrupted together by a partition are not counted as crashes of several endpoints, unless others respond after it.

--- a/packages/base/counters.c
+++ b/packages/base/counters.c
@@ -37,6 +37,7 @@
   "limited_attempts",
   "streams_taken_up",
   "streams_unknown",
+  "delegated",
 };
 
 static const char *const latency_names[CA_LATENCY_KINDS]
--- a/packages/base/counters.h
+++ b/packages/base/counters.h
@@ -38,6 +38,7 @@
   CA_COUNT_LIMITED_ATTEMPTS, /* at endpoints that name a limit */
   CA_COUNT_STREAMS_TAKEN_UP, /* by callers, after they had been interrupted */
   CA_COUNT_STREAMS_UNKNOWN,  /* of these, refused: the version is unknown */
+  CA_COUNT_DELEGATED,        /* requests passed on to other entries */
   CA_COUNT_KINDS
 } ca_count_t;
 
--- a/packages/gateway/crash_tracker.c
+++ b/packages/gateway/crash_tracker.c
@@ -37,6 +37,13 @@
  * before the connection is tried.  Its record takes a moment to arrive. */
 #define CRASH_LISTED_US (5 * CA_US_PER_S)
 
+/* Runs at so many endpoints that are interrupted within this time may be due to
+ * this entry's links; they count as crashes once another endpoint of the
+ * service has sent something, or after this time. */
+#define CRASH_AT_ONCE_MIN 3
+#define CRASH_AT_ONCE_US (50 * CA_US_PER_MS)
+#define CRASH_BLAME_US (700 * CA_US_PER_MS)
+
 /* Delay of the connection that is tried after an interrupted run.  A process
  * that ends may close its connections before it stops listening. */
 #define CRASH_CHECK_DELAY_US (100 * CA_US_PER_MS)
@@ -348,7 +355,8 @@
 }
 
 void
-ca_crash_tracker_suspect (ca_gateway_t *gateway, const ca_exchange_t *exchange)
+ca_crash_tracker_suspect (ca_gateway_t *gateway, const ca_exchange_t *exchange,
+                          bool silent)
 {
   ca_suspected_crash_t *suspect = calloc (1, sizeof *suspect);
 
@@ -356,7 +364,9 @@
   suspect->prompt = exchange->prompt;
   suspect->endpoint = exchange->endpoint;
   suspect->sent_us = exchange->sent_us;
+  suspect->silent = silent;
   suspect->at_us = gateway->now_us;
+  suspect->check_us = gateway->now_us + CRASH_CHECK_DELAY_US;
   ca_gateway_endpoint_acquire (suspect->endpoint);
   TAILQ_INSERT_TAIL (&gateway->suspected_crashes, suspect, entries);
   ca_counters_add (&gateway->counters, CA_COUNT_CRASHES_SUSPECTED, 1);
@@ -370,6 +380,45 @@
   crash_tracker_drop (gateway, suspect);
 }
 
+/* True if runs at several endpoints of the service were interrupted together
+ * with the suspect's, or if it was not interrupted but silent: it may be this
+ * entry that is cut off. */
+static bool
+crash_tracker_is_ambiguous (const ca_gateway_t *gateway,
+                            const ca_suspected_crash_t *suspect)
+{
+  const ca_gateway_endpoint_t *others[CRASH_AT_ONCE_MIN];
+  const ca_suspected_crash_t *other;
+  size_t count = 0;
+
+  TAILQ_FOREACH (other, &gateway->suspected_crashes, entries)
+  {
+    uint64_t apart_us = other->at_us > suspect->at_us
+                            ? other->at_us - suspect->at_us
+                            : suspect->at_us - other->at_us;
+    size_t i = 0;
+
+    while (i < count && others[i] != other->endpoint)
+      i++;
+    if (i == count && count < CRASH_AT_ONCE_MIN && apart_us <= CRASH_AT_ONCE_US
+        && strcmp (other->endpoint->service, suspect->endpoint->service) == 0)
+      others[count++] = other->endpoint;
+  }
+  return suspect->silent || count == CRASH_AT_ONCE_MIN;
+}
+
+/* True if the endpoint is to blame for the suspected crash, as far as is known
+ * now. */
+static bool
+crash_tracker_blames_endpoint (ca_gateway_t *gateway,
+                               const ca_suspected_crash_t *suspect)
+{
+  return !crash_tracker_is_ambiguous (gateway, suspect)
+         || ca_reach_blames_endpoint (gateway, suspect->endpoint,
+                                      suspect->at_us)
+         || gateway->now_us - suspect->at_us >= CRASH_BLAME_US;
+}
+
 void
 ca_crash_tracker_unreachable (ca_gateway_t *gateway,
                               const ca_gateway_endpoint_t *endpoint)
@@ -382,7 +431,12 @@
 
       if (suspect->endpoint == endpoint
           && gateway->now_us - suspect->at_us <= CRASH_CONFIRM_US)
-        crash_tracker_confirm (gateway, suspect);
+        {
+          if (crash_tracker_blames_endpoint (gateway, suspect))
+            crash_tracker_confirm (gateway, suspect);
+          else
+            suspect->unreachable = true;
+        }
       suspect = next;
     }
 }
@@ -405,6 +459,24 @@
     }
 }
 
+void
+ca_crash_tracker_forgive (ca_gateway_t *gateway, const char *service)
+{
+  ca_suspected_crash_t *suspect;
+  ca_suspected_crash_t *next;
+
+  TAILQ_FOREACH (suspect, &gateway->suspected_crashes, entries)
+  suspect->forgiven = strcmp (suspect->endpoint->service, service) == 0
+                      && crash_tracker_is_ambiguous (gateway, suspect);
+  for (suspect = TAILQ_FIRST (&gateway->suspected_crashes); suspect != NULL;
+       suspect = next)
+    {
+      next = TAILQ_NEXT (suspect, entries);
+      if (suspect->forgiven)
+        crash_tracker_drop (gateway, suspect);
+    }
+}
+
 /* Tries one connection to the endpoint for all runs interrupted there. */
 static void
 crash_tracker_check (ca_gateway_t *gateway, ca_suspected_crash_t *suspect)
@@ -414,7 +486,7 @@
   for (; suspect != NULL; suspect = TAILQ_NEXT (suspect, entries))
     {
       if (suspect->endpoint == endpoint)
-        suspect->checked = true;
+        suspect->check_us = UINT64_MAX;
     }
   ca_counters_add (&gateway->counters, CA_COUNT_PROBES, 1);
   gateway->ports.check_endpoint (gateway->ports.context, endpoint);
@@ -425,8 +497,12 @@
                              uint64_t instance, bool reachable)
 {
   ca_suspected_crash_t *suspect;
+  ca_gateway_endpoint_t *listed
+      = ca_registry_find_instance (&gateway->registry, instance);
 
   gateway->now_us = now_us;
+  if (listed != NULL)
+    ca_reach_probed (gateway, listed, reachable);
   if (reachable)
     return;
   TAILQ_FOREACH (suspect, &gateway->suspected_crashes, entries)
@@ -601,6 +677,24 @@
     }
 }
 
+/* Counts the suspected crashes at endpoints that were found unreachable, once it
+ * is clear that this entry is not cut off. */
+static void
+crash_tracker_confirm_unreachable (ca_gateway_t *gateway)
+{
+  ca_suspected_crash_t *suspect;
+  ca_suspected_crash_t *next;
+
+  for (suspect = TAILQ_FIRST (&gateway->suspected_crashes); suspect != NULL;
+       suspect = next)
+    {
+      next = TAILQ_NEXT (suspect, entries);
+      if (suspect->unreachable
+          && crash_tracker_blames_endpoint (gateway, suspect))
+        crash_tracker_confirm (gateway, suspect);
+    }
+}
+
 void
 ca_crash_tracker_tick (ca_gateway_t *gateway)
 {
@@ -622,10 +716,10 @@
     }
   TAILQ_FOREACH (suspect, &gateway->suspected_crashes, entries)
   {
-    if (!suspect->checked
-        && gateway->now_us - suspect->at_us >= CRASH_CHECK_DELAY_US)
+    if (gateway->now_us >= suspect->check_us)
       crash_tracker_check (gateway, suspect);
   }
+  crash_tracker_confirm_unreachable (gateway);
   HASH_ITER (hh, gateway->crash_records, record, next)
   {
     if (gateway->now_us - record->latest_us
--- a/packages/gateway/exchange.c
+++ b/packages/gateway/exchange.c
@@ -24,6 +24,9 @@
 #define CONNECT_FAILURES_MAX 4
 #define REJECTIONS_MAX 3
 
+/* Failed connections before a request is delegated to another entry. */
+#define DELEGATE_CONNECT_FAILURES 2
+
 /* A stopping entry accepts new streams until this long after SIGTERM.  By then
  * the balancer sends new connections elsewhere, and a later stream could
  * outlast the grace period. */
@@ -86,6 +89,8 @@
   ca_gateway_endpoint_t *endpoint = exchange->endpoint;
   ca_service_stats_t *stats;
 
+  if (exchange->delegate != 0)
+    ca_delegation_release (gateway, exchange);
   if (endpoint == NULL)
     return;
   stats = ca_service_stats (gateway, exchange->service->name);
@@ -128,6 +133,8 @@
   [CA_REFUSE_OVERLOADED] = { CA_EVENT_REQUEST_REFUSED, "endpoints overloaded" },
   [CA_REFUSE_UNKNOWN_VERSION]
   = { CA_EVENT_REQUEST_REFUSED, "unknown which version began the stream" },
+  [CA_REFUSE_DELEGATE]
+  = { CA_EVENT_REQUEST_REFUSED, "refused by the entry it was delegated to" },
   [CA_REFUSE_LIMITED]
   = { CA_EVENT_REQUEST_REFUSED, "endpoints at their limits" },
   [CA_REFUSE_EXPIRED]
@@ -195,7 +202,7 @@
   ca_counters_observe (&gateway->counters, CA_LATENCY_WHOLE_ANSWER,
                        gateway->now_us - exchange->accepted_us);
   ca_gateway_log (gateway, CA_EVENT_REQUEST_ANSWERED, exchange->id,
-                  exchange->endpoint->id,
+                  exchange->endpoint == NULL ? NULL : exchange->endpoint->id,
                   "status %u after %" PRIu64 " ms, %u sends, route %s",
                   exchange->facts.status, exchange_age_ms (gateway, exchange),
                   exchange->sends, exchange->route->name);
@@ -255,6 +262,7 @@
   attempt.resumes = exchange->has_event;
   attempt.last_event = exchange->last_event;
   attempt.source = selection->source;
+  attempt.delegate = NULL;
   ca_counters_add (&gateway->counters, CA_COUNT_ATTEMPTS, 1);
   ca_endpoint_limit_take (gateway, endpoint);
   ca_gateway_log (
@@ -388,6 +396,17 @@
          + (uint64_t)(ca_gateway_random (gateway) * RETRY_AFTER_DEFAULT_US);
 }
 
+/* True if connections failed, and those to the endpoints that are left may
+ * fail, too. */
+static bool
+exchange_is_better_delegated (const ca_exchange_t *exchange,
+                              const ca_selection_t *selection)
+{
+  return exchange->connect_failures >= DELEGATE_CONNECT_FAILURES
+         || (exchange->connect_failures > 0 && selection->endpoint == NULL
+             && selection->any_open);
+}
+
 /* Sends the request to the best endpoint, keeps it waiting, or gives up. */
 static void
 exchange_dispatch (ca_gateway_t *gateway, ca_exchange_t *exchange)
@@ -412,7 +431,21 @@
                         RETRY_AFTER_DEFAULT_US);
       return;
     }
+  if (ca_service_stats (gateway, exchange->service->name)->reach.lost)
+    {
+      if (exchange->delegated)
+        {
+          exchange_give_up (gateway, exchange, CA_REFUSE_NO_ENDPOINT,
+                            RETRY_AFTER_DEFAULT_US);
+          return;
+        }
+      if (ca_delegation_start (gateway, exchange))
+        return;
+    }
   selection = ca_select_endpoint (gateway, exchange);
+  if (exchange_is_better_delegated (exchange, &selection)
+      && ca_delegation_start (gateway, exchange))
+    return;
   exchange_count_demand (
       gateway, exchange,
       selection.endpoint != NULL
@@ -468,7 +501,8 @@
 {
   bool retry = !may_have_run || exchange_is_repeatable (exchange);
 
-  if (may_have_run && exchange->runs >= exchange->route->max_attempts)
+  if (may_have_run
+      && exchange->runs + exchange->prior_runs >= exchange->route->max_attempts)
     retry = false;
   if (exchange->connect_failures >= CONNECT_FAILURES_MAX
       || exchange->rejections >= REJECTIONS_MAX)
@@ -505,7 +539,8 @@
   if (exchange->run_begun)
     return;
   exchange->run_begun = true;
-  if (exchange->workspace != NULL)
+  /* The delegate counts it. */
+  if (exchange->delegate == 0 && exchange->workspace != NULL)
     ca_usage_count (gateway, exchange->workspace->name, at_us);
 }
 
@@ -518,7 +553,7 @@
   exchange->sends++;
   exchange->runs++;
   exchange_begin_run (gateway, exchange, exchange->sent_us);
-  ca_crash_tracker_suspect (gateway, exchange);
+  ca_crash_tracker_suspect (gateway, exchange, false);
   ca_gateway_endpoint_failed (exchange->endpoint, gateway->now_us, false);
   exchange->endpoint->interrupted_us = gateway->now_us;
   exchange_avoid (exchange, exchange->endpoint);
@@ -555,7 +590,7 @@
 {
   if (exchange->phase == CA_EXCHANGE_SENT
       && gateway->now_us - exchange->sent_us >= RUN_SILENT_US)
-    ca_crash_tracker_suspect (gateway, exchange);
+    ca_crash_tracker_suspect (gateway, exchange, true);
 }
 
 /* True if enough time is left before the deadline for another attempt. */
@@ -565,6 +600,16 @@
   return exchange->deadline_us > gateway->now_us + ATTEMPT_MIN_US;
 }
 
+/* Ends the exchange with the complete response of an endpoint. */
+static void
+exchange_deliver (ca_gateway_t *gateway, ca_exchange_t *exchange)
+{
+  exchange_record_response (gateway, exchange);
+  exchange_release_endpoint (gateway, exchange);
+  gateway->ports.deliver (gateway->ports.context, exchange);
+  exchange_free (gateway, exchange);
+}
+
 /* Handles a complete response that is not streamed. */
 static void
 exchange_plain_answer (ca_gateway_t *gateway, ca_exchange_t *exchange)
@@ -598,7 +643,7 @@
   else
     ca_gateway_endpoint_failed (exchange->endpoint, gateway->now_us, false);
   if (failed && exchange_is_repeatable (exchange)
-      && exchange->runs < exchange->route->max_attempts
+      && exchange->runs + exchange->prior_runs < exchange->route->max_attempts
       && exchange_has_time (gateway, exchange)
       && !exchange_is_blocked (gateway, exchange))
     {
@@ -616,10 +661,7 @@
           return;
         }
     }
-  exchange_record_response (gateway, exchange);
-  exchange_release_endpoint (gateway, exchange);
-  gateway->ports.deliver (gateway->ports.context, exchange);
-  exchange_free (gateway, exchange);
+  exchange_deliver (gateway, exchange);
 }
 
 /* True if the response is a stream whose events are to be forwarded. */
@@ -637,31 +679,45 @@
   gateway->now_us = now_us;
   exchange->facts = *facts;
   exchange->facts.bad_limit = NULL;
+  if (exchange->delegate != 0)
+    return exchange_is_stream (facts);
   ca_reach_heard (gateway, exchange->endpoint);
   ca_endpoint_limit_observe (gateway, exchange, facts);
   ca_endpoint_notice_observe (gateway, exchange, facts);
   return exchange_is_stream (facts);
 }
 
+/* Handles the first event of an attempt. */
+static void
+exchange_begin_stream (ca_gateway_t *gateway, ca_exchange_t *exchange)
+{
+  exchange->phase = CA_EXCHANGE_STREAMING;
+  exchange->phase_us = gateway->now_us;
+  exchange_begin_run (gateway, exchange, gateway->now_us);
+  ca_counters_observe (&gateway->counters, CA_LATENCY_FIRST_TOKEN,
+                       gateway->now_us - exchange->accepted_us);
+  if (exchange->delegate != 0)
+    {
+      if (exchange->version == 0)
+        exchange->version = exchange->facts.version;
+      return;
+    }
+  ca_select_update_throughput (gateway, exchange);
+  exchange->endpoint->own_load.unread_tokens -= exchange->unread_tokens;
+  exchange->unread_tokens = 0;
+  ca_gateway_endpoint_succeeded (exchange->endpoint, 0);
+  ca_stream_versions_began (gateway, exchange);
+}
+
 bool
 ca_exchange_event (ca_gateway_t *gateway, uint64_t now_us,
                    ca_exchange_t *exchange, bool has_id, uint64_t id)
 {
   gateway->now_us = now_us;
-  ca_reach_heard (gateway, exchange->endpoint);
+  if (exchange->delegate == 0)
+    ca_reach_heard (gateway, exchange->endpoint);
   if (exchange->phase == CA_EXCHANGE_SENT)
-    {
-      exchange->phase = CA_EXCHANGE_STREAMING;
-      exchange->phase_us = now_us;
-      exchange_begin_run (gateway, exchange, now_us);
-      ca_select_update_throughput (gateway, exchange);
-      exchange->endpoint->own_load.unread_tokens -= exchange->unread_tokens;
-      exchange->unread_tokens = 0;
-      ca_gateway_endpoint_succeeded (exchange->endpoint, 0);
-      ca_stream_versions_began (gateway, exchange);
-      ca_counters_observe (&gateway->counters, CA_LATENCY_FIRST_TOKEN,
-                           now_us - exchange->accepted_us);
-    }
+    exchange_begin_stream (gateway, exchange);
   if (has_id && exchange->has_event && id <= exchange->last_event)
     return false;
   if (has_id)
@@ -677,16 +733,10 @@
   return true;
 }
 
-/* Handles the end of a streamed response. */
+/* Ends the exchange after a complete stream. */
 static void
-exchange_stream_end (ca_gateway_t *gateway, ca_exchange_t *exchange,
-                     ca_attempt_end_t end)
+exchange_complete_stream (ca_gateway_t *gateway, ca_exchange_t *exchange)
 {
-  if (end != CA_END_COMPLETE)
-    {
-      exchange_interrupted (gateway, exchange, "stream interrupted");
-      return;
-    }
   exchange->sends++;
   exchange->runs++;
   exchange_begin_run (gateway, exchange, exchange->sent_us);
@@ -700,11 +750,79 @@
   exchange_free (gateway, exchange);
 }
 
+/* Handles the end of a streamed response. */
+static void
+exchange_stream_end (ca_gateway_t *gateway, ca_exchange_t *exchange,
+                     ca_attempt_end_t end)
+{
+  if (end != CA_END_COMPLETE)
+    {
+      exchange_interrupted (gateway, exchange, "stream interrupted");
+      return;
+    }
+  exchange_complete_stream (gateway, exchange);
+}
+
+/* Handles the end of an attempt at a delegate whose response is missing or not
+ * an endpoint's, so that the request may have run. */
+static void
+exchange_delegate_interrupted (ca_gateway_t *gateway, ca_exchange_t *exchange)
+{
+  bool timed_out = exchange->facts.status == 504;
+
+  ca_delegation_failed (gateway, exchange, "response interrupted");
+  exchange->sends++;
+  exchange->runs++;
+  if (timed_out)
+    exchange_give_up (gateway, exchange, CA_REFUSE_TIMEOUT, 0);
+  else
+    exchange_retry (gateway, exchange, true);
+}
+
+/* Handles the end of an attempt at a delegate.  An endpoint's response bears
+ * its signature; others are the delegate's. */
+static void
+exchange_delegate_end (ca_gateway_t *gateway, ca_exchange_t *exchange,
+                       ca_attempt_end_t end)
+{
+  const ca_answer_facts_t *facts = &exchange->facts;
+  bool streams
+      = exchange->phase == CA_EXCHANGE_STREAMING || exchange_is_stream (facts);
+
+  if (end == CA_END_UNREACHABLE
+      || (end == CA_END_COMPLETE && !streams && !facts->is_signed
+          && facts->elsewhere))
+    {
+      ca_delegation_failed (gateway, exchange,
+                            end == CA_END_UNREACHABLE ? "unreachable"
+                                                      : "cannot serve it");
+      exchange_dispatch (gateway, exchange);
+      return;
+    }
+  if (end == CA_END_COMPLETE && streams)
+    exchange_complete_stream (gateway, exchange);
+  else if (end == CA_END_COMPLETE && facts->is_signed && !exchange->head_sent)
+    {
+      exchange->sends++;
+      exchange->runs++;
+      exchange_deliver (gateway, exchange);
+    }
+  else if (end == CA_END_COMPLETE && !facts->is_signed && facts->status == 503)
+    exchange_give_up (gateway, exchange, CA_REFUSE_DELEGATE, facts->pause_us);
+  else
+    exchange_delegate_interrupted (gateway, exchange);
+}
+
 void
 ca_exchange_end (ca_gateway_t *gateway, uint64_t now_us,
                  ca_exchange_t *exchange, ca_attempt_end_t end)
 {
   gateway->now_us = now_us;
+  if (exchange->delegate != 0)
+    {
+      exchange_delegate_end (gateway, exchange, end);
+      return;
+    }
   if (end == CA_END_UNREACHABLE)
     {
       exchange_log_failure (gateway, exchange, "unreachable");
@@ -746,6 +864,8 @@
       exchange_suspect_silent (gateway, exchange);
       gateway->ports.cancel (gateway->ports.context, exchange);
     }
+  else if (exchange->delegate != 0)
+    gateway->ports.cancel (gateway->ports.context, exchange);
   exchange_release_endpoint (gateway, exchange);
   exchange_free (gateway, exchange);
 }
@@ -852,7 +972,10 @@
     exchange->cost = facts->has_cost
                          ? facts->prompt.tokens + facts->prompt.output_tokens
                          : exchange->workspace->default_cost;
-  if (exchange->workspace != NULL
+  /* The peer that delegated it has charged the quota. */
+  if (exchange->delegated)
+    exchange->cost = 0;
+  if (exchange->workspace != NULL && !exchange->delegated
       && !ca_quota_take (gateway, exchange->workspace, exchange->cost, wait_us))
     return CA_REFUSE_QUOTA;
   return CA_REFUSE_COUNT;
@@ -864,7 +987,9 @@
   ca_service_stats_t *stats
       = ca_service_stats (gateway, exchange->service->name);
 
-  ca_window_add (&stats->requests, gateway->now_us, 1);
+  /* The peer that delegated it counts it for the retry budget. */
+  if (!exchange->delegated)
+    ca_window_add (&stats->requests, gateway->now_us, 1);
   ca_window_add (&stats->arrivals, gateway->now_us, 1);
 }
 
@@ -885,6 +1010,9 @@
     }
   exchange->fingerprint = facts->fingerprint;
   exchange->prompt = facts->prompt;
+  exchange->delegated = facts->delegated;
+  exchange->prior_runs = facts->prior_runs;
+  exchange->version = facts->version;
   exchange->adapter_data = facts->adapter_data;
   exchange->phase = CA_EXCHANGE_WAITING;
   exchange->accepted_us = now_us;
@@ -917,6 +1045,12 @@
       exchange_suspect_silent (gateway, exchange);
       gateway->ports.cancel (gateway->ports.context, exchange);
     }
+  else if (exchange->delegate != 0)
+    {
+      exchange->sends++;
+      exchange->runs++;
+      gateway->ports.cancel (gateway->ports.context, exchange);
+    }
   if (exchange->head_sent)
     exchange_abort (gateway, exchange, "deadline passed");
   else
@@ -968,10 +1102,35 @@
   {
     if (exchange->endpoint == endpoint
         && ca_gateway_is_before (gateway, exchange->sent_us, started_ms))
-      ca_crash_tracker_suspect (gateway, exchange);
+      ca_crash_tracker_suspect (gateway, exchange, false);
   }
 }
 
+void
+ca_exchanges_give_up_stalled (ca_gateway_t *gateway, const char *service,
+                              uint64_t since_us)
+{
+  ca_exchange_t *exchange = TAILQ_FIRST (&gateway->exchanges);
+
+  while (exchange != NULL)
+    {
+      ca_exchange_t *next = TAILQ_NEXT (exchange, entries);
+
+      if (exchange->endpoint != NULL && exchange->sent_us <= since_us
+          && strcmp (exchange->service->name, service) == 0
+          && exchange_is_repeatable (exchange))
+        {
+          exchange_log_failure (gateway, exchange, "endpoints lost");
+          gateway->ports.cancel (gateway->ports.context, exchange);
+          exchange->sends++;
+          exchange->runs++;
+          exchange_begin_run (gateway, exchange, exchange->sent_us);
+          exchange_retry (gateway, exchange, true);
+        }
+      exchange = next;
+    }
+}
+
 void
 ca_exchanges_finish (ca_gateway_t *gateway)
 {
--- a/packages/gateway/gateway.h
+++ b/packages/gateway/gateway.h
@@ -48,6 +48,7 @@
   char name[64];
   char zone[64];
   ca_address_t peers;
+  uint16_t delegate_port; /* where peers delegate requests to; 0: nowhere */
   ca_bounds_t bounds;
   uint32_t seed;
 } ca_gateway_options_t;
@@ -65,6 +66,8 @@
   double limit_per_s;    /* of all entries together */
   const char *bad_limit; /* text of a limit that is not a number; else NULL */
   bool leaving;          /* the endpoint leaves */
+  bool elsewhere;        /* refused by the delegate, another may serve it */
+  uint32_t version;      /* that the delegate names; 0 if none */
   uint64_t pause_us;     /* turned away: it wants nothing from this entry for so
                             long; 0 if it does not say so */
 } ca_answer_facts_t;
@@ -88,6 +91,9 @@
 /* Recently failed endpoints that an exchange avoids. */
 #define CA_EXCHANGE_AVOIDED_MAX 4
 
+/* Peers to which a request is delegated, one after the other. */
+#define CA_DELEGATION_TRIES_MAX 3
+
 /* A request from its arrival to its final response. */
 typedef struct ca_exchange
 {
@@ -110,9 +116,14 @@
   ca_gateway_endpoint_t *endpoint; /* in use; NULL if none */
   uint32_t sends;                  /* attempts of which a byte was sent */
   uint32_t runs;                   /* attempts that may have run */
-  uint32_t connect_failures;       /* failed connections */
-  uint32_t rejections;    /* times that an endpoint reported no capacity */
-  uint32_t unread_tokens; /* counted at the endpoint until the first event */
+  bool delegated;                  /* by a peer, which holds the caller */
+  uint32_t prior_runs;             /* attempts that may have run at that peer */
+  uint64_t delegate; /* peer that it is delegated to now; 0: none */
+  uint64_t delegates[CA_DELEGATION_TRIES_MAX];
+  uint32_t delegations;      /* peers in `delegates` */
+  uint32_t connect_failures; /* failed connections */
+  uint32_t rejections;       /* times that an endpoint reported no capacity */
+  uint32_t unread_tokens;    /* counted at the endpoint until the first event */
   uint32_t held_tokens;
   uint64_t avoided[CA_EXCHANGE_AVOIDED_MAX];
   uint32_t avoided_count;
@@ -142,9 +153,14 @@
   uint32_t wait_ms;     /* longest wait of the caller; 0 if not given */
   bool has_cost;
   ca_prompt_t prompt;
+  bool delegated; /* by a peer, which names the next two */
+  uint32_t prior_runs;
+  uint32_t version; /* that began the stream; 0 if unknown */
   void *adapter_data;
 } ca_request_facts_t;
 
+struct ca_peer;
+
 typedef struct
 {
   uint32_t remaining_ms; /* until the deadline */
@@ -154,6 +170,7 @@
   /* Endpoint to fetch cached prompt tokens from instead of computing them
    * again; NULL if there is none. */
   const ca_gateway_endpoint_t *source;
+  const struct ca_peer *delegate; /* send it there, not to the endpoint */
 } ca_attempt_t;
 
 /* Reasons for a refusal.  The adapter's table maps them to HTTP statuses, and
@@ -171,10 +188,11 @@
   CA_REFUSE_NO_ENDPOINT,
   CA_REFUSE_OVERLOADED,
   CA_REFUSE_UNKNOWN_VERSION, /* which began the stream that is taken up */
-  CA_REFUSE_LIMITED, /* all endpoints are at the limits that they name */
-  CA_REFUSE_EXPIRED, /* deadline passed before it ran */
-  CA_REFUSE_LOST,    /* may have run and must not run again */
-  CA_REFUSE_TIMEOUT, /* deadline passed while it ran */
+  CA_REFUSE_LIMITED,  /* all endpoints are at the limits that they name */
+  CA_REFUSE_DELEGATE, /* by the entry that it was delegated to */
+  CA_REFUSE_EXPIRED,  /* deadline passed before it ran */
+  CA_REFUSE_LOST,     /* may have run and must not run again */
+  CA_REFUSE_TIMEOUT,  /* deadline passed while it ran */
   CA_REFUSE_COUNT
 } ca_gateway_refusal_t;
 
@@ -227,6 +245,12 @@
   uint64_t heard_us; /* last byte from any of them */
   bool lost;         /* it reaches none */
   uint64_t lost_us;  /* since then */
+  bool suspect;      /* a connection failed: others are to be tried */
+  uint64_t next_probe_us;
+  const ca_gateway_endpoint_t *debtor; /* owes a response, only in a tick */
+  bool several;                        /* others do, too */
+  uint64_t owed_us;                    /* since then */
+  uint64_t futile_until_us; /* other entries could not serve requests either */
 } ca_reach_t;
 
 /* Statistics of one service, measured by this entry. */
@@ -276,6 +300,9 @@
 
 TAILQ_HEAD (ca_usage_rows, ca_usage_row);
 
+/* Services whose endpoints an entry reports as lost. */
+#define CA_LOST_SERVICES_MAX 16
+
 /* Another entry, as its heartbeats describe it. */
 typedef struct ca_peer
 {
@@ -294,6 +321,11 @@
   bool leaving;
   bool reads_store;
   bool leads;
+  uint16_t delegate_port;
+  uint64_t lost_services[CA_LOST_SERVICES_MAX]; /* hashes of their names */
+  size_t lost_count;
+  uint32_t delegated;        /* requests open there for this entry */
+  uint64_t refused_us;       /* when it last could not serve one of these */
   bool loads_counted;        /* its load is included in the endpoints' counts */
   Camphor__Pulse *heartbeat; /* latest; owned */
   struct ca_usage_rows usage; /* of this incarnation and earlier ones */
@@ -346,7 +378,10 @@
   ca_gateway_endpoint_t *endpoint; /* holds a reference */
   uint64_t sent_us;                /* start of the run */
   uint64_t at_us;                  /* its interruption */
-  bool checked; /* a connection to the endpoint has been tried */
+  uint64_t check_us; /* when to try a connection to the endpoint */
+  bool silent;       /* not interrupted */
+  bool unreachable;  /* that connection failed */
+  bool forgiven;     /* to be dropped */
   TAILQ_ENTRY (ca_suspected_crash) entries;
 } ca_suspected_crash_t;
 
--- a/packages/gateway/peers.c
+++ b/packages/gateway/peers.c
@@ -52,6 +52,7 @@
   Camphor__EndpointLimit limits[HEARTBEAT_MAX_LIMITS];
   Camphor__EndpointLimit *limit_rows[HEARTBEAT_MAX_LIMITS];
   uint64_t draining[HEARTBEAT_MAX_DRAINING];
+  uint64_t lost_services[CA_LOST_SERVICES_MAX];
 } peer_heartbeat_buffer_t;
 
 ca_peer_t *
@@ -540,6 +541,10 @@
   heartbeat->store_era = gateway->store_era;
   heartbeat->lease_fence = gateway->lease_fence;
   heartbeat->usage_reported = gateway->usage_reported;
+  heartbeat->delegate_port = gateway->options.delegate_port;
+  heartbeat->lost_services = buffer->lost_services;
+  heartbeat->n_lost_services
+      = ca_reach_report (gateway, buffer->lost_services, CA_LOST_SERVICES_MAX);
   if (gateway->catalog != NULL && gateway->config_freshness.known)
     {
       heartbeat->config_known = true;
@@ -735,6 +740,29 @@
     }
 }
 
+/* Records which services' endpoints a peer does not reach. */
+static void
+peer_apply_lost_services (ca_peer_t *peer, const uint64_t *services,
+                          size_t count)
+{
+  peer->lost_count
+      = count < CA_LOST_SERVICES_MAX ? count : CA_LOST_SERVICES_MAX;
+  if (count > 0)
+    memcpy (peer->lost_services, services,
+            peer->lost_count * sizeof services[0]);
+}
+
+static void
+peer_receive_reach_notice (ca_gateway_t *gateway,
+                           const Camphor__Envelope *envelope)
+{
+  ca_peer_t *peer = ca_peers_find (gateway, envelope->from);
+
+  if (peer != NULL)
+    peer_apply_lost_services (peer, envelope->reach_notice->lost_services,
+                              envelope->reach_notice->n_lost_services);
+}
+
 /* Applies a heartbeat and takes ownership of it. */
 static void
 peer_receive_heartbeat (ca_gateway_t *gateway,
@@ -785,6 +813,9 @@
   peer->leaving = heartbeat->leaving;
   peer->reads_store = heartbeat->reads_store;
   peer->leads = heartbeat->leads;
+  peer->delegate_port = (uint16_t)heartbeat->delegate_port;
+  peer_apply_lost_services (peer, heartbeat->lost_services,
+                            heartbeat->n_lost_services);
   peer->wall_offset_us
       = (int64_t)(heartbeat->wall_ms * CA_US_PER_MS) - (int64_t)gateway->now_us;
   peer_count_loads (gateway, peer, true);
@@ -853,6 +884,9 @@
     case CAMPHOR__ENVELOPE__BODY_PERMIT:
       ca_endpoint_limit_apply_permit (gateway, envelope->permit);
       return;
+    case CAMPHOR__ENVELOPE__BODY_REACH_NOTICE:
+      peer_receive_reach_notice (gateway, envelope);
+      return;
     case CAMPHOR__ENVELOPE__BODY_STREAM_VERSIONS:
       ca_stream_versions_apply (gateway, envelope->stream_versions);
       return;
--- a/packages/gateway/private.h
+++ b/packages/gateway/private.h
@@ -31,6 +31,11 @@
                                     uint64_t started_ms);
 void ca_exchanges_finish (ca_gateway_t *gateway);
 
+/* Gives up runs at the service's endpoints that have brought nothing since
+ * `since_us` and may be repeated, as this entry is cut off from them. */
+void ca_exchanges_give_up_stalled (ca_gateway_t *gateway, const char *service,
+                                   uint64_t since_us);
+
 /* Dispatches the waiting requests, since an endpoint may take one now. */
 void ca_exchanges_dispatch_waiting (ca_gateway_t *gateway);
 
@@ -172,6 +177,36 @@
 void ca_reach_failed (ca_gateway_t *gateway,
                       const ca_gateway_endpoint_t *endpoint);
 
+/* Records the result of a connection that was tried. */
+void ca_reach_probed (ca_gateway_t *gateway, ca_gateway_endpoint_t *endpoint,
+                      bool reachable);
+
+/* True if the endpoint, not this entry's links, is to blame for an interruption
+ * there: others of its service have sent something since. */
+bool ca_reach_blames_endpoint (ca_gateway_t *gateway,
+                               const ca_gateway_endpoint_t *endpoint,
+                               uint64_t interrupted_us);
+
+/* Number of a service in messages, a hash of its name. */
+uint64_t ca_reach_service_number (const char *service);
+
+/* Fills in the services none of whose endpoints this entry reaches, `max` at
+ * most; returns their number. */
+size_t ca_reach_report (const ca_gateway_t *gateway, uint64_t *services,
+                        size_t max);
+void ca_reach_tick (ca_gateway_t *gateway);
+
+/* delegation.c */
+
+/* Delegates the request to a peer; false if there is none that may serve it. */
+bool ca_delegation_start (ca_gateway_t *gateway, ca_exchange_t *exchange);
+
+/* The exchange no longer waits for its delegate, or the delegate cannot serve
+ * the request. */
+void ca_delegation_release (ca_gateway_t *gateway, ca_exchange_t *exchange);
+void ca_delegation_failed (ca_gateway_t *gateway, ca_exchange_t *exchange,
+                           const char *reason);
+
 /* crash_tracker.c */
 
 /* Returns CA_REFUSE_COUNT if the request may be sent, else the reason for its
@@ -180,9 +215,10 @@
 ca_gateway_refusal_t ca_crash_tracker_check (const ca_gateway_t *gateway,
                                              const ca_exchange_t *exchange);
 
-/* Records an interrupted run whose endpoint may have crashed. */
+/* Records a run whose endpoint may have crashed: it was interrupted, or it was
+ * given up after a silence. */
 void ca_crash_tracker_suspect (ca_gateway_t *gateway,
-                               const ca_exchange_t *exchange);
+                               const ca_exchange_t *exchange, bool silent);
 
 /* Records a completed run: it clears the earlier crashes of its fingerprint and
  * of the parts of its prompt. */
@@ -218,6 +254,10 @@
 void ca_crash_tracker_replaced (ca_gateway_t *gateway,
                                 const ca_gateway_endpoint_t *endpoint,
                                 uint64_t started_ms);
+
+/* Drops the suspected crashes of a service's endpoints, as this entry is cut
+ * off from them. */
+void ca_crash_tracker_forgive (ca_gateway_t *gateway, const char *service);
 void ca_crash_tracker_tick (ca_gateway_t *gateway);
 void ca_crash_tracker_finish (ca_gateway_t *gateway);
 
--- a/packages/gateway/registry.h
+++ b/packages/gateway/registry.h
@@ -98,7 +98,7 @@
   uint64_t interrupted_us;    /* last response that was interrupted */
   uint64_t listed_us;         /* its record was last read */
   uint64_t settles_us;        /* all entries know its version from then on */
-  uint64_t probe_at_us;       /* earliest time of the next probe */
+  uint64_t probed_us;         /* last connection that was tried */
   double latency_us;          /* smoothed, of plain responses */
   ca_endpoint_limit_t limit;
   /* Prompt parts that this entry has sent there. */
--- a/packages/wire/peer.pb-c.c
+++ b/packages/wire/peer.pb-c.c
@@ -1267,6 +1267,51 @@
   assert(message->base.descriptor == &camphor__stream_want__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   camphor__reach_notice__init
+                     (Camphor__ReachNotice         *message)
+{
+  static const Camphor__ReachNotice init_value = CAMPHOR__REACH_NOTICE__INIT;
+  *message = init_value;
+}
+size_t camphor__reach_notice__get_packed_size
+                     (const Camphor__ReachNotice *message)
+{
+  assert(message->base.descriptor == &camphor__reach_notice__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t camphor__reach_notice__pack
+                     (const Camphor__ReachNotice *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &camphor__reach_notice__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t camphor__reach_notice__pack_to_buffer
+                     (const Camphor__ReachNotice *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &camphor__reach_notice__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Camphor__ReachNotice *
+       camphor__reach_notice__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Camphor__ReachNotice *)
+     protobuf_c_message_unpack (&camphor__reach_notice__descriptor,
+                                allocator, len, data);
+}
+void   camphor__reach_notice__free_unpacked
+                     (Camphor__ReachNotice *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &camphor__reach_notice__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   camphor__lease_notice__init
                      (Camphor__LeaseNotice         *message)
 {
@@ -4024,6 +4069,44 @@
   (ProtobufCMessageInit) camphor__stream_want__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor camphor__reach_notice__field_descriptors[1] =
+{
+  {
+    "lost_services",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Camphor__ReachNotice, n_lost_services),
+    offsetof(Camphor__ReachNotice, lost_services),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned camphor__reach_notice__field_indices_by_name[] = {
+  0,   /* field[0] = lost_services */
+};
+static const ProtobufCIntRange camphor__reach_notice__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor camphor__reach_notice__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "camphor.ReachNotice",
+  "ReachNotice",
+  "Camphor__ReachNotice",
+  "camphor",
+  sizeof(Camphor__ReachNotice),
+  1,
+  camphor__reach_notice__field_descriptors,
+  camphor__reach_notice__field_indices_by_name,
+  1,  camphor__reach_notice__number_ranges,
+  (ProtobufCMessageInit) camphor__reach_notice__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor camphor__lease_notice__field_descriptors[2] =
 {
   {
@@ -4075,7 +4158,7 @@
   (ProtobufCMessageInit) camphor__lease_notice__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor camphor__pulse__field_descriptors[24] =
+static const ProtobufCFieldDescriptor camphor__pulse__field_descriptors[26] =
 {
   {
     "name",
@@ -4365,11 +4448,36 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "delegate_port",
+    25,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Camphor__Pulse, delegate_port),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "lost_services",
+    26,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Camphor__Pulse, n_lost_services),
+    offsetof(Camphor__Pulse, lost_services),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned camphor__pulse__field_indices_by_name[] = {
   9,   /* field[9] = config_age_us */
   7,   /* field[7] = config_known */
   8,   /* field[8] = config_version */
+  24,   /* field[24] = delegate_port */
   11,   /* field[11] = demands */
   5,   /* field[5] = echo_us */
   2,   /* field[2] = ip */
@@ -4379,6 +4487,7 @@
   16,   /* field[16] = left_lives */
   20,   /* field[20] = limits */
   12,   /* field[12] = loads */
+  25,   /* field[25] = lost_services */
   0,   /* field[0] = name */
   19,   /* field[19] = omits_usage */
   3,   /* field[3] = port */
@@ -4395,7 +4504,7 @@
 static const ProtobufCIntRange camphor__pulse__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 24 }
+  { 0, 26 }
 };
 const ProtobufCMessageDescriptor camphor__pulse__descriptor =
 {
@@ -4405,7 +4514,7 @@
   "Camphor__Pulse",
   "camphor",
   sizeof(Camphor__Pulse),
-  24,
+  26,
   camphor__pulse__field_descriptors,
   camphor__pulse__field_indices_by_name,
   1,  camphor__pulse__number_ranges,
@@ -4796,7 +4905,7 @@
   (ProtobufCMessageInit) camphor__catalog_text__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor camphor__envelope__field_descriptors[32] =
+static const ProtobufCFieldDescriptor camphor__envelope__field_descriptors[33] =
 {
   {
     "version",
@@ -5182,6 +5291,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "reach_notice",
+    35,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Camphor__Envelope, body_case),
+    offsetof(Camphor__Envelope, reach_notice),
+    &camphor__reach_notice__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned camphor__envelope__field_indices_by_name[] = {
   8,   /* field[8] = ack */
@@ -5210,6 +5331,7 @@
   25,   /* field[25] = proof */
   24,   /* field[24] = proof_want */
   21,   /* field[21] = pulse */
+  32,   /* field[32] = reach_notice */
   13,   /* field[13] = reject */
   14,   /* field[14] = release */
   30,   /* field[30] = stream_versions */
@@ -5221,7 +5343,7 @@
 {
   { 1, 0 },
   { 10, 7 },
-  { 0, 32 }
+  { 0, 33 }
 };
 const ProtobufCMessageDescriptor camphor__envelope__descriptor =
 {
@@ -5231,7 +5353,7 @@
   "Camphor__Envelope",
   "camphor",
   sizeof(Camphor__Envelope),
-  32,
+  33,
   camphor__envelope__field_descriptors,
   camphor__envelope__field_indices_by_name,
   2,  camphor__envelope__number_ranges,
--- a/packages/wire/peer.pb-c.h
+++ b/packages/wire/peer.pb-c.h
@@ -43,6 +43,7 @@
 typedef struct Camphor__Permit Camphor__Permit;
 typedef struct Camphor__StreamVersions Camphor__StreamVersions;
 typedef struct Camphor__StreamWant Camphor__StreamWant;
+typedef struct Camphor__ReachNotice Camphor__ReachNotice;
 typedef struct Camphor__LeaseNotice Camphor__LeaseNotice;
 typedef struct Camphor__Pulse Camphor__Pulse;
 typedef struct Camphor__ProofWant Camphor__ProofWant;
@@ -533,6 +534,21 @@
     , 0, (char *)protobuf_c_empty_string }
 
 
+/*
+ * Services, by the hash of their names, none of whose endpoints the sender
+ * reaches; sent when that changes.
+ */
+struct  Camphor__ReachNotice
+{
+  ProtobufCMessage base;
+  size_t n_lost_services;
+  uint64_t *lost_services;
+};
+#define CAMPHOR__REACH_NOTICE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&camphor__reach_notice__descriptor) \
+    , 0,NULL }
+
+
 /*
  * Sent by the leader before it reports a window, in case the store loses its row
  * and the leader ends before its next heartbeat.
@@ -615,10 +631,19 @@
    * latest window that may have been reported
    */
   uint64_t usage_reported;
+  /*
+   * where peers delegate requests; 0: nowhere
+   */
+  uint32_t delegate_port;
+  /*
+   * as in ReachNotice
+   */
+  size_t n_lost_services;
+  uint64_t *lost_services;
 };
 #define CAMPHOR__PULSE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&camphor__pulse__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0,NULL, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0,NULL, 0, 0, 0, 0, 0,NULL }
 
 
 /*
@@ -746,7 +771,8 @@
   CAMPHOR__ENVELOPE__BODY_PERMIT = 31,
   CAMPHOR__ENVELOPE__BODY_LEASE_NOTICE = 32,
   CAMPHOR__ENVELOPE__BODY_STREAM_VERSIONS = 33,
-  CAMPHOR__ENVELOPE__BODY_STREAM_WANT = 34
+  CAMPHOR__ENVELOPE__BODY_STREAM_WANT = 34,
+  CAMPHOR__ENVELOPE__BODY_REACH_NOTICE = 35
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(CAMPHOR__ENVELOPE__BODY__CASE)
 } Camphor__Envelope__BodyCase;
 
@@ -790,6 +816,7 @@
     Camphor__LeaseNotice *lease_notice;
     Camphor__StreamVersions *stream_versions;
     Camphor__StreamWant *stream_want;
+    Camphor__ReachNotice *reach_notice;
   };
 };
 #define CAMPHOR__ENVELOPE__INIT \
@@ -1329,6 +1356,25 @@
 void   camphor__stream_want__free_unpacked
                      (Camphor__StreamWant *message,
                       ProtobufCAllocator *allocator);
+/* Camphor__ReachNotice methods */
+void   camphor__reach_notice__init
+                     (Camphor__ReachNotice         *message);
+size_t camphor__reach_notice__get_packed_size
+                     (const Camphor__ReachNotice   *message);
+size_t camphor__reach_notice__pack
+                     (const Camphor__ReachNotice   *message,
+                      uint8_t             *out);
+size_t camphor__reach_notice__pack_to_buffer
+                     (const Camphor__ReachNotice   *message,
+                      ProtobufCBuffer     *buffer);
+Camphor__ReachNotice *
+       camphor__reach_notice__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   camphor__reach_notice__free_unpacked
+                     (Camphor__ReachNotice *message,
+                      ProtobufCAllocator *allocator);
 /* Camphor__LeaseNotice methods */
 void   camphor__lease_notice__init
                      (Camphor__LeaseNotice         *message);
@@ -1586,6 +1632,9 @@
 typedef void (*Camphor__StreamWant_Closure)
                  (const Camphor__StreamWant *message,
                   void *closure_data);
+typedef void (*Camphor__ReachNotice_Closure)
+                 (const Camphor__ReachNotice *message,
+                  void *closure_data);
 typedef void (*Camphor__LeaseNotice_Closure)
                  (const Camphor__LeaseNotice *message,
                   void *closure_data);
@@ -1647,6 +1696,7 @@
 extern const ProtobufCMessageDescriptor camphor__permit__descriptor;
 extern const ProtobufCMessageDescriptor camphor__stream_versions__descriptor;
 extern const ProtobufCMessageDescriptor camphor__stream_want__descriptor;
+extern const ProtobufCMessageDescriptor camphor__reach_notice__descriptor;
 extern const ProtobufCMessageDescriptor camphor__lease_notice__descriptor;
 extern const ProtobufCMessageDescriptor camphor__pulse__descriptor;
 extern const ProtobufCMessageDescriptor camphor__proof_want__descriptor;
--- a/tests/site/site.h
+++ b/tests/site/site.h
@@ -18,6 +18,10 @@
 /* Listens on 127.0.0.1; exits with a message on failure. */
 void site_init (site_t *site, uint16_t port, const ca_http_handler_t *handler);
 
+/* Listens at one more port; exits with a message on failure. */
+void site_listen (site_t *site, ca_http_server_t *server, uint16_t port,
+                  const ca_http_handler_t *handler);
+
 /* Runs until SIGTERM, or until a handler set by site_on_term ends the loop. */
 void site_run (site_t *site);
 
