Test: brittle endpoints fall over again and again (known red)

New on the users' pages: endpoints that fall over if they must reject more than N requests in a second say so in their responses. Nothing reads it.

--- a/packages/gateway/gateway.h
+++ b/packages/gateway/gateway.h
@@ -68,6 +68,8 @@
   bool leaving;          /* the endpoint leaves */
   bool elsewhere;        /* refused by the delegate, another may serve it */
   uint32_t version;      /* that the delegate names; 0 if none */
+  bool is_brittle;       /* it falls over if it must reject more requests */
+  double brittle_limit;  /* than this in a second */
   uint64_t pause_us;     /* turned away: it wants nothing from this entry for so
                             long; 0 if it does not say so */
 } ca_answer_facts_t;
--- a/tests/gateway/streaming_fleet.c
+++ b/tests/gateway/streaming_fleet.c
@@ -26,6 +26,8 @@
 #define MIXED_MAX 2
 #define TAKEN_UP_MIN 12
 #define CONTACT_US (3 * CA_US_PER_S)
+#define FALLS_MAX 2
+#define FALLS_SHARE 0.1
 #define FIRST_TRIES_SHARE (2.0 / 3)
 #define FIRST_TRIES_FAILED 10
 #define FIRST_TRIES_FAILED_SHARE 0.02
@@ -41,10 +43,15 @@
 #define STOP_US (1200 * CA_US_PER_MS)
 #define DEADLINE_US (8 * CA_US_PER_S)
 #define PLAIN_DEADLINE_US (1 * CA_US_PER_S)
+#define PLAIN_SLOTS 6
+#define PLAIN_WAIT 6 /* further ones that wait */
+#define PLAIN_WAIT_WEAK 1
 #define PLAIN_US (30 * CA_US_PER_MS)
 #define CONNECT_TIMEOUT_US (400 * CA_US_PER_MS)
 #define CHECKS_MAX 4096
 #define IDLE_MAX 8
+#define REFUSED_WAIT_US                                                        \
+  (50 * CA_US_PER_MS) /* an eighth of the objective, a tick */
 #define CUT_END_US (1500 * CA_US_PER_MS) /* until entries have noticed */
 #define RETRY_US (40 * CA_US_PER_MS)
 #define TRIES_MAX 4
@@ -103,6 +110,8 @@
   uint32_t start; /* of the endpoint */
   bool refused;
   bool hangs; /* nothing arrives any more */
+  bool rejected;
+  bool runs; /* takes room at a plain endpoint */
   bool streams;
   uint64_t next_event;
   uint64_t next_us;
@@ -135,6 +144,9 @@
   uint32_t next_version;
   uint64_t back_us;
   uint64_t started_ms;
+  uint32_t running; /* plain requests */
+  uint32_t rejected;
+  uint64_t rejected_us; /* start of the second in which they were */
 } endpoint_t;
 
 /* A change of the list of endpoints in the store. */
@@ -209,8 +221,11 @@
       first_tries[2]; /* within the cut, at others and at entries cut off */
   uint64_t first_served[2];
   uint64_t ran_twice;
-  uint64_t arrivals;       /* at endpoints */
-  uint64_t forwarded_late; /* to other entries, after the cut */
+  uint64_t arrivals; /* at endpoints */
+  uint64_t falls;
+  uint64_t brittle_served;
+  uint64_t refused_wait_us; /* longest */
+  uint64_t forwarded_late;  /* to other entries, after the cut */
   uint8_t idle[ENTRIES_MAX]
               [ENDPOINTS_MAX]; /* open connections without a call */
   uint64_t complete;
@@ -280,6 +295,17 @@
              : STREAMING_FLEET_CONNECTED;
 }
 
+/* True while plain endpoints say that they are brittle, and, with `for_us`,
+ * have for so long. */
+static bool
+is_brittle (uint64_t for_us)
+{
+  uint64_t start_us = START_US + STREAMING_FLEET_BRITTLE_START_US;
+
+  return world.fleet->brittle_limit > 0 && world.now_us >= start_us + for_us
+         && world.now_us < start_us + STREAMING_FLEET_BRITTLE_US;
+}
+
 static const char *
 service_of (size_t endpoint)
 {
@@ -383,6 +409,7 @@
   endpoint_t *endpoint = &world.endpoints[index];
 
   endpoint->up = true;
+  endpoint->running = endpoint->rejected = 0;
   endpoint->start++;
   endpoint->version = endpoint->next_version = version;
   endpoint->started_ms = (WALL_US + world.now_us) / CA_US_PER_MS;
@@ -402,6 +429,8 @@
 static void
 request_served (request_t *request)
 {
+  if (is_brittle (CONTACT_US))
+    world.brittle_served++;
   if (request->first_try)
     world.first_served[request->cut_off]++;
 }
@@ -592,12 +621,41 @@
 static void
 run_free (run_t *run)
 {
+  if (run->runs && world.endpoints[run->endpoint].start == run->start)
+    world.endpoints[run->endpoint].running--;
   TAILQ_REMOVE (&world.runs, run, entries);
   if (run->proxy != NULL)
     proxy_cancel (run->proxy);
   free (run);
 }
 
+/* Takes room at a plain endpoint; false if it has none left.  A brittle one
+ * then falls over if it has to reject too many in a second. */
+static bool
+run_take_room (run_t *run)
+{
+  endpoint_t *endpoint = &world.endpoints[run->endpoint];
+  bool is_weak = is_brittle (CONTACT_US);
+
+  if (endpoint->running
+      < PLAIN_SLOTS + (is_weak ? PLAIN_WAIT_WEAK : PLAIN_WAIT))
+    {
+      endpoint->running++;
+      run->runs = true;
+      run->next_us += PLAIN_US * (endpoint->running / (PLAIN_SLOTS + 1));
+      return true;
+    }
+  run->rejected = true;
+  run->next_us = world.now_us + CONNECT_US;
+  if (world.now_us - endpoint->rejected_us >= CA_US_PER_S)
+    {
+      endpoint->rejected_us = world.now_us;
+      endpoint->rejected = 0;
+    }
+  endpoint->rejected++;
+  return false;
+}
+
 static void
 run_delegate (run_t *run, const ca_attempt_t *attempt)
 {
@@ -652,6 +710,8 @@
   if (run->refused || run->hangs)
     return;
   world.arrivals++;
+  if (run->request->kind != KIND_STREAM && !run_take_room (run))
+    return;
   if (++run->request->runs > 1 && run->request->kind == KIND_ONCE)
     world.ran_twice++;
 }
@@ -774,6 +834,9 @@
   proxy_t *proxy = proxy_of (exchange);
 
   (void)context;
+  if (world.now_us - exchange->accepted_us > world.refused_wait_us
+      && is_brittle (CONTACT_US))
+    world.refused_wait_us = world.now_us - exchange->accepted_us;
   if (proxy != NULL)
     {
       proxy->answer.elsewhere = reason == CA_REFUSE_NO_ENDPOINT
@@ -1009,6 +1072,19 @@
                               .is_stream = run->request->kind == KIND_STREAM };
   uint64_t event;
 
+  if (world.fleet->brittle_limit > 0
+      && strcmp (service_of (run->endpoint), "s") == 0)
+    {
+      facts.is_brittle = is_brittle (0);
+      facts.brittle_limit = world.fleet->brittle_limit;
+    }
+  if (run->rejected)
+    {
+      facts.status = 503;
+      facts.not_run = true;
+      facts.is_signed = false;
+    }
+
   if (!run->refused && !run->streams)
     ca_exchange_head (gateway, world.now_us, exchange, &facts);
   run->streams = true;
@@ -1157,6 +1233,13 @@
     }
   for (size_t i = 0; i < world.fleet->endpoints; i++)
     {
+      if (is_brittle (CONTACT_US) && world.endpoints[i].up
+          && world.endpoints[i].rejected > world.fleet->brittle_limit
+          && world.now_us - world.endpoints[i].rejected_us < CA_US_PER_S)
+        {
+          world.falls++;
+          endpoint_end (i);
+        }
       if (!world.endpoints[i].up && world.now_us >= world.endpoints[i].back_us)
         endpoint_start (i, world.endpoints[i].next_version);
     }
@@ -1340,3 +1423,27 @@
       assert_true (world.mixed <= MIXED_MAX);
     }
 }
+
+void
+streaming_fleet_check_brittle (const streaming_fleet_t *fleet)
+{
+  uint64_t seeds = fleet->entries > SMALL_ENTRIES_MAX ? 1 : 3;
+  size_t brittle = fleet->endpoints / 4; /* see service_of */
+  double can_serve = (double)(brittle * PLAIN_SLOTS) / PLAIN_US
+                     * (double)(STREAMING_FLEET_BRITTLE_US - CONTACT_US);
+
+  for (uint64_t seed = 1; seed <= seeds; seed++)
+    {
+      world_run (fleet, seed);
+      print_message (
+          "%zu brittle endpoints: %llu falls, %llu of %.0f served, "
+          "refused after %llu ms at most\n",
+          brittle, (unsigned long long)world.falls,
+          (unsigned long long)world.brittle_served, can_serve,
+          (unsigned long long)(world.refused_wait_us / CA_US_PER_MS));
+      assert_true ((double)world.falls
+                   <= FALLS_MAX + FALLS_SHARE * (double)brittle);
+      assert_true ((double)world.brittle_served >= can_serve / 2);
+      assert_true (world.refused_wait_us <= REFUSED_WAIT_US);
+    }
+}
--- a/tests/gateway/streaming_fleet.h
+++ b/tests/gateway/streaming_fleet.h
@@ -40,11 +40,16 @@
   double plain_share; /* of the requests: plain ones, half of which may run once
                          only */
   streaming_fleet_cut_t
-      cut_how;        /* from all endpoints, from STREAMING_FLEET_CUT_START_US
-                         on for STREAMING_FLEET_CUT_US */
-  size_t cut_entries; /* the first ones in order of their zones */
+      cut_how; /* from all endpoints, from STREAMING_FLEET_CUT_START_US
+                  on for STREAMING_FLEET_CUT_US */
+  uint32_t brittle_limit; /* plain endpoints say so for
+                             STREAMING_FLEET_BRITTLE_US: one that rejects more
+                             in a second falls over; 0: never */
+  size_t cut_entries;     /* the first ones in order of their zones */
 } streaming_fleet_t;
 
+#define STREAMING_FLEET_BRITTLE_START_US (5 * CA_US_PER_S)
+#define STREAMING_FLEET_BRITTLE_US (10 * CA_US_PER_S)
 #define STREAMING_FLEET_CUT_START_US (5 * CA_US_PER_S)
 #define STREAMING_FLEET_CUT_US (9 * CA_US_PER_S)
 
@@ -68,6 +73,11 @@
  * requests are still passed on to other entries after the cut. */
 void streaming_fleet_check_cut (const streaming_fleet_t *fleet);
 
+/* Runs the fleet.  Fails if brittle endpoints fall over more often than the
+ * platform allows, if less than half of what they can serve is served
+ * meanwhile, or if refused requests wait. */
+void streaming_fleet_check_brittle (const streaming_fleet_t *fleet);
+
 /* Bytes per second and entry of the messages that streams cause, of the latest
  * run. */
 double streaming_fleet_message_bytes (void);
