--- a/tests/gateway/test_entries_cut_off.c
+++ b/tests/gateway/test_entries_cut_off.c
@@ -82,6 +82,22 @@
   check_cut (fleet, 21, STREAMING_FLEET_HANGING);
 }
 
+/* An endpoint that is silent for a second is sound. */
+static void
+test_silent_endpoints_keep_their_traffic (void **state)
+{
+  static const streaming_fleet_t small
+      = { STREAMING_FLEET_SMALL, .plain_share = 0.3, .versions_fixed = true,
+          .silent_period_us = 1300 * CA_US_PER_MS };
+  static const streaming_fleet_t large
+      = { STREAMING_FLEET_LARGE, .plain_share = 0.3, .versions_fixed = true,
+          .silent_period_us = 200 * CA_US_PER_MS };
+
+  (void)state;
+  streaming_fleet_check_silent (&small);
+  streaming_fleet_check_silent (&large);
+}
+
 int
 main (void)
 {
@@ -93,6 +109,7 @@
     cmocka_unit_test (test_300_entries_a_zone_cut_off),
     cmocka_unit_test (test_300_entries_nearly_all_cut_off),
     cmocka_unit_test (test_kills_and_crashes_beside),
+    cmocka_unit_test (test_silent_endpoints_keep_their_traffic),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
