--- a/tests/gateway/cluster.c
+++ b/tests/gateway/cluster.c
@@ -55,6 +55,13 @@
   free (packed);
 }
 
+void
+cluster_check_endpoint (void *context, const ca_gateway_endpoint_t *endpoint)
+{
+  (void)context;
+  (void)endpoint;
+}
+
 void
 cluster_configure (ca_gateway_t *gateway, uint64_t now_us, const char *text)
 {
--- a/tests/gateway/cluster.h
+++ b/tests/gateway/cluster.h
@@ -16,6 +16,10 @@
 void cluster_deliver (ca_gateway_t *gateway, uint64_t now_us,
                       const Camphor__Envelope *envelope);
 
+/* Port that tries a connection, whose result never comes. */
+void cluster_check_endpoint (void *context,
+                             const ca_gateway_endpoint_t *endpoint);
+
 /* Gives an entry its configuration, validated as the newest. */
 void cluster_configure (ca_gateway_t *gateway, uint64_t now_us,
                         const char *text);
--- a/tests/gateway/test_endpoint_over_limit.c
+++ b/tests/gateway/test_endpoint_over_limit.c
@@ -242,6 +242,7 @@
   ca_gateway_ports_t ports = { .context = (void *)(uintptr_t)index,
                                .attempt = on_attempt,
                                .cancel = on_exchange,
+                               .check_endpoint = cluster_check_endpoint,
                                .deliver = on_exchange,
                                .begin = on_exchange,
                                .finish = on_exchange,
--- a/tests/gateway/test_herding.c
+++ b/tests/gateway/test_herding.c
@@ -266,6 +266,7 @@
   ca_gateway_ports_t ports = { .context = (void *)(uintptr_t)index,
                                .attempt = on_attempt,
                                .cancel = on_end,
+                               .check_endpoint = cluster_check_endpoint,
                                .deliver = on_answer,
                                .begin = on_answer,
                                .finish = on_end,
--- a/tests/gateway/test_quota.c
+++ b/tests/gateway/test_quota.c
@@ -113,6 +113,7 @@
   ca_gateway_ports_t ports = { .context = (void *)(uintptr_t)index,
                                .attempt = on_attempt,
                                .cancel = on_end,
+                               .check_endpoint = cluster_check_endpoint,
                                .deliver = on_end,
                                .begin = on_end,
                                .finish = on_end,
