Test: the end of an entry frees delegated runs and those at their endpoints

With sanitizers, gateway/test_entries_cut_off read freed memory of its own: as an entry ends, its delegated runs end those at the delegate, of which one could be the next in the list. Found by the sanitized run; passes there now.

--- a/tests/gateway/streaming_fleet.c
+++ b/tests/gateway/streaming_fleet.c
@@ -961,19 +961,23 @@
 entry_end (size_t index)
 {
   proxy_t *proxy;
-  run_t *run = TAILQ_FIRST (&world.runs);
+  run_t *run;
   request_t *request = TAILQ_FIRST (&world.requests);
 
   world.entries[index].up = false;
   world.entries[index].back_us = world.now_us + ENTRY_DOWN_US;
-  while (run != NULL)
+  /* The end of a delegated run also ends the one at its endpoint. */
+  do
     {
-      run_t *next = TAILQ_NEXT (run, entries);
-
-      if (run->entry == index)
+      TAILQ_FOREACH (run, &world.runs, entries)
+      {
+        if (run->entry == index)
+          break;
+      }
+      if (run != NULL)
         run_free (run);
-      run = next;
     }
+  while (run != NULL);
   TAILQ_FOREACH (proxy, &world.proxies, entries)
   {
     if (proxy->entry == index && proxy->sent && !proxy->ended)
