--- a/packages/gateway/delegation.c
+++ b/packages/gateway/delegation.c
@@ -6,9 +6,6 @@
 
 #include <string.h>
 
-/* Entries that are tried for one request. */
-#define DELEGATION_TRIES_MAX CA_DELEGATION_TRIES_MAX
-
 /* An entry that could not serve a request gets no others for this long.  If all
  * that were tried could not, requests of the service are not delegated. */
 #define DELEGATION_REFUSED_US (500 * CA_US_PER_MS)
@@ -90,7 +87,7 @@
   ca_peer_t *peer;
   ca_attempt_t attempt;
 
-  if (exchange->delegated || exchange->delegations == DELEGATION_TRIES_MAX
+  if (exchange->delegated || exchange->delegations == CA_DELEGATION_TRIES_MAX
       || gateway->now_us < stats->reach.futile_until_us)
     return false;
   peer = delegation_choose (gateway, exchange);
@@ -141,7 +138,7 @@
                   exchange->facts.status);
   if (peer != NULL)
     peer->refused_us = gateway->now_us;
-  if (exchange->delegations == DELEGATION_TRIES_MAX)
+  if (exchange->delegations == CA_DELEGATION_TRIES_MAX)
     ca_service_stats (gateway, exchange->service->name)->reach.futile_until_us
         = gateway->now_us + DELEGATION_REFUSED_US;
   ca_delegation_release (gateway, exchange);
--- a/packages/gateway/stream_versions.c
+++ b/packages/gateway/stream_versions.c
@@ -15,10 +15,9 @@
 #include <string.h>
 #include <xxhash.h>
 
-/* Peers that keep a record besides the entry itself, and those that are asked:
- * some from the ranking of the peers in contact, some of all known ones, since
- * entries may differ in which peers they are in contact with. */
-#define STREAM_HOLDERS CA_STREAM_HOLDERS
+/* Peers that are asked for a record: so many of those in contact, and of all
+ * known ones, since entries may differ in which peers they are in contact with.
+ */
 #define STREAM_ASKED 2
 
 /* How long a record is kept: longer than a caller goes on with a stream. */
@@ -282,10 +281,10 @@
 stream_add_notices (const ca_gateway_t *gateway, ca_stream_record_t *record,
                     stream_notice_t *notices)
 {
-  const ca_peer_t *peers[STREAM_HOLDERS];
-  uint64_t holders[STREAM_HOLDERS] = { 0 };
-  size_t found
-      = ca_peers_ranked (gateway, record->stream, true, peers, STREAM_HOLDERS);
+  const ca_peer_t *peers[CA_STREAM_HOLDERS];
+  uint64_t holders[CA_STREAM_HOLDERS] = { 0 };
+  size_t found = ca_peers_ranked (gateway, record->stream, true, peers,
+                                  CA_STREAM_HOLDERS);
   size_t count = 0;
 
   for (size_t i = 0; i < found; i++)
@@ -293,7 +292,7 @@
       bool sent = false;
 
       holders[i] = peers[i]->id ^ peers[i]->incarnation;
-      for (size_t k = 0; k < STREAM_HOLDERS; k++)
+      for (size_t k = 0; k < CA_STREAM_HOLDERS; k++)
         sent = sent || record->holders[k] == holders[i];
       if (!sent)
         notices[count++]
@@ -310,7 +309,7 @@
 stream_send_records (ca_gateway_t *gateway)
 {
   uint64_t signature = stream_peers_signature (gateway);
-  stream_notice_t notices[STREAM_BATCH_MAX + STREAM_HOLDERS];
+  stream_notice_t notices[STREAM_BATCH_MAX + CA_STREAM_HOLDERS];
   ca_stream_record_t *record;
   bool all = signature != gateway->stream_peers_signature;
   size_t count = 0;
@@ -367,7 +366,7 @@
 void
 ca_stream_versions_began (ca_gateway_t *gateway, ca_exchange_t *exchange)
 {
-  stream_notice_t notices[STREAM_HOLDERS];
+  stream_notice_t notices[CA_STREAM_HOLDERS];
   ca_stream_record_t *record;
 
   if (!stream_is_resumable (exchange))
@@ -390,7 +389,7 @@
                              const ca_gateway_endpoint_t *endpoint,
                              uint64_t started_ms)
 {
-  stream_notice_t notices[STREAM_HOLDERS];
+  stream_notice_t notices[CA_STREAM_HOLDERS];
   ca_stream_record_t *record;
   ca_exchange_t *exchange;
 
