Log what an entry knew of a brittle endpoint that rejected a request

The hypotheses of the incident can't be told apart by the log: it lacks the load that the entry knew, the age of that knowledge, and how long the endpoint had been listed. Decisions are unchanged.

--- a/packages/base/events.c
+++ b/packages/base/events.c
@@ -78,6 +78,14 @@
   { CA_EVENT_ENDPOINT_LIMIT_NAMED, CA_LEVEL_WARNING, "endpoint_limit_named",
     "an endpoint limits the requests that it takes from all entries together",
     "add endpoints if requests are refused for it" },
+  { CA_EVENT_BRITTLE_REJECTION, CA_LEVEL_WARNING, "brittle_rejection",
+    "an endpoint that bears few rejections had no room for a request; the "
+    "detail says what this entry knew of its load",
+    "compare the open requests with the slots: an endpoint that is full before "
+    "its slots are lacks memory" },
+  { CA_EVENT_ENDPOINTS_NOT_BRITTLE, CA_LEVEL_INFO, "endpoints_not_brittle",
+    "a service's endpoints no longer say that they bear few rejections",
+    NO_ACTION },
   { CA_EVENT_ENDPOINT_LIMIT_LIFTED, CA_LEVEL_INFO, "endpoint_limit_lifted",
     "an endpoint no longer limits the requests that it takes", NO_ACTION },
   { CA_EVENT_ENDPOINT_BAD_LIMIT, CA_LEVEL_WARNING, "endpoint_bad_limit",
--- a/packages/gateway/brittle.c
+++ b/packages/gateway/brittle.c
@@ -9,6 +9,7 @@
  * the number that an endpoint can bear. */
 #include "gateway/private.h"
 
+#include <inttypes.h>
 #include <string.h>
 
 /* A statement holds for this long after it was last made. */
@@ -91,6 +92,10 @@
                   gateway->now_us, exchange->endpoint->id);
   else if (brittle->named_us != 0 && exchange->sent_us > brittle->named_us)
     {
+      if (brittle_holds (gateway, brittle))
+        ca_gateway_log (gateway, CA_EVENT_ENDPOINTS_NOT_BRITTLE, exchange->id,
+                        exchange->service->name, "as %s answers",
+                        exchange->endpoint->id);
       brittle->named_us = 0;
       brittle->lifted_us = exchange->sent_us;
     }
@@ -128,15 +133,39 @@
          && (endpoint->own_load.open == 0 || endpoint->own_load.open < share);
 }
 
+/* Age of the oldest heartbeat in which a live peer reported its load. */
+static uint64_t
+brittle_load_age_us (const ca_gateway_t *gateway)
+{
+  const ca_peer_t *peer;
+  uint64_t age_us = 0;
+
+  for (peer = gateway->peers; peer != NULL; peer = peer->hh.next)
+    {
+      if (peer->loads_counted && gateway->now_us - peer->received_us > age_us)
+        age_us = gateway->now_us - peer->received_us;
+    }
+  return age_us;
+}
+
 void
 ca_brittle_rejected (ca_gateway_t *gateway, const ca_service_t *service,
-                     ca_gateway_endpoint_t *endpoint)
+                     const ca_exchange_t *exchange)
 {
+  ca_gateway_endpoint_t *endpoint = exchange->endpoint;
   const ca_brittle_t *brittle = brittle_of (gateway, endpoint->service);
   double pause_us = BRITTLE_PAUSE_MIN_US;
 
   if (!brittle_holds (gateway, brittle))
     return;
+  ca_gateway_log (gateway, CA_EVENT_BRITTLE_REJECTION, exchange->id,
+                  endpoint->id,
+                  "%u of %u slots in use by this entry, %u by peers, known for "
+                  "up to %" PRIu64 " ms; the endpoint for %" PRIu64 " ms",
+                  endpoint->own_load.open, endpoint->slots,
+                  endpoint->peer_load.open,
+                  brittle_load_age_us (gateway) / CA_US_PER_MS,
+                  (gateway->now_us - endpoint->added_us) / CA_US_PER_MS);
   if (service->is_engine)
     pause_us = (HASH_COUNT (gateway->peers) + 1) * (double)CA_US_PER_S
                / (BRITTLE_REJECTIONS_USED
--- a/packages/gateway/exchange.c
+++ b/packages/gateway/exchange.c
@@ -587,7 +587,7 @@
   else
     {
       endpoint->full_until_us = gateway->now_us + FULL_BACKOFF_US;
-      ca_brittle_rejected (gateway, exchange->service, endpoint);
+      ca_brittle_rejected (gateway, exchange->service, exchange);
     }
   exchange_avoid (exchange, endpoint);
   exchange_retry (gateway, exchange, false);
--- a/packages/gateway/private.h
+++ b/packages/gateway/private.h
@@ -305,7 +305,7 @@
 
 /* Keeps this entry away from an endpoint that has rejected a request. */
 void ca_brittle_rejected (ca_gateway_t *gateway, const ca_service_t *service,
-                          ca_gateway_endpoint_t *endpoint);
+                          const ca_exchange_t *exchange);
 
 /* Fills in the rows of a heartbeat, `max` at most, and merges those of a
  * peer's.
--- a/packages/gateway/registry.c
+++ b/packages/gateway/registry.c
@@ -155,6 +155,7 @@
   if (endpoint == NULL)
     {
       endpoint = registry_add (registry, record);
+      endpoint->added_us = now_us;
       changed = true;
     }
   changed = changed || endpoint->state != state;
