Test: brittle engines fall over again and again (known red)

Callers get nothing while engines are down.

The fleet's check of plain endpoints is as before, but that the rejections of a second are now those of any second, not of one that begins with a rejection.

--- a/tests/gateway/streaming_fleet.c
+++ b/tests/gateway/streaming_fleet.c
@@ -52,8 +52,11 @@
 #define CHECKS_MAX 4096
 #define IDLE_MAX 8
 #define SILENT_US (1 * CA_US_PER_S)
-#define REFUSED_WAIT_US                                                        \
-  (50 * CA_US_PER_MS) /* an eighth of the objective, a tick */
+/* An eighth of the objective and a tick. */
+#define REFUSED_WAIT_US (50 * CA_US_PER_MS)
+#define REFUSED_STREAM_WAIT_US (150 * CA_US_PER_MS)
+#define ENGINE_WAIT 6 /* further streams that wait, unless it is brittle */
+#define BRITTLE_LIMIT_MAX 8
 #define CUT_END_US (1500 * CA_US_PER_MS) /* until entries have noticed */
 #define RETRY_US (40 * CA_US_PER_MS)
 #define TRIES_MAX 4
@@ -71,6 +74,13 @@
   KIND_ONCE /* plain, must not run twice */
 } kind_t;
 
+typedef enum
+{
+  SERVICE_ENGINE,
+  SERVICE_PLAIN,
+  SERVICES
+} service_t;
+
 /* Who waits for the response of an exchange: a caller's request, or the run of
  * another entry, which delegated it. */
 typedef struct
@@ -148,9 +158,9 @@
   uint64_t started_ms;
   uint64_t silent_until_us;
   uint64_t arrivals;
-  uint32_t running; /* plain requests */
-  uint32_t rejected;
-  uint64_t rejected_us; /* start of the second in which they were */
+  uint32_t running;
+  uint64_t rejections;
+  uint64_t rejected_us[BRITTLE_LIMIT_MAX + 1]; /* by number, the latest */
 } endpoint_t;
 
 /* A change of the list of endpoints in the store. */
@@ -228,10 +238,10 @@
   uint64_t arrivals; /* at endpoints */
   uint64_t blocked;  /* refused as requests that end endpoints */
   size_t next_silent;
-  uint64_t falls;
-  uint64_t brittle_served;
-  uint64_t refused_wait_us; /* longest */
-  uint64_t forwarded_late;  /* to other entries, after the cut */
+  uint64_t falls[SERVICES];
+  uint64_t brittle_served[SERVICES];
+  uint64_t refused_wait_us[SERVICES]; /* longest */
+  uint64_t forwarded_late;            /* to other entries, after the cut */
   uint8_t idle[ENTRIES_MAX]
               [ENDPOINTS_MAX]; /* open connections without a call */
   uint64_t complete;
@@ -301,8 +311,8 @@
              : STREAMING_FLEET_CONNECTED;
 }
 
-/* True while plain endpoints say that they are brittle, and, with `for_us`,
- * have for so long. */
+/* True while endpoints say that they are brittle, and, with `for_us`, have for
+ * so long. */
 static bool
 is_brittle (uint64_t for_us)
 {
@@ -312,10 +322,35 @@
          && world.now_us < start_us + STREAMING_FLEET_BRITTLE_US;
 }
 
-static const char *
+static service_t
 service_of (size_t endpoint)
 {
-  return world.fleet->plain_share > 0 && endpoint % 4 == 3 ? "s" : "e";
+  return world.fleet->plain_share > 0 && endpoint % 4 == 3 ? SERVICE_PLAIN
+                                                           : SERVICE_ENGINE;
+}
+
+/* Slots that an endpoint lists. */
+static uint32_t
+slots_of (size_t endpoint)
+{
+  if (service_of (endpoint) == SERVICE_PLAIN)
+    return PLAIN_SLOTS;
+  return world.fleet->engine_slots > 0 ? world.fleet->engine_slots : 64;
+}
+
+/* Requests that it serves at once. */
+static uint32_t
+room_of (size_t endpoint)
+{
+  return service_of (endpoint) == SERVICE_ENGINE && world.fleet->engine_room > 0
+             ? world.fleet->engine_room
+             : slots_of (endpoint);
+}
+
+static service_t
+service_of_request (const request_t *request)
+{
+  return request->kind == KIND_STREAM ? SERVICE_ENGINE : SERVICE_PLAIN;
 }
 
 static size_t
@@ -337,7 +372,7 @@
 static void
 endpoint_id (size_t index, uint32_t start, char *id, size_t bytes)
 {
-  snprintf (id, bytes, "e%zu.%u", index, start);
+  snprintf (id, bytes, "e%zu.%u", index, world.fleet->same_ids ? 0 : start);
 }
 
 static void
@@ -362,12 +397,11 @@
   char version[16];
   ca_endpoint_record_t record
       = { .id = id,
-          .service = service_of (change->endpoint),
+          .service = service_of (change->endpoint) == SERVICE_PLAIN ? "s" : "e",
           .zone = zone,
           .version = version,
           .address = { 2, (uint16_t)change->endpoint },
-          .slots
-          = strcmp (service_of (change->endpoint), "s") == 0 ? PLAIN_SLOTS : 64,
+          .slots = slots_of (change->endpoint),
           .started_ms = change->started_ms };
 
   endpoint_id (change->endpoint, change->start, id, sizeof id);
@@ -417,7 +451,8 @@
   endpoint_t *endpoint = &world.endpoints[index];
 
   endpoint->up = true;
-  endpoint->running = endpoint->rejected = 0;
+  endpoint->running = 0;
+  memset (endpoint->rejected_us, 0, sizeof endpoint->rejected_us);
   endpoint->start++;
   endpoint->version = endpoint->next_version = version;
   endpoint->started_ms = (WALL_US + world.now_us) / CA_US_PER_MS;
@@ -438,7 +473,7 @@
 request_served (request_t *request)
 {
   if (is_brittle (CONTACT_US))
-    world.brittle_served++;
+    world.brittle_served[service_of_request (request)]++;
   if (request->first_try)
     world.first_served[request->cut_off]++;
 }
@@ -637,30 +672,44 @@
   free (run);
 }
 
-/* Takes room at a plain endpoint; false if it has none left.  A brittle one
- * then falls over if it has to reject too many in a second. */
+/* True if the endpoint, now brittle, has had to reject too many in a second. */
+static bool
+endpoint_falls (const endpoint_t *endpoint)
+{
+  uint64_t limit = world.fleet->brittle_limit;
+  uint64_t first_us;
+
+  if (!is_brittle (CONTACT_US) || endpoint->rejections <= limit)
+    return false;
+  first_us = endpoint->rejected_us[(endpoint->rejections - limit - 1)
+                                   % (BRITTLE_LIMIT_MAX + 1)];
+  return first_us != 0 && world.now_us - first_us < CA_US_PER_S;
+}
+
+/* Takes room at an endpoint; false if it has none left. */
 static bool
 run_take_room (run_t *run)
 {
   endpoint_t *endpoint = &world.endpoints[run->endpoint];
-  bool is_weak = is_brittle (CONTACT_US);
+  bool is_plain = service_of (run->endpoint) == SERVICE_PLAIN;
+  uint32_t wait = is_plain ? PLAIN_WAIT : ENGINE_WAIT;
 
-  if (endpoint->running
-      < PLAIN_SLOTS + (is_weak ? PLAIN_WAIT_WEAK : PLAIN_WAIT))
+  if (!is_plain && world.fleet->engine_slots == 0)
+    return true;
+  if (is_brittle (CONTACT_US))
+    wait = is_plain ? PLAIN_WAIT_WEAK : 0;
+  if (endpoint->running < room_of (run->endpoint) + wait)
     {
       endpoint->running++;
       run->runs = true;
-      run->next_us += PLAIN_US * (endpoint->running / (PLAIN_SLOTS + 1));
+      if (is_plain)
+        run->next_us += PLAIN_US * (endpoint->running / (PLAIN_SLOTS + 1));
       return true;
     }
   run->rejected = true;
   run->next_us = world.now_us + CONNECT_US;
-  if (world.now_us - endpoint->rejected_us >= CA_US_PER_S)
-    {
-      endpoint->rejected_us = world.now_us;
-      endpoint->rejected = 0;
-    }
-  endpoint->rejected++;
+  endpoint->rejected_us[endpoint->rejections++ % (BRITTLE_LIMIT_MAX + 1)]
+      = world.now_us;
   return false;
 }
 
@@ -707,6 +756,9 @@
     }
   sscanf (exchange->endpoint->id, "e%zu.%u", &run->endpoint, &run->start);
   endpoint = &world.endpoints[run->endpoint];
+  /* The id does not tell one start from another if it stays the same. */
+  if (world.fleet->same_ids)
+    run->start = endpoint->start;
   run->refused = !endpoint->up || endpoint->start != run->start;
   run->next_event
       = (attempt->resumes ? attempt->last_event : run->request->last_event) + 1;
@@ -721,7 +773,7 @@
   world.endpoints[run->endpoint].arrivals++;
   if (endpoint->silent_until_us > world.now_us)
     run->next_us += endpoint->silent_until_us - world.now_us;
-  if (run->request->kind != KIND_STREAM && !run_take_room (run))
+  if (!run_take_room (run))
     return;
   if (++run->request->runs > 1 && run->request->kind == KIND_ONCE)
     world.ran_twice++;
@@ -753,6 +805,8 @@
   check->entry = (size_t)(uintptr_t)context;
   check->instance = ca_gateway_endpoint_instance (endpoint);
   sscanf (endpoint->id, "e%zu.%u", &check->endpoint, &check->start);
+  if (world.fleet->same_ids)
+    check->start = world.endpoints[check->endpoint].start;
   cut = cut_of (check->entry);
   check->ends_us
       = world.now_us
@@ -843,13 +897,16 @@
            uint64_t retry_after_us)
 {
   proxy_t *proxy = proxy_of (exchange);
+  uint64_t *refused_wait_us;
 
   (void)context;
   if (reason == CA_REFUSE_QUARANTINED || reason == CA_REFUSE_QUARANTINED_PART)
     world.blocked++;
+  refused_wait_us
+      = &world.refused_wait_us[service_of_request (request_of (exchange))];
   if (exchange->sends == 0 && is_brittle (CONTACT_US)
-      && world.now_us - exchange->accepted_us > world.refused_wait_us)
-    world.refused_wait_us = world.now_us - exchange->accepted_us;
+      && world.now_us - exchange->accepted_us > *refused_wait_us)
+    *refused_wait_us = world.now_us - exchange->accepted_us;
   if (proxy != NULL)
     {
       proxy->answer.elsewhere = reason == CA_REFUSE_NO_ENDPOINT
@@ -1090,7 +1147,8 @@
   uint64_t event;
 
   if (world.fleet->brittle_limit > 0
-      && strcmp (service_of (run->endpoint), "s") == 0)
+      && (service_of (run->endpoint) == SERVICE_PLAIN
+          || world.fleet->engine_slots > 0))
     {
       facts.is_brittle = is_brittle (0);
       facts.brittle_limit = world.fleet->brittle_limit;
@@ -1100,6 +1158,7 @@
       facts.status = 503;
       facts.not_run = true;
       facts.is_signed = false;
+      facts.is_stream = false;
     }
 
   if (!run->refused && !run->streams)
@@ -1250,11 +1309,9 @@
     }
   for (size_t i = 0; i < world.fleet->endpoints; i++)
     {
-      if (is_brittle (CONTACT_US) && world.endpoints[i].up
-          && world.endpoints[i].rejected > world.fleet->brittle_limit
-          && world.now_us - world.endpoints[i].rejected_us < CA_US_PER_S)
+      if (world.endpoints[i].up && endpoint_falls (&world.endpoints[i]))
         {
-          world.falls++;
+          world.falls[service_of (i)]++;
           endpoint_end (i);
         }
       if (!world.endpoints[i].up && world.now_us >= world.endpoints[i].back_us)
@@ -1463,27 +1520,53 @@
     }
 }
 
+/* Checks the brittle endpoints of one service. */
+static void
+check_brittle_service (service_t service)
+{
+  double requests_us = service == SERVICE_PLAIN
+                           ? PLAIN_US
+                           : FIRST_EVENT_US + EVENTS * EVENT_US;
+  size_t count = 0;
+  double can_serve = 0;
+
+  for (size_t i = 0; i < world.fleet->endpoints; i++)
+    {
+      if (service_of (i) != service)
+        continue;
+      count++;
+      can_serve += room_of (i) / requests_us
+                   * (double)(STREAMING_FLEET_BRITTLE_US - CONTACT_US);
+    }
+  print_message (
+      "%zu brittle %s: %llu falls, %llu of %.0f served, refused after %llu ms "
+      "at most\n",
+      count, service == SERVICE_PLAIN ? "plain endpoints" : "engines",
+      (unsigned long long)world.falls[service],
+      (unsigned long long)world.brittle_served[service], can_serve,
+      (unsigned long long)(world.refused_wait_us[service] / CA_US_PER_MS));
+  assert_true ((double)world.falls[service]
+               <= FALLS_MAX + FALLS_SHARE * (double)count);
+  assert_true ((double)world.brittle_served[service]
+               >= can_serve * SERVED_SHARE);
+  assert_true (
+      world.refused_wait_us[service]
+      <= (service == SERVICE_PLAIN ? REFUSED_WAIT_US : REFUSED_STREAM_WAIT_US));
+}
+
 void
 streaming_fleet_check_brittle (const streaming_fleet_t *fleet)
 {
   uint64_t seeds = fleet->entries > SMALL_ENTRIES_MAX ? 1 : 2;
-  size_t brittle = fleet->endpoints / 4; /* see service_of */
-  double can_serve = (double)(brittle * PLAIN_SLOTS) / PLAIN_US
-                     * (double)(STREAMING_FLEET_BRITTLE_US - CONTACT_US);
 
+  assert_true (fleet->brittle_limit <= BRITTLE_LIMIT_MAX);
   for (uint64_t seed = 1; seed <= seeds; seed++)
     {
       world_run (fleet, seed);
-      print_message (
-          "%zu brittle endpoints: %llu falls, %llu of %.0f served, "
-          "refused after %llu ms at most\n",
-          brittle, (unsigned long long)world.falls,
-          (unsigned long long)world.brittle_served, can_serve,
-          (unsigned long long)(world.refused_wait_us / CA_US_PER_MS));
-      assert_true ((double)world.falls
-                   <= FALLS_MAX + FALLS_SHARE * (double)brittle);
-      assert_true ((double)world.brittle_served >= can_serve * SERVED_SHARE);
-      assert_true (world.refused_wait_us <= REFUSED_WAIT_US);
+      if (fleet->plain_share > 0)
+        check_brittle_service (SERVICE_PLAIN);
+      if (fleet->engine_slots > 0)
+        check_brittle_service (SERVICE_ENGINE);
     }
 }
 
@@ -1497,7 +1580,7 @@
   world_run (fleet, 1);
   for (size_t i = 0; i < fleet->endpoints; i++)
     {
-      if (strcmp (service_of (i), "e") != 0)
+      if (service_of (i) != SERVICE_ENGINE)
         continue;
       count++;
       sum += world.endpoints[i].arrivals;
--- a/tests/gateway/streaming_fleet.h
+++ b/tests/gateway/streaming_fleet.h
@@ -44,9 +44,13 @@
                   on for STREAMING_FLEET_CUT_US */
   uint64_t silent_period_us; /* between silences of endpoints, in turn, which
                                 then go on; 0: never */
-  uint32_t brittle_limit;    /* plain endpoints say so for
-                                STREAMING_FLEET_BRITTLE_US: one that rejects more
-                                in a second falls over; 0: never */
+  uint32_t brittle_limit;    /* endpoints say so for STREAMING_FLEET_BRITTLE_US:
+                                one that rejects more in a second falls over;
+                                0: never */
+  uint32_t engine_slots;     /* that engines list; 0: they never reject, and are
+                                not brittle */
+  uint32_t engine_room;      /* streams that they take; 0: as they list */
+  bool same_ids;             /* endpoints restart under the id that they had */
   size_t cut_entries;        /* the first ones in order of their zones */
 } streaming_fleet_t;
 
@@ -77,9 +81,9 @@
  * requests are still passed on to other entries after the cut. */
 void streaming_fleet_check_cut (const streaming_fleet_t *fleet);
 
-/* Runs the fleet.  Fails if brittle endpoints fall over more often than the
- * platform allows, if less than a quarter of what they can serve is served
- * meanwhile, or if refused requests wait. */
+/* Runs the fleet.  Fails if the brittle endpoints of a service fall over more
+ * often than the platform allows, if less than a quarter of what they can serve
+ * is served meanwhile, or if refused requests wait. */
 void streaming_fleet_check_brittle (const streaming_fleet_t *fleet);
 
 /* Runs the fleet.  Fails if an endpoint that is silent at times gets less than
--- /dev/null
+++ b/tests/gateway/test_brittle_engines.c
@@ -0,0 +1,135 @@
+/* Guards against brittle engines that fall over again and again, as entries
+ * send them more streams than they have room for. */
+#include "streaming_fleet.h"
+
+#define BRITTLE_FLEET                                                          \
+  .versions_fixed = true, .brittle_limit = 3, .run_us = 21 * CA_US_PER_S
+
+static void
+test_8_entries (void **state)
+{
+  static const streaming_fleet_t fleet = { .entries = 8,
+                                           .endpoints = 4,
+                                           .streams_per_s = 36,
+                                           .engine_slots = 4,
+                                           BRITTLE_FLEET };
+
+  (void)state;
+  streaming_fleet_check_brittle (&fleet);
+}
+
+static void
+test_five_times_the_load (void **state)
+{
+  static const streaming_fleet_t fleet = { .entries = 8,
+                                           .endpoints = 4,
+                                           .streams_per_s = 72,
+                                           .engine_slots = 4,
+                                           BRITTLE_FLEET };
+
+  (void)state;
+  streaming_fleet_check_brittle (&fleet);
+}
+
+/* Engines return under the ids that they had. */
+static void
+test_same_ids (void **state)
+{
+  static const streaming_fleet_t fleet = { .entries = 8,
+                                           .endpoints = 4,
+                                           .streams_per_s = 36,
+                                           .engine_slots = 4,
+                                           .same_ids = true,
+                                           .crash_period_us = 3 * CA_US_PER_S,
+                                           BRITTLE_FLEET };
+
+  (void)state;
+  streaming_fleet_check_brittle (&fleet);
+}
+
+/* Engines whose memory takes fewer streams than they have slots. */
+static void
+test_less_room_than_slots (void **state)
+{
+  static const streaming_fleet_t fleet = { .entries = 8,
+                                           .endpoints = 4,
+                                           .streams_per_s = 250,
+                                           .engine_slots = 64,
+                                           .engine_room = 25,
+                                           BRITTLE_FLEET };
+
+  (void)state;
+  streaming_fleet_check_brittle (&fleet);
+}
+
+static void
+test_entries_killed (void **state)
+{
+  static const streaming_fleet_t fleet = { .entries = 8,
+                                           .endpoints = 4,
+                                           .streams_per_s = 36,
+                                           .engine_slots = 4,
+                                           .kill_period_us = 2 * CA_US_PER_S,
+                                           .kill_count = 1,
+                                           BRITTLE_FLEET };
+
+  (void)state;
+  streaming_fleet_check_brittle (&fleet);
+}
+
+static void
+test_engines_and_plain_endpoints (void **state)
+{
+  static const streaming_fleet_t fleet = { .entries = 40,
+                                           .endpoints = 12,
+                                           .streams_per_s = 1500,
+                                           .plain_share = 0.9,
+                                           .engine_slots = 8,
+                                           BRITTLE_FLEET };
+
+  (void)state;
+  streaming_fleet_check_brittle (&fleet);
+}
+
+static void
+test_82_entries (void **state)
+{
+  static const streaming_fleet_t fleet = { .entries = 82,
+                                           .endpoints = 9,
+                                           .streams_per_s = 1350,
+                                           .engine_slots = 64,
+                                           BRITTLE_FLEET };
+
+  (void)state;
+  streaming_fleet_check_brittle (&fleet);
+}
+
+static void
+test_300_entries (void **state)
+{
+  static const streaming_fleet_t fleet = { .entries = 300,
+                                           .endpoints = 12,
+                                           .streams_per_s = 900,
+                                           .engine_slots = 32,
+                                           BRITTLE_FLEET };
+
+  (void)state;
+  streaming_fleet_check_brittle (&fleet);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_8_entries),
+    cmocka_unit_test (test_five_times_the_load),
+    cmocka_unit_test (test_same_ids),
+    cmocka_unit_test (test_less_room_than_slots),
+    cmocka_unit_test (test_entries_killed),
+    cmocka_unit_test (test_engines_and_plain_endpoints),
+    cmocka_unit_test (test_82_entries),
+    cmocka_unit_test (test_300_entries),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
--- a/tests/site/lib.sh
+++ b/tests/site/lib.sh
@@ -65,7 +65,8 @@
     --zone "$3" --port "$port" --store "$BASE" --runs "$RUNS" \
     --listed "${4:-$port}" --ends-on "${ENDS_ON:-}" \
     --ends-on-part "${ENDS_ON_PART:-}" --version "${VERSION_OF[$1]:-}" \
-    --event-ms "${EVENT_MS:-4}"
+    --event-ms "${EVENT_MS:-4}" --work-ms "${WORK_MS:-3}" \
+    --slots "${SLOTS:-0}" --brittle "${BRITTLE:-0}"
 }
 
 # First port of entry NUMBER; the others follow it.
--- a/tests/site/replica.c
+++ b/tests/site/replica.c
@@ -2,20 +2,24 @@
  *
  *   site-replica --id ID --service S --zone Z --port N --store N --runs FILE
  *                [--listed N] [--ends-on TEXT] [--ends-on-part ID]
- *                [--version V] [--event-ms N]
+ *                [--version V] [--event-ms N] [--work-ms N] [--slots N]
+ *                [--brittle N]
  *
  * Registers itself in the store (with port --listed instead of --port, for a
  * proxy in front of it), responds as the users' pages specify, and appends a
  * line to FILE for each run that starts: "run ID REQUEST PATH WORKSPACE KEY".
  * A run whose path contains TEXT ends the process at its start; one with ID in
  * the parts of its prompt, but for the last, at its second event.  With
- * --version the pieces of streams name the version of its software.  On SIGTERM
- * it reports draining, serves for another second, and exits.  POST /control
- * takes
+ * --version the pieces of streams name the version of its software.  With
+ * --slots it rejects requests beyond these.  With --brittle it says in all
+ * responses that it bears N rejections in a second, and ends if there are more.
+ * On SIGTERM it reports draining, serves for another second, and exits.  POST
+ * /control takes
  * {"fault": NAME, "next": N} for the next N requests: reject, error, reset,
  * cut, lost, encoded, unsigned, endless (a body, or an event, that never ends),
  * drip (the same, a byte at a time); or {"leaving": true}, which all responses
- * then say, {"pause": TEXT}, with which requests are turned away, "" for none,
+ * then say, {"brittle": N}, as --brittle, except that it does not end in the
+ * first 3 s, {"pause": TEXT}, with which requests are turned away, "" for none,
  * or {"limit": TEXT}, which all responses then name as the limit on requests
  * per second, "" for none.  GET /record returns the requests since then, and
  * the most in a span of 4 s that began 4 s or more after it: {"requests": N,
@@ -34,7 +38,7 @@
 #include <unistd.h>
 
 #define REPLICA_EVENT_MS "4"
-#define REPLICA_WORK_MS 3
+#define REPLICA_WORK_MS "3"
 #define REPLICA_DRAIN_S 1
 #define REPLICA_REGISTER_PERIOD_MS 500
 #define REPLICA_EVENTS 6
@@ -47,6 +51,11 @@
 #define REPLICA_SPAN_US (4 * CA_US_PER_S)
 #define REPLICA_CONTACT_US (4 * CA_US_PER_S)
 
+/* Brittle endpoints bear this many rejections in a second at most, and bear
+ * more until the entries have had time to learn of it. */
+#define REPLICA_BRITTLE_MAX 31
+#define REPLICA_BRITTLE_CONTACT_US (3 * CA_US_PER_S)
+
 /* Requests kept for the count; further ones are counted too. */
 #define REPLICA_SPAN_MAX 1024
 
@@ -59,6 +68,13 @@
   const char *zone;
   const char *version; /* "" if pieces do not name it */
   uint32_t event_ms;
+  uint32_t work_ms;
+  uint32_t slots; /* 0: it never rejects */
+  uint32_t running;
+  uint32_t brittle; /* rejections that it bears in a second; 0: any number */
+  uint64_t weak_us; /* it ends after more from then on */
+  uint64_t rejections;
+  uint64_t rejected_us[REPLICA_BRITTLE_MAX + 1]; /* by number, the latest */
   const char *ends_on;
   const char *ends_on_part;
   uint16_t listed_port;
@@ -124,14 +140,15 @@
 static void
 put_record (void)
 {
-  json_t *record = json_pack (
-      "{s:s, s:o, s:s, s:s, s:i, s:s, s:i, s:i, s:I}", "service",
-      replica.service, "address",
-      json_sprintf ("127.0.0.1:%u", (unsigned)replica.listed_port), "zone",
-      replica.zone, "version",
-      replica.version[0] == '\0' ? "v1" : replica.version, "slots", 8, "state",
-      replica.draining ? "draining" : "ready", "cold_remaining_ms", 0,
-      "sequence", 1, "born", (json_int_t)replica.born_ms);
+  json_t *record
+      = json_pack ("{s:s, s:o, s:s, s:s, s:i, s:s, s:i, s:i, s:I}", "service",
+                   replica.service, "address",
+                   json_sprintf ("127.0.0.1:%u", (unsigned)replica.listed_port),
+                   "zone", replica.zone, "version",
+                   replica.version[0] == '\0' ? "v1" : replica.version, "slots",
+                   replica.slots > 0 ? (int)replica.slots : 8, "state",
+                   replica.draining ? "draining" : "ready", "cold_remaining_ms",
+                   0, "sequence", 1, "born", (json_int_t)replica.born_ms);
   char *text = json_dumps (record, JSON_COMPACT);
   char value[2048];
   json_t *root;
@@ -196,6 +213,7 @@
 static void
 run_free (run_t *run)
 {
+  replica.running--;
   event_free (run->timer);
   free (run);
 }
@@ -208,6 +226,8 @@
     ca_headers_add (headers, "Server-Leaving", "1");
   if (replica.limit[0] != '\0')
     ca_headers_add (headers, "Server-Limit", replica.limit);
+  if (replica.brittle > 0)
+    ca_headers_printf (headers, "Server-Brittle", "%u", replica.brittle);
 }
 
 /* Counts a request towards the limit. */
@@ -364,9 +384,10 @@
 run_start (ca_http_server_request_t *request, const char *fault)
 {
   run_t *run = calloc (1, sizeof *run);
-  struct timeval wait = { 0, REPLICA_WORK_MS * 1000 };
+  struct timeval wait = { 0, replica.work_ms * 1000 };
   const char *last = ca_headers_find (&request->head->headers, "Last-Event-Id");
 
+  replica.running++;
   run->request = request;
   strlcpy (run->id, header_of (request, "Camphorarch-Attempt-Id"),
            sizeof run->id);
@@ -402,6 +423,28 @@
   ca_headers_finish (&headers);
 }
 
+/* Rejects a request for want of room; ends if there were too many. */
+static void
+reject_full (ca_http_server_request_t *request)
+{
+  uint64_t now_us = ca_clock_now_us ();
+  uint64_t first_us;
+
+  reject (request, 503);
+  replica.rejected_us[replica.rejections++ % (REPLICA_BRITTLE_MAX + 1)]
+      = now_us;
+  if (replica.brittle == 0 || now_us < replica.weak_us
+      || replica.rejections <= replica.brittle)
+    return;
+  first_us = replica.rejected_us[(replica.rejections - replica.brittle - 1)
+                                 % (REPLICA_BRITTLE_MAX + 1)];
+  if (now_us - first_us >= CA_US_PER_S)
+    return;
+  fprintf (stderr, "%s fell over after %llu rejections\n", replica.id,
+           (unsigned long long)replica.rejections);
+  _exit (1);
+}
+
 static void
 serve_control (ca_http_server_request_t *request)
 {
@@ -417,6 +460,12 @@
       replica.requests = 0;
       replica.most = 0;
     }
+  if (json_object_get (body, "brittle") != NULL)
+    {
+      replica.brittle
+          = (uint32_t)json_integer_value (json_object_get (body, "brittle"));
+      replica.weak_us = ca_clock_now_us () + REPLICA_BRITTLE_CONTACT_US;
+    }
   if (pause != NULL)
     strlcpy (replica.pause, pause, sizeof replica.pause);
   if (limit == NULL && pause != NULL)
@@ -467,6 +516,8 @@
     }
   if (strcmp (fault, "reject") == 0 || replica.pause[0] != '\0')
     reject (request, 503);
+  else if (replica.slots > 0 && replica.running >= replica.slots)
+    reject_full (request);
   else if (strcmp (fault, "reset") == 0)
     ca_http_response_abort (request);
   else
@@ -517,6 +568,12 @@
   replica.version = site_argument (argc, argv, "version", "");
   replica.event_ms = (uint32_t)strtoul (
       site_argument (argc, argv, "event-ms", REPLICA_EVENT_MS), NULL, 10);
+  replica.work_ms = (uint32_t)strtoul (
+      site_argument (argc, argv, "work-ms", REPLICA_WORK_MS), NULL, 10);
+  replica.slots
+      = (uint32_t)strtoul (site_argument (argc, argv, "slots", "0"), NULL, 10);
+  replica.brittle = (uint32_t)strtoul (
+      site_argument (argc, argv, "brittle", "0"), NULL, 10);
   replica.ends_on = site_argument (argc, argv, "ends-on", "");
   replica.ends_on_part = site_argument (argc, argv, "ends-on-part", "");
   replica.listed_port = (uint16_t)strtoul (
