--- a/tests/site/store.c
+++ b/tests/site/store.c
@@ -1,17 +1,21 @@
 /* Stand-in for the platform's store, and for the calls that the leader makes.
  *
- *   site-store --port N [--alias N --shift N]
+ *   site-store --port N [--alias N --shift N] [--page N]
  *
  * Implements versioned rows and a feed that waits for changes, as the users'
  * pages specify.  POST /control takes {"mode": "ok" | "busy" | "silent",
- * "lose": N, "forget": true, "copy": true, "restore": true, "era": TEXT}:
+ * "lose": N, "forget": true, "copy": true, "restore": true, "era": TEXT,
+ * "odd": ID}:
  * "busy" refuses calls, "silent" leaves them unanswered, "lose" drops the
  * answers of the next N writes, "forget" compacts the history.  "copy" keeps a
  * copy of all rows; "restore" returns to it, with its versions, and raises the
  * era that all answers name from the first copy on; "era" replaces the era's
- * text in answers.  Who calls at the port --alias sees the endpoints at ports
- * that are higher by --shift, for proxies before them.  GET /record returns
- * usage by window, scaling orders, and each violation of the leader's rules. */
+ * text in answers; "odd" adds a row to each that has rows of endpoints, whose
+ * key is ID, a NUL and more, and which describes an endpoint that is none.  A
+ * list has at most --page rows a page.  Who calls at the port --alias sees the
+ * endpoints at ports that are higher by --shift, for proxies before them.  GET
+ * /record returns usage by window, scaling orders, and each violation of the
+ * leader's rules. */
 #include "tests/site/site.h"
 
 #include <resolv.h>
@@ -51,6 +55,8 @@
   uint64_t oldest_version; /* feeds after older versions fail: compacted */
   uint64_t era;            /* 0: answers name none */
   char era_text[32];       /* replaces it in answers, if not empty */
+  char odd[64]; /* begins the key of a row that is added; empty: none */
+  size_t page_rows;
   struct rows copy;
   uint64_t copy_version;
   const char *mode;
@@ -160,13 +166,62 @@
 }
 
 static json_t *
-rows_response (json_t *rows)
+page_response (json_t *rows, bool has_more)
 {
-  return json_pack ("{s:o, s:b, s:I, s:I}", "rows", rows, "has_more", 0,
+  return json_pack ("{s:o, s:b, s:I, s:I}", "rows", rows, "has_more", has_more,
                     "row_version", (json_int_t)store.version, "current_time_ms",
                     (json_int_t)clock_ms ());
 }
 
+static json_t *
+rows_response (json_t *rows)
+{
+  return page_response (rows, false);
+}
+
+/* Adds the row whose key has a NUL in it. */
+static void
+rows_add_odd (const char *table, json_t *rows)
+{
+  static const char text[] = "{\"service\":\"api\",\"address\":"
+                             "\"127.0.0.1:9\",\"zone\":\"z1\",\"version\":"
+                             "\"v1\",\"slots\":8,\"state\":\"ready\"}";
+  char value[512];
+  char key[80];
+  int bytes = snprintf (key, sizeof key, "%s%cx", store.odd, '\0');
+
+  if (store.odd[0] == '\0' || strcmp (table, "servers") != 0)
+    return;
+  b64_ntop ((const unsigned char *)text, sizeof text - 1, value, sizeof value);
+  json_array_append_new (
+      rows,
+      json_pack ("{s:s, s:s, s:o, s:I, s:s}", "table_name", table, "part", "",
+                 "key", json_stringn_nocheck (key, (size_t)bytes),
+                 "row_version", (json_int_t)store.version, "value", value));
+}
+
+/* Decodes a percent-encoded key in place; returns its length. */
+static size_t
+key_decode (char *text)
+{
+  size_t count = 0;
+
+  for (const char *at = text; *at != '\0'; count++)
+    {
+      unsigned code;
+
+      if (*at == '%' && sscanf (at + 1, "%2x", &code) == 1)
+        {
+          text[count] = (char)code;
+          at += 3;
+        }
+      else
+        text[count] = *at++;
+    }
+  text[count] = '\0';
+  return count;
+}
+
 static int
 row_compare (const void *a, const void *b)
 {
@@ -178,24 +233,36 @@
 serve_get (ca_http_server_request_t *request)
 {
   char table[64] = "";
-  char from[256] = "";
+  char from[1024] = "";
+  char limit[32] = "500";
   row_t *sorted[4096];
   size_t count = 0;
+  size_t page;
+  bool is_after; /* `from` ends with a NUL: keys after it */
   row_t *row;
   json_t *rows = json_array ();
 
   site_query (request, "table_name", table, sizeof table);
   site_query (request, "from", from, sizeof from);
+  site_query (request, "limit", limit, sizeof limit);
+  page = strtoul (limit, NULL, 10);
+  if (store.page_rows > 0 && store.page_rows < page)
+    page = store.page_rows;
+  is_after = key_decode (from) > strlen (from);
   TAILQ_FOREACH (row, &store.rows, entries)
   {
+    int order = strcmp (row->key, from);
+
     if (strcmp (row->table, table) == 0 && !row->deleted && count < 4096
-        && strcmp (row->key, from) >= 0)
+        && (is_after ? order > 0 : order >= 0))
       sorted[count++] = row;
   }
   qsort (sorted, count, sizeof sorted[0], row_compare);
-  for (size_t i = 0; i < count; i++)
+  for (size_t i = 0; i < count && i < page; i++)
     json_array_append_new (rows, row_json (sorted[i], store.shifted));
-  store_respond (request, 200, rows_response (rows));
+  if (count <= page)
+    rows_add_odd (table, rows);
+  store_respond (request, 200, page_response (rows, count > page));
 }
 
 static json_t *
@@ -209,6 +276,8 @@
     if (strcmp (row->table, table) == 0 && row->version > after)
       json_array_append_new (rows, row_json (row, shifted));
   }
+  if (json_array_size (rows) > 0)
+    rows_add_odd (table, rows);
   return rows;
 }
 
@@ -565,6 +634,8 @@
     store_copy ();
   if (json_is_true (json_object_get (body, "restore")))
     store_restore ();
+  if (json_object_get (body, "odd") != NULL)
+    strlcpy (store.odd, text_of (body, "odd"), sizeof store.odd);
   if (json_object_get (body, "era") != NULL)
     strlcpy (store.era_text, text_of (body, "era"), sizeof store.era_text);
   json_decref (body);
@@ -632,6 +703,7 @@
   TAILQ_INIT (&store.copy);
   TAILQ_INIT (&store.waiters);
   store.mode = "ok";
+  store.page_rows = strtoul (site_argument (argc, argv, "page", "0"), NULL, 10);
   store.usage = json_object ();
   store.orders = json_object ();
   store.violations = json_array ();
