--- /dev/null
+++ b/tests/regress/test_repeated_refusal.sh
@@ -0,0 +1,29 @@
+# Guards against refusals "not run" for requests that an endpoint has run: it wrote
+# an earlier refusal once more.
+set -u
+. tests/site/lib.sh
+BASE=30000
+STORE_ADDRESS=127.0.0.1:$BASE
+ENTRIES=2
+SECONDS_OF_LOAD=4
+RATE=40
+MANY=1000000
+
+start_store
+wait_for record
+start_endpoint 1 api z1
+start_endpoint 2 llm z1
+put_config tests/site/config.json
+for i in $(seq $ENTRIES); do start_entry "$i" z1; done
+for i in $(seq $ENTRIES); do wait_for is_ready "$i"; done
+ports=$(for i in $(seq $ENTRIES); do entry_port "$i"; done | paste -sd,)
+for fault in repeat; do
+  for i in 1 2; do control $((BASE + 10 + i)) "{\"fault\":\"$fault\",\"next\":$MANY}"; done
+  : > "$RUNS"
+  "$BUILD/tests/site/site-callers" --entries "$ports" --seconds $SECONDS_OF_LOAD \
+    --rate $RATE --seed 1 --runs "$RUNS" > "$WORK/callers" \
+    || fail "$fault: $(cat "$WORK/callers")"
+  cat "$WORK/callers"
+  [ "$(wc -l < "$RUNS")" -gt 0 ] || [ $fault = repeat ] || fail "$fault: nothing ran"
+done
+echo "repeated refusal: ok"
--- a/tests/site/replica.c
+++ b/tests/site/replica.c
@@ -17,13 +17,16 @@
  * /control takes
  * {"fault": NAME, "next": N} for the next N requests: reject, error, reset,
  * cut, lost, encoded, unsigned, endless (a body, or an event, that never ends),
- * drip (the same, a byte at a time); or {"leaving": true}, which all responses
- * then say, {"brittle": N}, as --brittle, except that it does not end in the
- * first 3 s, {"pause": TEXT}, with which requests are turned away, "" for none,
- * or {"limit": TEXT}, which all responses then name as the limit on requests
- * per second, "" for none.  GET /record returns the requests since then, and
- * the most in a span of 4 s that began 4 s or more after it: {"requests": N,
- * "most": N, "open": N}, the last of responses without end that still go on;
+ * drip (the same, a byte at a time), repeat (a request is rejected; if it comes
+ * again on its connection it runs, and the rejection is written once more),
+ * bare (it runs, and a rejection that names no request is written); or
+ * {"leaving": true}, which all responses then say, {"brittle": N}, as
+ * --brittle, except that it does not end in the first 3 s, {"pause": TEXT},
+ * with which requests are turned away, "" for none, or {"limit": TEXT}, which
+ * all responses then name as the limit on requests per second, "" for none. GET
+ * /record returns the requests since then, and the most in a span of 4 s that
+ * began 4 s or more after it: {"requests": N, "most": N, "open": N}, the last
+ * of responses without end that still go on;
  * {"register": true} writes its record again. */
 #include "tests/site/site.h"
 
@@ -56,6 +59,8 @@
 #define REPLICA_BRITTLE_MAX 31
 #define REPLICA_BRITTLE_CONTACT_US (3 * CA_US_PER_S)
 
+#define REPLICA_REPEATS 1024
+
 /* Requests kept for the count; further ones are counted too. */
 #define REPLICA_SPAN_MAX 1024
 
@@ -84,6 +89,9 @@
   bool registered; /* the store accepted the current state */
   char fault[16];
   int faults_left;
+  /* Latest request rejected by the fault "repeat", by a hash of its connection;
+   * a request's address is that of its connection. */
+  char rejected_ids[REPLICA_REPEATS][64];
   char limit[REPLICA_LIMIT_BYTES]; /* named in responses; empty: none */
   char pause[REPLICA_LIMIT_BYTES]; /* asked for by all; empty: none */
   bool leaving;                    /* said in responses */
@@ -423,6 +431,20 @@
   ca_headers_finish (&headers);
 }
 
+/* Rejects a request; one that comes again on its connection runs, too. */
+static void
+reject_repeatedly (ca_http_server_request_t *request)
+{
+  const char *id = header_of (request, "Camphorarch-Attempt-Id");
+  char *rejected_id
+      = replica.rejected_ids[((uintptr_t)request >> 4) % REPLICA_REPEATS];
+
+  if (strcmp (rejected_id, id) == 0)
+    log_run (request);
+  strlcpy (rejected_id, id, sizeof replica.rejected_ids[0]);
+  reject (request, 503);
+}
+
 /* Rejects a request for want of room; ends if there were too many. */
 static void
 reject_full (ca_http_server_request_t *request)
@@ -518,6 +540,8 @@
     reject (request, 503);
   else if (replica.slots > 0 && replica.running >= replica.slots)
     reject_full (request);
+  else if (strcmp (fault, "repeat") == 0)
+    reject_repeatedly (request);
   else if (strcmp (fault, "reset") == 0)
     ca_http_response_abort (request);
   else
