--- a/tests/regress/test_repeated_refusal.sh
+++ b/tests/regress/test_repeated_refusal.sh
@@ -1,5 +1,5 @@
 # Guards against refusals "not run" for requests that an endpoint has run: it wrote
-# an earlier refusal once more.
+# an earlier refusal once more, or one that names no request.
 set -u
 . tests/site/lib.sh
 BASE=30000
@@ -17,7 +17,7 @@
 for i in $(seq $ENTRIES); do start_entry "$i" z1; done
 for i in $(seq $ENTRIES); do wait_for is_ready "$i"; done
 ports=$(for i in $(seq $ENTRIES); do entry_port "$i"; done | paste -sd,)
-for fault in repeat; do
+for fault in repeat bare; do
   for i in 1 2; do control $((BASE + 10 + i)) "{\"fault\":\"$fault\",\"next\":$MANY}"; done
   : > "$RUNS"
   "$BUILD/tests/site/site-callers" --entries "$ports" --seconds $SECONDS_OF_LOAD \
--- a/tests/site/replica.c
+++ b/tests/site/replica.c
@@ -445,6 +445,19 @@
   reject (request, 503);
 }
 
+/* Runs a request and rejects it without its id. */
+static void
+reject_bare (ca_http_server_request_t *request)
+{
+  ca_headers_t headers;
+
+  log_run (request);
+  ca_headers_init (&headers);
+  ca_headers_add (&headers, "Camphorarch-Not-Executed", "1");
+  ca_http_respond (request, 503, &headers, "", 0);
+  ca_headers_finish (&headers);
+}
+
 /* Rejects a request for want of room; ends if there were too many. */
 static void
 reject_full (ca_http_server_request_t *request)
@@ -542,6 +555,8 @@
     reject_full (request);
   else if (strcmp (fault, "repeat") == 0)
     reject_repeatedly (request);
+  else if (strcmp (fault, "bare") == 0)
+    reject_bare (request);
   else if (strcmp (fault, "reset") == 0)
     ca_http_response_abort (request);
   else
