--- a/tests/gateway/streaming_fleet.c
+++ b/tests/gateway/streaming_fleet.c
@@ -539,12 +539,28 @@
     }
 }
 
+static bool
+any_entry_serves (void)
+{
+  for (size_t i = 0; i < world.fleet->entries; i++)
+    {
+      if (world.entries[i].up && !world.entries[i].stopping)
+        return true;
+    }
+  return false;
+}
+
 static void
 request_send (request_t *request)
 {
   ca_request_facts_t facts;
   size_t entry;
 
+  if (!any_entry_serves ())
+    {
+      request_broken (request, RETRY_US);
+      return;
+    }
   do
     entry = random_below (world.fleet->entries);
   while (!world.entries[entry].up || world.entries[entry].stopping);
@@ -1349,7 +1365,9 @@
     {
       for (size_t i = 0; i < fleet->kill_count; i++)
         {
-          size_t index = random_below (fleet->entries);
+          size_t index = fleet->kill_count >= fleet->entries
+                             ? i
+                             : random_below (fleet->entries);
 
           if (world.entries[index].up)
             entry_end (index);
--- a/tests/gateway/streaming_fleet.h
+++ b/tests/gateway/streaming_fleet.h
@@ -29,7 +29,7 @@
   size_t endpoints;
   double streams_per_s;     /* at all entries together */
   uint64_t kill_period_us;  /* between kills of entries; 0: none */
-  size_t kill_count;        /* entries killed at a time, at random */
+  size_t kill_count;        /* entries killed at a time, at random, or all */
   uint64_t roll_period_us;  /* between planned restarts, in turn; 0: none */
   uint64_t cut_period_us;   /* some entries are cut off from the store and
                                their peers in its first half; 0: never */
--- a/tests/gateway/test_stream_versions.c
+++ b/tests/gateway/test_stream_versions.c
@@ -95,10 +95,40 @@
   streaming_fleet_check (&large);
 }
 
+/* All entries at once, while versions come and go. */
+static void
+test_all_entries_killed (void **state)
+{
+  static const streaming_fleet_t fleet
+      = { STREAMING_FLEET_SMALL, .run_us = 30 * CA_US_PER_S,
+          .kill_period_us = 6 * CA_US_PER_S, .kill_count = 8,
+          .crash_period_us = 900 * CA_US_PER_MS };
+
+  (void)state;
+  streaming_fleet_check (&fleet);
+}
+
+static void
+test_all_entries_killed_two_versions (void **state)
+{
+  static const streaming_fleet_t fleet
+      = { STREAMING_FLEET_SMALL,
+          .run_us = 30 * CA_US_PER_S,
+          .kill_period_us = 6 * CA_US_PER_S,
+          .kill_count = 8,
+          .versions_fixed = true,
+          .crash_period_us = 900 * CA_US_PER_MS };
+
+  (void)state;
+  streaming_fleet_check (&fleet);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_all_entries_killed),
+    cmocka_unit_test (test_all_entries_killed_two_versions),
     cmocka_unit_test (test_kills_8_entries),
     cmocka_unit_test (test_kills_82_entries),
     cmocka_unit_test (test_kills_300_entries),
