Ask for fewer permits for slots of brittle engines

Under 2.5 times the load, four permit requests for each request and pauses of 50 ms after a denial cause 32,922 messages a second with 82 entries, 402 an entry. At half of the load 49 messages a second with 8 entries, 814 with 82, and all is served: the new case of gateway/test_brittle_engines (0.45 of what engines can serve, at least).

--- a/packages/gateway/slot_permits.c
+++ b/packages/gateway/slot_permits.c
@@ -34,10 +34,10 @@
 #define SLOT_RETRY_US (500 * CA_US_PER_MS)
 
 /* Average pause after a denied permit request. */
-#define SLOT_DENIED_US (50 * CA_US_PER_MS)
+#define SLOT_DENIED_US (100 * CA_US_PER_MS)
 
 /* Permit requests for one request. */
-#define SLOT_REQUESTS_MAX 4
+#define SLOT_REQUESTS_MAX 2
 
 /* A permit may be used for this long after it was requested, besides its time
  * in the queue.  One that may be under way counts as used until its receiver
--- a/tests/gateway/streaming_fleet.c
+++ b/tests/gateway/streaming_fleet.c
@@ -226,6 +226,7 @@
   uint32_t latest_version;
   size_t release_left;
   uint64_t message_bytes;
+  uint64_t permit_messages; /* while endpoints are brittle */
   uint64_t new_sent;
   uint64_t new_begun;
   uint64_t taken_up;
@@ -951,6 +952,9 @@
   message->packed = malloc (message->bytes);
   ca_frame_pack (envelope, message->packed);
   STAILQ_INSERT_TAIL (&world.messages, message, entries);
+  if (envelope->body_case == CAMPHOR__ENVELOPE__BODY_SLOT_REPORT
+      || envelope->body_case == CAMPHOR__ENVELOPE__BODY_SLOT_PERMIT)
+    world.permit_messages++;
   if (envelope->body_case == CAMPHOR__ENVELOPE__BODY_STREAM_VERSIONS
       || envelope->body_case == CAMPHOR__ENVELOPE__BODY_STREAM_WANT)
     world.message_bytes += message->bytes;
@@ -1545,6 +1549,9 @@
   double requests_us = service == SERVICE_PLAIN
                            ? PLAIN_US
                            : FIRST_EVENT_US + EVENTS * EVENT_US;
+  double served_share = world.fleet->served_share > 0
+                            ? world.fleet->served_share
+                            : SERVED_SHARE;
   size_t count = 0;
   double can_serve = 0;
 
@@ -1558,15 +1565,17 @@
     }
   print_message (
       "%zu brittle %s: %llu falls, %llu of %.0f served, refused after %llu ms "
-      "at most\n",
+      "at most, %llu messages for slots a second\n",
       count, service == SERVICE_PLAIN ? "plain endpoints" : "engines",
       (unsigned long long)world.falls[service],
       (unsigned long long)world.brittle_served[service], can_serve,
-      (unsigned long long)(world.refused_wait_us[service] / CA_US_PER_MS));
+      (unsigned long long)(world.refused_wait_us[service] / CA_US_PER_MS),
+      (unsigned long long)(world.permit_messages * CA_US_PER_S
+                           / STREAMING_FLEET_BRITTLE_US));
   assert_true ((double)world.falls[service]
                <= FALLS_MAX + FALLS_SHARE * (double)count);
   assert_true ((double)world.brittle_served[service]
-               >= can_serve * SERVED_SHARE);
+               >= can_serve * served_share);
   assert_true (
       world.refused_wait_us[service]
       <= (service == SERVICE_PLAIN ? REFUSED_WAIT_US : REFUSED_STREAM_WAIT_US));
--- a/tests/gateway/streaming_fleet.h
+++ b/tests/gateway/streaming_fleet.h
@@ -50,8 +50,10 @@
   uint32_t engine_slots;     /* that engines list; 0: they never reject, and are
                                 not brittle */
   uint32_t engine_room;      /* streams that they take; 0: as they list */
-  bool same_ids;             /* endpoints restart under the id that they had */
-  size_t cut_entries;        /* the first ones in order of their zones */
+  double served_share; /* of what brittle endpoints can serve, at least; 0:
+                          the default */
+  bool same_ids;       /* endpoints restart under the id that they had */
+  size_t cut_entries;  /* the first ones in order of their zones */
 } streaming_fleet_t;
 
 #define STREAMING_FLEET_BRITTLE_START_US (10 * CA_US_PER_S)
--- a/tests/gateway/test_brittle_engines.c
+++ b/tests/gateway/test_brittle_engines.c
@@ -5,6 +5,9 @@
 #define BRITTLE_FLEET                                                          \
   .versions_fixed = true, .brittle_limit = 3, .run_us = 21 * CA_US_PER_S
 
+/* Of what half of the load is, nine tenths. */
+#define HALF_LOAD_SERVED 0.45
+
 static void
 test_8_entries (void **state)
 {
@@ -31,6 +34,28 @@
   streaming_fleet_check_brittle (&fleet);
 }
 
+/* Half of the load that they take: nearly all of it is served. */
+static void
+test_half_of_the_load (void **state)
+{
+  static const streaming_fleet_t small = { .entries = 8,
+                                           .endpoints = 4,
+                                           .streams_per_s = 30,
+                                           .engine_slots = 16,
+                                           .served_share = HALF_LOAD_SERVED,
+                                           BRITTLE_FLEET };
+  static const streaming_fleet_t large = { .entries = 82,
+                                           .endpoints = 9,
+                                           .streams_per_s = 270,
+                                           .engine_slots = 64,
+                                           .served_share = HALF_LOAD_SERVED,
+                                           BRITTLE_FLEET };
+
+  (void)state;
+  streaming_fleet_check_brittle (&small);
+  streaming_fleet_check_brittle (&large);
+}
+
 /* Engines return under the ids that they had. */
 static void
 test_same_ids (void **state)
@@ -123,6 +148,7 @@
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_8_entries),
     cmocka_unit_test (test_five_times_the_load),
+    cmocka_unit_test (test_half_of_the_load),
     cmocka_unit_test (test_same_ids),
     cmocka_unit_test (test_less_room_than_slots),
     cmocka_unit_test (test_entries_killed),
