--- a/tests/gateway/test_records.c
+++ b/tests/gateway/test_records.c
@@ -104,7 +104,7 @@
   (void)state;
   memset (at, '[', NESTED_LEVELS);
   memset (at + NESTED_LEVELS, ']', NESTED_LEVELS);
-  strcpy (at + 2 * (size_t)NESTED_LEVELS, "}");
+  memcpy (at + 2 * (size_t)NESTED_LEVELS, "}", sizeof "}");
   assert_false (is_usable ("i-1", text));
   free (text);
 }
