Give up runs only at endpoints that cannot be reached themselves

Callers got a 502 for requests that an endpoint was working on: after three of four endpoints of a service had ended, and nothing had arrived from the fourth for a while as it takes 0.4 s a request, the service counted as lost, and each run without a byte for 250 ms was given up, also those at the endpoint about which nothing bad was known.

A run is now given up only if a connection to its own endpoint has failed since it was sent. Endpoints that owe a response while the service counts as lost are tried first, so one that is alive ends the loss.

--- a/packages/gateway/exchange.c
+++ b/packages/gateway/exchange.c
@@ -1158,6 +1158,7 @@
       ca_exchange_t *next = TAILQ_NEXT (exchange, entries);
 
       if (exchange->endpoint != NULL && exchange->sent_us <= since_us
+          && exchange->endpoint->connect_failed_us >= exchange->sent_us
           && strcmp (exchange->service->name, service) == 0
           && exchange_is_repeatable (exchange))
         {
--- a/packages/gateway/reach.c
+++ b/packages/gateway/reach.c
@@ -30,8 +30,9 @@
 #define REACH_PROBED_WELL_US (1 * CA_US_PER_S) /* after one that succeeded */
 #define REACH_PROBES REACH_FAILED_MIN
 
-/* A run without a byte for this long is given up when the endpoints are lost;
- * before that its response may be on its way. */
+/* A run without a byte for this long is given up when the endpoints are lost
+ * and a connection to its own has failed; before that its response may be on
+ * its way. */
 #define REACH_STALLED_US (250 * CA_US_PER_MS)
 
 uint64_t
@@ -204,6 +205,34 @@
   return !reach->lost && reach->heard_us > interrupted_us;
 }
 
+static void
+reach_probe_endpoint (ca_gateway_t *gateway, ca_gateway_endpoint_t *endpoint)
+{
+  endpoint->probed_us = gateway->now_us;
+  ca_counters_add (&gateway->counters, CA_COUNT_PROBES, 1);
+  gateway->ports.check_endpoint (gateway->ports.context, endpoint);
+}
+
+/* Tries connections to the service's endpoints that owe a response for long and
+ * have not failed since: that others have failed is no reason to give up what
+ * they work on. */
+static void
+reach_probe_debtors (ca_gateway_t *gateway, const char *service)
+{
+  const ca_exchange_t *exchange;
+
+  TAILQ_FOREACH (exchange, &gateway->exchanges, entries)
+  {
+    ca_gateway_endpoint_t *endpoint = exchange->endpoint;
+
+    if (endpoint != NULL && strcmp (endpoint->service, service) == 0
+        && gateway->now_us - exchange->sent_us >= REACH_STALLED_US
+        && endpoint->connect_failed_us < exchange->sent_us
+        && gateway->now_us - endpoint->probed_us >= REACH_PROBE_PERIOD_US)
+      reach_probe_endpoint (gateway, endpoint);
+  }
+}
+
 /* Tries connections to `count` of the service's endpoints: those that were
  * tried least recently. */
 static void
@@ -224,9 +253,7 @@
         }
       if (chosen == NULL)
         return;
-      chosen->probed_us = gateway->now_us;
-      ca_counters_add (&gateway->counters, CA_COUNT_PROBES, 1);
-      gateway->ports.check_endpoint (gateway->ports.context, chosen);
+      reach_probe_endpoint (gateway, chosen);
     }
 }
 
@@ -293,6 +320,7 @@
           ca_crash_tracker_forgive (gateway, stats->name);
           ca_exchanges_give_up_stalled (gateway, stats->name,
                                         gateway->now_us - REACH_STALLED_US);
+          reach_probe_debtors (gateway, stats->name);
         }
       if (gateway->now_us < reach->next_probe_us
           || (!reach->lost && !reach_is_suspect (gateway, reach)
