--- a/tests/gateway/streaming_fleet.c
+++ b/tests/gateway/streaming_fleet.c
@@ -45,8 +45,8 @@
 #define DEADLINE_US (8 * CA_US_PER_S)
 #define PLAIN_DEADLINE_US (1 * CA_US_PER_S)
 #define PLAIN_SLOTS 6
-#define PLAIN_WAIT 6 /* further ones that wait */
-#define PLAIN_WAIT_WEAK 1
+#define QUEUE_MAX 6        /* further requests that wait at an endpoint */
+#define PLAIN_QUEUE_WEAK 1 /* of these at a brittle one; none at an engine */
 #define PLAIN_US (30 * CA_US_PER_MS)
 #define CONNECT_TIMEOUT_US (400 * CA_US_PER_MS)
 #define CHECKS_MAX 4096
@@ -55,7 +55,6 @@
 /* An eighth of the objective and a tick. */
 #define REFUSED_WAIT_US (50 * CA_US_PER_MS)
 #define REFUSED_STREAM_WAIT_US (150 * CA_US_PER_MS)
-#define ENGINE_WAIT 6 /* further streams that wait, unless it is brittle */
 #define BRITTLE_LIMIT_MAX 8
 #define CUT_END_US (1500 * CA_US_PER_MS) /* until entries have noticed */
 #define RETRY_US (40 * CA_US_PER_MS)
@@ -709,12 +708,12 @@
 {
   endpoint_t *endpoint = &world.endpoints[run->endpoint];
   bool is_plain = service_of (run->endpoint) == SERVICE_PLAIN;
-  uint32_t wait = is_plain ? PLAIN_WAIT : ENGINE_WAIT;
+  uint32_t wait = QUEUE_MAX;
 
   if (!is_plain && world.fleet->engine_slots == 0)
     return true;
   if (is_brittle (CONTACT_US))
-    wait = is_plain ? PLAIN_WAIT_WEAK : 0;
+    wait = is_plain ? PLAIN_QUEUE_WEAK : 0;
   if (endpoint->running < room_of (run->endpoint) + wait)
     {
       endpoint->running++;
