--- a/tests/regress/test_busy_endpoint_kept.sh
+++ b/tests/regress/test_busy_endpoint_kept.sh
@@ -2,7 +2,7 @@
 # others of its service have ended.
 set -u
 . tests/site/lib.sh
-BASE=33000
+BASE=32000
 STORE_ADDRESS=127.0.0.1:$BASE
 ENTRIES=4
 ENDPOINTS=4 # of each service
