Test: a record whose slots are text names no endpoint

The check took such a record for usable, since unreadable numbers were read as missing. The check now demands that the record is refused, and that the same one with a number is taken.

--- a/tests/gateway/test_state_sync.c
+++ b/tests/gateway/test_state_sync.c
@@ -189,7 +189,10 @@
   assert_true (
       record_is_valid ("{\"service\":\"s\",\"zone\":\"z\",\"address\":"
                        "\"10.0.0.1:80\",\"state\":\"ready\",\"born\":5}"));
-  assert_true (record_is_valid (
+  assert_true (
+      record_is_valid ("{\"service\":\"s\",\"zone\":\"z\",\"address\":"
+                       "\"10.0.0.1:80\",\"state\":\"draining\",\"slots\":8}"));
+  assert_false (record_is_valid (
       "{\"service\":\"s\",\"zone\":\"z\",\"address\":"
       "\"10.0.0.1:80\",\"state\":\"draining\",\"slots\":\"x\"}"));
   assert_false (
