--- a/packages/gateway/quota.c
+++ b/packages/gateway/quota.c
@@ -172,11 +172,13 @@
                   ca_quota_demand_per_s (gateway, quota),
                   workspace->rate_per_s);
   wait_s = (cost - quota->granted) / (workspace->rate_per_s * quota->share);
-  *wait_us = (uint64_t)(wait_s * CA_US_PER_S);
+  /* Without a share of the quota it is infinite. */
+  if (wait_s * CA_US_PER_S >= (double)QUOTA_WAIT_MAX_US)
+    *wait_us = QUOTA_WAIT_MAX_US;
+  else
+    *wait_us = (uint64_t)(wait_s * CA_US_PER_S);
   if (*wait_us < QUOTA_WAIT_MIN_US)
     *wait_us = QUOTA_WAIT_MIN_US;
-  if (*wait_us > QUOTA_WAIT_MAX_US)
-    *wait_us = QUOTA_WAIT_MAX_US;
   return false;
 }
 
