Return a permit that arrives too late

The coordinator counts it as used until the receiver reports; without a report of its own that is the next heartbeat, 3 s later with 300 entries.

--- a/packages/gateway/slot_permits.c
+++ b/packages/gateway/slot_permits.c
@@ -753,10 +753,14 @@
   if (permit->number == 0)
     slots->next_request_us = gateway->now_us + permit->wait_us;
   else
-    slots->seen = permit->number;
-  /* The coordinator may no longer count one that is later. */
-  if (permit->number != 0 && gateway->now_us - permit->echo_us < SLOT_PERMIT_US)
-    slots->permits++;
+    {
+      slots->seen = permit->number;
+      /* The coordinator may no longer count one that is later. */
+      if (gateway->now_us - permit->echo_us < SLOT_PERMIT_US)
+        slots->permits++;
+      else
+        ca_slot_permits_ended (gateway, endpoint, false, false);
+    }
   slot_use_permits (gateway);
   ca_slot_permits_serve (gateway);
 }
