--- a/tests/gateway/test_records.c
+++ b/tests/gateway/test_records.c
@@ -144,6 +144,17 @@
   ca_catalog_unref (catalog);
 }
 
+static void
+test_negative_version (void **state)
+{
+  static const char text[] = "{\"version\":-1,\"routes\":[]}";
+  ca_error_t error;
+
+  (void)state;
+  ca_error_init (&error);
+  assert_null (ca_records_parse_catalog (text, sizeof text - 1, &error));
+}
+
 int
 main (void)
 {
@@ -152,6 +163,7 @@
     cmocka_unit_test (test_odd_endpoints),
     cmocka_unit_test (test_nested_endpoint),
     cmocka_unit_test (test_odd_configuration),
+    cmocka_unit_test (test_negative_version),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
