Replace a lease row that no entry wrote

After a row of another writer in place of the lease nobody took it again: one that does not parse was left alone, and one that names a time far ahead never expires. Usage was no longer reported and endpoints no longer ordered. Numbers out of range were taken over: a last reported window of -1 means that all have been.

A row with fields of another type or out of range now counts as none, after the time that a new entry waits anyway; the fencing token goes on above the row's version, since each take-over was a transaction. regress/test_odd_rows, with rows of ten kinds in the operator's table, that of the entries and that of the duties, fails before (no window reported any more) and passes now; gateway/test_leader passes.

--- a/packages/gateway/leader.c
+++ b/packages/gateway/leader.c
@@ -26,6 +26,9 @@
  * have received neither the holder's heartbeat nor the others' counts. */
 #define LEASE_STARTUP_DELAY_US CA_US_PER_S
 
+/* A lease row that names times further ahead than this is not one. */
+#define LEASE_AHEAD_S 3600
+
 /* Windows before the current one whose counts are stored with the lease, in
  * case all entries restart. */
 #define USAGE_RECORDED_WINDOWS 3
@@ -311,6 +314,53 @@
                     (uint32_t)json_integer_value (count));
 }
 
+/* Number in a row, from 0 to `max`; false if it is none. */
+static bool
+lease_is_number (const json_t *row, const char *name, uint64_t max)
+{
+  const json_t *value = json_object_get (row, name);
+
+  return json_is_integer (value) && json_integer_value (value) >= 0
+         && (uint64_t)json_integer_value (value) <= max;
+}
+
+/* True if the row is one that an entry may have written, not another writer's.
+ */
+static bool
+lease_is_row (const ca_leader_t *leader, const json_t *row, uint64_t store_us)
+{
+  const ca_gateway_t *gateway = leader->gateway;
+  uint64_t max_window
+      = ca_usage_window (gateway, gateway->now_us)
+        + LEASE_AHEAD_S / gateway->options.bounds.usage_window_s;
+
+  return json_is_string (json_object_get (row, "holder"))
+         && lease_is_number (row, "life", INT64_MAX)
+         && lease_is_number (row, "fence", INT64_MAX / 2)
+         && lease_is_number (row, "at_us",
+                             store_us == 0
+                                 ? INT64_MAX / 2
+                                 : store_us + LEASE_AHEAD_S * CA_US_PER_S)
+         && lease_is_number (row, "reported", max_window)
+         && lease_is_number (row, "window", max_window);
+}
+
+/* Takes the lease over a row that is none.  Each take-over was a transaction,
+ * so no fencing token exceeds the row's version. */
+static void
+lease_replace_row (ca_leader_t *leader)
+{
+  ca_gateway_log (leader->gateway, CA_EVENT_STORE_BAD_ROW, NULL, NULL,
+                  "the lease row is not one that an entry writes");
+  if (leader->gateway->now_us - leader->started_us < LEASE_STARTUP_DELAY_US)
+    {
+      leader->vacant_since_us = leader->gateway->now_us;
+      return;
+    }
+  lease_note_fence (leader, leader->version);
+  lease_write (leader, leader->gateway->lease_fence + 1);
+}
+
 /* Decides whether to take the lease, from the row that was read. */
 static void
 lease_evaluate (ca_leader_t *leader, const json_t *row, uint64_t store_us)
@@ -386,7 +436,6 @@
                       ca_call_status_t status, uint64_t version,
                       const char *text, uint64_t store_us)
 {
-  json_error_t error;
   json_t *row;
 
   leader->gateway->now_us = now_us;
@@ -400,14 +449,10 @@
         lease_write (leader, leader->gateway->lease_fence + 1);
       return;
     }
-  row = json_loads (text, 0, &error);
-  if (row == NULL)
-    {
-      ca_gateway_log (leader->gateway, CA_EVENT_STORE_BAD_ROW, NULL, NULL,
-                      "the lease row does not parse: %s", error.text);
-      return;
-    }
-  if (!leader->rewrites || !lease_rewrite (leader, row))
+  row = json_loads (text, 0, NULL);
+  if (!lease_is_row (leader, row, store_us))
+    lease_replace_row (leader);
+  else if (!leader->rewrites || !lease_rewrite (leader, row))
     lease_evaluate (leader, row, store_us);
   json_decref (row);
 }
--- a/tests/regress/test_odd_rows.sh
+++ b/tests/regress/test_odd_rows.sh
@@ -1,5 +1,6 @@
-# Guards against rows of another writer among the endpoints' that end an entry, or
-# after which it no longer follows the list.
+# Guards against rows of another writer, in each table that an entry reads, that end
+# an entry, or after which it no longer follows the list of endpoints or does its
+# duties.
 set -u
 . tests/site/lib.sh
 BASE=29000
@@ -11,9 +12,9 @@
     -H "Camphorarch-Attempt-Id: $RANDOM$RANDOM$RANDOM" -d x "http://127.0.0.1:$(entry_port "$1")/open/a"
 }
 is_served () { [ "$(request "$1")" = 200 ]; }
-put_row () { # KEY-AS-JSON TEXT
-  printf '{"expect":[],"removals":[],"write":[{"table_name":"servers","part":"","key":%s,"value":"%s"}]}' \
-    "$1" "$(printf '%s' "$2" | base64 -w 0)" > "$WORK/row"
+put_row () { # KEY-AS-JSON TEXT [TABLE]
+  printf '{"expect":[],"removals":[],"write":[{"table_name":"%s","part":"","key":%s,"value":"%s"}]}' \
+    "${3:-servers}" "$1" "$(printf '%s' "$2" | base64 -w 0)" > "$WORK/row"
   curl -s -m 5 -f -X POST "http://127.0.0.1:$BASE/v1/rows-tx" --data-binary "@$WORK/row" > /dev/null \
     || fail "the store refused a row"
 }
@@ -63,6 +64,26 @@
 start_endpoint 2 api z1
 all_follow 2 'odd rows'
 
+# The operator's table, that of the entries, and the lease.
+nested=$(repeat '[' 30000)$(repeat ']' 30000)
+for text in '' 'x' '[]' '7' "$nested" "{\"peers\":$nested}" '{"peers":7}' '{"peers":"127.0.0.1:99999"}' \
+    '{"version":1e300}' '{"version":-1,"routes":7,"services":{},"tenants":"x"}'; do
+  number=$((number + 1))
+  for table in op camphorarch-entries camphorarch-duties; do
+    put_row "\"odd-$number\"" "$text" $table
+  done
+  put_row '"config"' "$text" op
+done
+windows () { record | sed 's/"orders".*//' | grep -oE '"[0-9]+":' | wc -l; }
+has_windows () { [ "$(windows)" -ge "$1" ]; }
+wait_for has_windows 1
+# A lease that would never end.
+put_row '"lease"' '{"holder":7,"life":"x","at_us":9000000000000000000,"fence":1,"reported":-1,"window":1e300,"recent":{"x":{"w1":1e300}},"counts":7}' camphorarch-duties
+wait_for has_windows $(($(windows) + 3))
+put_config tests/site/config.json
+start_endpoint 4 api z1
+all_follow 4 'odd rows of other tables'
+
 # The key of this one begins like that of the first endpoint.
 control $BASE '{"odd":"i-1"}'
 start_endpoint 3 api z1
