--- a/tests/regress/test_repeated_refusal.sh
+++ b/tests/regress/test_repeated_refusal.sh
@@ -1,5 +1,6 @@
-# Guards against refusals "not run" for requests that an endpoint has run: it wrote
-# an earlier refusal once more, or one that names no request.
+# Guards against refusals "not run" for requests that an endpoint has run, engines
+# and plain ones, also delegated requests: it wrote an earlier refusal once more, or one
+# that names no request.
 set -u
 . tests/site/lib.sh
 BASE=30000
@@ -17,13 +18,19 @@
 for i in $(seq $ENTRIES); do start_entry "$i" z1; done
 for i in $(seq $ENTRIES); do wait_for is_ready "$i"; done
 ports=$(for i in $(seq $ENTRIES); do entry_port "$i"; done | paste -sd,)
-for fault in repeat bare; do
-  for i in 1 2; do control $((BASE + 10 + i)) "{\"fault\":\"$fault\",\"next\":$MANY}"; done
+# Where peers delegate requests to.
+delegate_ports=$(for i in $(seq $ENTRIES); do echo $(($(entry_port "$i") + 5)); done | paste -sd,)
+check () { # FAULT PORTS
+  for i in 1 2; do control $((BASE + 10 + i)) "{\"fault\":\"$1\",\"next\":$MANY}"; done
   : > "$RUNS"
-  "$BUILD/tests/site/site-callers" --entries "$ports" --seconds $SECONDS_OF_LOAD \
+  "$BUILD/tests/site/site-callers" --entries "$2" --seconds $SECONDS_OF_LOAD \
     --rate $RATE --seed 1 --runs "$RUNS" > "$WORK/callers" \
-    || fail "$fault: $(cat "$WORK/callers")"
+    || fail "$1: $(cat "$WORK/callers")"
   cat "$WORK/callers"
-  [ "$(wc -l < "$RUNS")" -gt 0 ] || [ $fault = repeat ] || fail "$fault: nothing ran"
+  [ "$(wc -l < "$RUNS")" -gt 0 ] || [ "$1" = repeat ] || fail "$1: nothing ran"
+}
+for fault in repeat bare; do
+  check $fault "$ports"
+  check $fault "$delegate_ports"
 done
 echo "repeated refusal: ok"
