--- a/tests/run.sh
+++ b/tests/run.sh
@@ -6,8 +6,9 @@
 #
 # Scripts under tests/scripts run in virtual time; their output must equal
 # NAME.expected.  A script with "# sweep T ..." runs once for each value of $T;
-# its sorted, distinct lines are compared.  Scripts under tests/regress run real
-# processes.  Failures of tests that are listed in KNOWN-RED.txt are printed but
+# its sorted, distinct lines are compared.  The programs of the gateway run in
+# virtual time, so several run at once.  Scripts under tests/regress run real
+# processes, one after the other.  Failures of tests that are listed in KNOWN-RED.txt are printed but
 # not counted.
 set -u
 cd "$(dirname "$0")/.."
@@ -70,12 +71,29 @@
   report "$name" $?
 done
 
+# Runs a program; keeps its output and its exit status.
+run_program () { # PROGRAM
+  local kept
+  kept=$OUT/$(basename "$1")
+  "$1" > "$kept.out" 2>&1
+  echo $? > "$kept.status"
+}
+export -f run_program
+export OUT
+
+programs=()
 for program in "$BUILD"/tests/unit/test_* "$BUILD"/tests/gateway/test_*; do
   [ -x "$program" ] && [ -f "$program" ] || continue
-  name=$(basename "$(dirname "$program")")/$(basename "$program")
-  wanted "$name" || continue
-  "$program" > "$OUT/out" 2>&1
-  report "$name" $?
+  wanted "$(basename "$(dirname "$program")")/$(basename "$program")" || continue
+  programs+=("$program")
+done
+printf '%s\n' "${programs[@]}" | grep /test_gateway_ \
+  | xargs -r -P "$(nproc)" -I {} bash -c 'run_program {}'
+for program in "${programs[@]}"; do
+  [ -f "$OUT/$(basename "$program").status" ] || run_program "$program"
+  mv "$OUT/$(basename "$program").out" "$OUT/out"
+  report "$(basename "$(dirname "$program")")/$(basename "$program")" \
+    "$(cat "$OUT/$(basename "$program").status")"
 done
 
 for page in events errors settings; do
