--- a/packages/adapters/peer_transport.c
+++ b/packages/adapters/peer_transport.c
@@ -229,7 +229,21 @@
          && now_us - link->unacked_since_us > LINK_ACK_TIMEOUT_US;
 }
 
-void
+/* Closes a link on which nothing was acknowledged in time. */
+static void
+transport_link_close_stalled (ca_peer_link_t *link, uint64_t now_us)
+{
+  const ca_peer_transport_handler_t *handler = &link->transport->handler;
+
+  if (handler->on_stalled != NULL)
+    handler->on_stalled (
+        handler->context, &link->address, now_us - link->unacked_since_us,
+        link->unacked_frames,
+        evbuffer_get_length (bufferevent_get_output (link->stream)));
+  transport_link_free (link);
+}
+
+size_t
 ca_peer_transport_send (ca_peer_transport_t *transport,
                         const ca_address_t *address,
                         const Camphor__Envelope *envelope)
@@ -237,34 +251,29 @@
   ca_peer_link_t *link = transport_link_find (transport, address);
   struct evbuffer *output;
   size_t bytes = ca_frame_bytes (envelope);
+  uint64_t now_us = ca_clock_now_us ();
   uint8_t *frame;
 
-  if (link != NULL && transport_link_is_stalled (link, ca_clock_now_us ()))
+  if (link != NULL && transport_link_is_stalled (link, now_us))
     {
-      transport_link_free (link);
+      transport_link_close_stalled (link, now_us);
       link = NULL;
     }
   if (link == NULL)
     link = transport_link_connect (transport, address);
   if (link == NULL)
-    return;
+    return 0;
   output = bufferevent_get_output (link->stream);
   if (evbuffer_get_length (output) + bytes > LINK_QUEUE_MAX_BYTES)
-    return;
+    return 0;
   frame = malloc (bytes);
   ca_frame_pack (envelope, frame);
   evbuffer_add (output, frame, bytes);
   free (frame);
-  link->last_used_us = ca_clock_now_us ();
+  link->last_used_us = now_us;
   if (link->unacked_frames++ == 0)
-    link->unacked_since_us = link->last_used_us;
-}
-
-static bool
-transport_link_is_expired (const ca_peer_link_t *link, uint64_t now_us)
-{
-  return transport_link_is_stalled (link, now_us)
-         || now_us - link->last_used_us > LINK_IDLE_TIMEOUT_US;
+    link->unacked_since_us = now_us;
+  return bytes;
 }
 
 /* Closes the links that are stalled or idle. */
@@ -281,7 +290,9 @@
     {
       ca_peer_link_t *next = TAILQ_NEXT (link, entries);
 
-      if (transport_link_is_expired (link, now_us))
+      if (transport_link_is_stalled (link, now_us))
+        transport_link_close_stalled (link, now_us);
+      else if (now_us - link->last_used_us > LINK_IDLE_TIMEOUT_US)
         transport_link_free (link);
       link = next;
     }
--- a/packages/adapters/peer_transport.h
+++ b/packages/adapters/peer_transport.h
@@ -12,12 +12,18 @@
 
 struct ca_peer_link;
 
-/* Callbacks for a received message and for a malformed frame.  The message is
- * freed after the callback, except for fields that it has moved out. */
+/* Callbacks for a received message, a malformed frame, and an outgoing link
+ * that is closed since nothing was acknowledged.  The message is freed after
+ * the callback, except for fields that it has moved out.  `on_stalled` may be
+ * NULL.
+ */
 typedef struct
 {
   void (*on_message) (void *context, Camphor__Envelope *envelope);
   void (*on_bad_frame) (void *context, const char *message);
+  void (*on_stalled) (void *context, const ca_address_t *peer,
+                      uint64_t unacked_us, uint64_t unacked_frames,
+                      size_t queued_bytes);
   void *context;
 } ca_peer_transport_handler_t;
 
@@ -37,10 +43,11 @@
                              const ca_address_t *listen, ca_error_t *error);
 void ca_peer_transport_finish (ca_peer_transport_t *transport);
 
-/* Sends a message over the link to `address`, opening it if needed.  Delivery
- * is not guaranteed: the message is dropped if the link's queue is full. */
-void ca_peer_transport_send (ca_peer_transport_t *transport,
-                             const ca_address_t *address,
-                             const Camphor__Envelope *envelope);
+/* Sends a message over the link to `address`, opening it if needed.  Returns
+ * the bytes queued.  Delivery is not guaranteed: 0 is returned if the message
+ * is dropped at once, since the link's queue is full. */
+size_t ca_peer_transport_send (ca_peer_transport_t *transport,
+                               const ca_address_t *address,
+                               const Camphor__Envelope *envelope);
 
 #endif
--- a/packages/base/counters.c
+++ b/packages/base/counters.c
@@ -38,6 +38,10 @@
   "streams_taken_up",
   "streams_unknown",
   "delegated",
+  "store_bytes",
+  "peer_links_stalled",
+  "configs_requested",
+  "configs_sent",
 };
 
 static const char *const latency_names[CA_LATENCY_KINDS]
--- a/packages/base/events.c
+++ b/packages/base/events.c
@@ -140,6 +140,11 @@
   { CA_EVENT_PEER_BAD_FRAME, CA_LEVEL_WARNING, "peer_bad_frame",
     "a peer connection was closed after a malformed frame",
     "check that only entries can reach the peer port" },
+  { CA_EVENT_PEER_LINK_STALLED, CA_LEVEL_WARNING, "peer_link_stalled",
+    "a connection to a peer was closed with its queue, since the peer "
+    "acknowledged nothing for too long; the next message opens a new one",
+    "check the peer and the network between; if the queue is large, the "
+    "bandwidth of both" },
   { CA_EVENT_CONFIG_PLANNED, CA_LEVEL_INFO, "config_planned",
     "a plan was made from an operator's intent", NO_ACTION },
   { CA_EVENT_CONFIG_CONFIRMED, CA_LEVEL_INFO, "config_confirmed",
@@ -149,6 +154,10 @@
   { CA_EVENT_CONFIG_REFUSED, CA_LEVEL_WARNING, "config_refused",
     "a plan or a configuration row was refused",
     "read the detail; make a new plan" },
+  { CA_EVENT_CONFIG_REQUESTED, CA_LEVEL_INFO, "config_requested",
+    "this entry asked a peer for a configuration that the store did not "
+    "deliver",
+    "if it persists, compare config_applied lines of both entries" },
   { CA_EVENT_STORE_DOWN, CA_LEVEL_WARNING, "store_down",
     "the table service does not respond; non-idempotent requests are refused",
     "see docs/operating.md, a store outage" },
@@ -171,6 +180,10 @@
     "answers of the table service name no era, a malformed or an earlier one; "
     "they are not used",
     "check the table service and what lies between" },
+  { CA_EVENT_STORE_CALL_FAILED, CA_LEVEL_INFO, "store_call_failed",
+    "a read of a watched table was refused, or not answered in full in time",
+    "if most of a large answer had arrived, check the bandwidth to the table "
+    "service" },
   { CA_EVENT_ANSWER_NOT_STORED, CA_LEVEL_WARNING, "answer_not_stored",
     "an answer was delivered before its row was written; the write is retried",
     "keep the entry running until the store is back" },
--- a/packages/daemon/entry.c
+++ b/packages/daemon/entry.c
@@ -287,7 +287,7 @@
   ca_core_options_t options;
   ca_ports_t ports = entry_ports;
   ca_peer_transport_handler_t handler
-      = { entry_on_peer, entry_on_bad_frame, entry };
+      = { entry_on_peer, entry_on_bad_frame, NULL, entry };
   ca_address_t callers;
   ca_address_t peers;
   ca_address_t platform;
--- a/packages/gateway/catalog.h
+++ b/packages/gateway/catalog.h
@@ -106,6 +106,8 @@
   uint32_t idle_ms;
   char *text; /* as stored, for peers that cannot read the store */
   size_t text_bytes;
+  const char *source; /* where the text came from, for the log; not owned */
+  uint64_t build_us;  /* time that it took to build the catalog */
 } ca_catalog_t;
 
 /* Creates an empty catalog with one reference. */
--- a/packages/gateway/peers.c
+++ b/packages/gateway/peers.c
@@ -866,6 +866,7 @@
   text.text.len = gateway->catalog->text_bytes;
   answer.body_case = CAMPHOR__ENVELOPE__BODY_CATALOG_TEXT;
   answer.catalog_text = &text;
+  ca_counters_add (&gateway->counters, CA_COUNT_CONFIGS_SENT, 1);
   ca_peers_send (gateway, &peer->address, &answer);
 }
 
--- a/packages/gateway/state_sync.c
+++ b/packages/gateway/state_sync.c
@@ -38,11 +38,14 @@
     }
   gateway->catalog = catalog;
   gateway->next_share_us = 0;
-  ca_gateway_log (gateway, CA_EVENT_CONFIG_APPLIED, NULL, NULL,
-                  "version %" PRIu64 " replaces %" PRIu64
-                  ", %u routes, %u workspaces",
-                  catalog->version, former == NULL ? 0 : former->version,
-                  catalog->route_count, catalog->workspace_count);
+  ca_gateway_log (
+      gateway, CA_EVENT_CONFIG_APPLIED, NULL, NULL,
+      "version %" PRIu64 " replaces %" PRIu64
+      ", %u routes, %u workspaces, %zu bytes from %s, built in "
+      "%" PRIu64 " us",
+      catalog->version, former == NULL ? 0 : former->version,
+      catalog->route_count, catalog->workspace_count, catalog->text_bytes,
+      catalog->source == NULL ? "a file" : catalog->source, catalog->build_us);
   ca_catalog_unref (former);
 }
 
@@ -317,6 +320,13 @@
     return;
   gateway->next_catalog_request_us
       = gateway->now_us + CATALOG_REQUEST_PERIOD_US;
+  ca_counters_add (&gateway->counters, CA_COUNT_CONFIGS_REQUESTED, 1);
+  ca_gateway_log (
+      gateway, CA_EVENT_CONFIG_REQUESTED, NULL, best->heartbeat->name,
+      "version %" PRIu64 ", has %" PRIu64
+      ", a peer is known to have a newer one for %" PRIu64 " ms",
+      best->heartbeat->config_version, own_version,
+      (gateway->now_us - gateway->outdated_since_us) / CA_US_PER_MS);
   request.have_version = own_version;
   envelope.body_case = CAMPHOR__ENVELOPE__BODY_CATALOG_WANT;
   envelope.catalog_want = &request;
