Test: versions with many routes over narrow links (known red)

What callers saw: versions that came late or not at all, and refusals for long after them. The test has seven entries of one zone, each with a link of 1.25 MB/s to the store and its peers, and versions of 1,406 to 5,606 routes.

With 4,206 routes one of the followers loses its own call first, takes the store for down, and refuses its reader's update; it got the version from a peer.

The stand-ins learn: a proxy that limits the rate of its connections, also those of a second port; a store that shifts the entries' peer ports; configurations of any size.

--- a/tests/site/lib.sh
+++ b/tests/site/lib.sh
@@ -53,10 +53,25 @@
 
 # put_config FILE: writes the operator's configuration to the store.
 put_config () {
-  local value
-  value=$(base64 -w 0 < "$1")
-  curl -s -m 5 -f -X POST "http://127.0.0.1:$BASE/v1/rows-tx" -d \
-    "{\"expect\":[],\"write\":[{\"table_name\":\"op\",\"part\":\"\",\"key\":\"config\",\"value\":\"$value\"}],\"removals\":[]}" > /dev/null
+  { printf '{"expect":[],"write":[{"table_name":"op","part":"","key":"config","value":"'
+    base64 -w 0 < "$1"
+    printf '"}],"removals":[]}'; } > "$WORK/put"
+  curl -s -m 20 -f -X POST "http://127.0.0.1:$BASE/v1/rows-tx" \
+    --data-binary @"$WORK/put" > /dev/null
+}
+
+# print_config VERSION ROUTES: tests/site/config.json as that version, with so many
+# routes more; the last of them is /more/ROUTES/.
+print_config () {
+  awk -v version="$1" -v routes="$2" '
+    /^\{"version"/ {
+      print "{\"version\":" version ",\"routes\":["
+      srand (1)
+      for (i = 1; i <= routes; i++)
+        printf "{\"name\":\"r-%07x%d\",\"host\":\"h%02x.example\",\"prefix\":\"/more/%d/\",\"route_kind\":\"idempotent\",\"timeout_ms\":1000,\"target_latency_ms\":150,\"priority\":2,\"service\":\"api\",\"max_attempts\":2},\n", rand () * 268435455, i, i % 199, i
+      next
+    }
+    { print }' tests/site/config.json
 }
 
 start_endpoint () { # NUMBER SERVICE ZONE [LISTED-PORT]
--- a/tests/site/proxy.c
+++ b/tests/site/proxy.c
@@ -1,13 +1,15 @@
 /* Loopback proxy that injects network faults into its connections.
  *
- *   site-proxy --port N --to N --control N
+ *   site-proxy --port N --to N --control N [--rate BYTES --port2 N --to2 N]
  *
- * POST /control takes {"mode": NAME, "delay_ms": N}: "ok" forwards everything;
- * "delay" delays data; "reset" resets all open and new connections; "silent"
- * drops data in both directions on the connections that are open now; "mute"
- * forwards requests and drops responses; connections that lost some are reset
- * when it ends; "no-new" refuses new connections, "refuse" also resets the open
- * ones; "hang" is "silent", and new connections are not established. */
+ * With --rate all connections together carry that many bytes a second, also
+ * those at a second port with a target of its own. POST /control takes {"mode":
+ * NAME, "delay_ms": N}: "ok" forwards everything; "delay" delays data; "reset"
+ * resets all open and new connections; "silent" drops data in both directions
+ * on the connections that are open now; "mute" forwards requests and drops
+ * responses; connections that lost some are reset when it ends; "no-new"
+ * refuses new connections, "refuse" also resets the open ones; "hang" is
+ * "silent", and new connections are not established. */
 #include "tests/site/site.h"
 
 #include <arpa/inet.h>
@@ -23,6 +25,9 @@
 #define PROXY_FILLERS 2
 #define PROXY_BACKLOG 128
 
+/* Interval at which a limited rate is distributed. */
+#define PROXY_TICK_US 10000
+
 /* Data waiting for its delay to pass. */
 typedef struct delayed
 {
@@ -54,6 +59,8 @@
   uint16_t to;
   char mode[16];
   uint32_t delay_ms;
+  struct bufferevent_rate_limit_group *rate; /* NULL: no limit */
+  uint16_t second_to;                        /* target of the second port */
   TAILQ_HEAD (, pair) pairs;
 } proxy_t;
 
@@ -87,6 +94,11 @@
       while (!TAILQ_EMPTY (&pair->queues[i]))
         delayed_free (TAILQ_FIRST (&pair->queues[i]));
     }
+  if (proxy.rate != NULL)
+    {
+      bufferevent_remove_from_rate_limit_group (pair->client);
+      bufferevent_remove_from_rate_limit_group (pair->server);
+    }
   bufferevent_free (pair->client);
   bufferevent_free (pair->server);
   free (pair);
@@ -204,15 +216,19 @@
   (void)listener;
   (void)from;
   (void)length;
-  (void)context;
   memset (&to, 0, sizeof to);
   to.sin_family = AF_INET;
   to.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
-  to.sin_port = htons (proxy.to);
+  to.sin_port = htons (context == NULL ? proxy.to : proxy.second_to);
   pair->client = bufferevent_socket_new (
       proxy.site.base, fd, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
   pair->server = bufferevent_socket_new (
       proxy.site.base, -1, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
+  if (proxy.rate != NULL)
+    {
+      bufferevent_add_to_rate_limit_group (pair->client, proxy.rate);
+      bufferevent_add_to_rate_limit_group (pair->server, proxy.rate);
+    }
   TAILQ_INIT (&pair->queues[0]);
   TAILQ_INIT (&pair->queues[1]);
   TAILQ_INSERT_TAIL (&proxy.pairs, pair, entries);
@@ -230,19 +246,26 @@
   bufferevent_enable (pair->server, EV_READ | EV_WRITE);
 }
 
-static bool
-proxy_listen (void)
+/* Returns a new listener; `context` is set for the second port. */
+static struct evconnlistener *
+proxy_bind (uint16_t port, void *context)
 {
   struct sockaddr_in at;
 
   memset (&at, 0, sizeof at);
   at.sin_family = AF_INET;
   at.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
-  at.sin_port = htons (proxy.port);
-  proxy.listener = evconnlistener_new_bind (
-      proxy.site.base, on_accept, NULL,
-      LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, PROXY_BACKLOG,
-      (struct sockaddr *)&at, sizeof at);
+  at.sin_port = htons (port);
+  return evconnlistener_new_bind (proxy.site.base, on_accept, context,
+                                  LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE,
+                                  PROXY_BACKLOG, (struct sockaddr *)&at,
+                                  sizeof at);
+}
+
+static bool
+proxy_listen (void)
+{
+  proxy.listener = proxy_bind (proxy.port, NULL);
   return proxy.listener != NULL;
 }
 
@@ -330,10 +353,24 @@
   (void)request;
 }
 
+/* Limits the bytes that all connections read in a second. */
+static void
+proxy_limit_rate (size_t bytes)
+{
+  const struct timeval tick = { 0, PROXY_TICK_US };
+  size_t per_tick = bytes * PROXY_TICK_US / 1000000;
+  struct ev_token_bucket_cfg *config = ev_token_bucket_cfg_new (
+      per_tick, per_tick, EV_RATE_LIMIT_MAX, EV_RATE_LIMIT_MAX, &tick);
+
+  proxy.rate = bufferevent_rate_limit_group_new (proxy.site.base, config);
+  bufferevent_rate_limit_group_set_min_share (proxy.rate, 1);
+}
+
 int
 main (int argc, char **argv)
 {
   ca_http_handler_t handler = { on_request, on_disconnect, NULL };
+  uint16_t second_port;
 
   TAILQ_INIT (&proxy.pairs);
   strlcpy (proxy.mode, "ok", sizeof proxy.mode);
@@ -343,9 +380,17 @@
       &proxy.site,
       (uint16_t)strtoul (site_argument (argc, argv, "control", "0"), NULL, 10),
       &handler);
+  if (strtoul (site_argument (argc, argv, "rate", "0"), NULL, 10) > 0)
+    proxy_limit_rate (
+        strtoul (site_argument (argc, argv, "rate", "0"), NULL, 10));
   proxy.port
       = (uint16_t)strtoul (site_argument (argc, argv, "port", "0"), NULL, 10);
-  if (!proxy_listen ())
+  proxy.second_to
+      = (uint16_t)strtoul (site_argument (argc, argv, "to2", "0"), NULL, 10);
+  second_port
+      = (uint16_t)strtoul (site_argument (argc, argv, "port2", "0"), NULL, 10);
+  if (!proxy_listen ()
+      || (second_port != 0 && proxy_bind (second_port, &proxy) == NULL))
     {
       fprintf (stderr, "cannot listen on the port\n");
       return 1;
--- a/tests/site/site.c
+++ b/tests/site/site.c
@@ -7,7 +7,7 @@
 #include <string.h>
 
 #define SITE_HEAD_BYTES 65536
-#define SITE_BODY_BYTES (8 * 1024 * 1024)
+#define SITE_BODY_BYTES (64 * 1024 * 1024)
 #define SITE_TIMEOUT_MS 60000
 
 ca_address_t
--- a/tests/site/store.c
+++ b/tests/site/store.c
@@ -13,9 +13,9 @@
  * text in answers; "odd" adds a row to each that has rows of endpoints, whose
  * key is ID, a NUL and more, and which describes an endpoint that is none.  A
  * list has at most --page rows a page.  Who calls at the port --alias sees the
- * endpoints at ports that are higher by --shift, for proxies before them.  GET
- * /record returns usage by window, scaling orders, and each violation of the
- * leader's rules. */
+ * endpoints and the entries' peer ports at ports that are higher by --shift,
+ * for proxies before them.  GET /record returns usage by window, scaling
+ * orders, and each violation of the leader's rules. */
 #include "tests/site/site.h"
 
 #include <resolv.h>
@@ -96,9 +96,9 @@
   return NULL;
 }
 
-/* Value of an endpoint's row with its port shifted. */
+/* Value of a row with the port in the field `name` shifted. */
 static char *
-row_shifted_value (const row_t *row)
+row_shifted_value (const row_t *row, const char *name)
 {
   unsigned char text[4096];
   char value[8192];
@@ -108,14 +108,14 @@
   ca_address_t address;
   char *shifted;
 
-  if (!ca_address_parse (json_string_value (json_object_get (json, "address")),
+  if (!ca_address_parse (json_string_value (json_object_get (json, name)),
                          &address))
     {
       json_decref (json);
       return strdup (row->value);
     }
   json_object_set_new (
-      json, "address",
+      json, name,
       json_sprintf ("127.0.0.1:%u", (unsigned)address.port + store.shift));
   shifted = json_dumps (json, JSON_COMPACT);
   b64_ntop ((unsigned char *)shifted, strlen (shifted), value, sizeof value);
@@ -133,9 +133,12 @@
 
   if (row->deleted)
     json_object_set_new (json, "deleted", json_true ());
-  else if (shifted && strcmp (row->table, "servers") == 0)
+  else if (shifted
+           && (strcmp (row->table, "servers") == 0
+               || strcmp (row->table, "camphorarch-entries") == 0))
     {
-      char *value = row_shifted_value (row);
+      char *value = row_shifted_value (
+          row, strcmp (row->table, "servers") == 0 ? "address" : "peers");
 
       json_object_set_new (json, "value", json_string (value));
       free (value);
