Let a large answer of the store arrive for longer than the call's limit

What callers saw: late versions and refusals after a version with many routes. Cause: a call to the store had one limit (0.6, 1 or 2 s) for its whole answer, however large. An answer of 1.38 MB needs 1.1 s of a link with 10 Mbit/s: it was thrown away, asked for again by each entry for itself, and the store taken for down, while updates of the zone's reader were refused. Evidence: store_call_failed at all seven entries of regress/test_config_narrow_links, with 0.63 to 1.16 of 1.38 MB received at the limit. New tests in gateway/test_http: 100 KB at 150 KB/s with a limit of 200 ms arrive (interrupted before), a trickle does not.

--- a/packages/http/client.c
+++ b/packages/http/client.c
@@ -32,6 +32,9 @@
 #define CLIENT_IDLE_MARGIN_MS 500
 #define CLIENT_MAX_IDLE_MS 20000
 
+/* A response that is slower than this on average is given up at its timeout. */
+#define CLIENT_MIN_BYTES_PER_MS 64
+
 /* A connection whose peer acknowledges nothing for this long is considered
  * dead. */
 #define CLIENT_UNACKED_MS 4000
@@ -66,6 +69,8 @@
   bool cancelled;         /* by one of its own callbacks */
   bool parsing;
   uint64_t deadline_us; /* 0: none */
+  size_t body_bytes;    /* of the response */
+  uint64_t body_us;     /* time of its latest bytes */
   uint64_t idle_since_us;
   uint32_t idle_limit_ms;
   TAILQ_ENTRY (ca_http_pool_call) entries;
@@ -229,9 +234,26 @@
       call->skipped_bytes += count;
       return call->skipped_bytes <= CLIENT_MAX_SKIPPED_BYTES;
     }
+  call->body_bytes += count;
+  call->body_us = ca_clock_boot_us ();
   return call->options.on_body (call->options.context, bytes, count);
 }
 
+/* The deadline of a call, later than the one it began with if its response is
+ * still arriving. */
+static uint64_t
+call_extended_deadline_us (const ca_http_pool_call_t *call)
+{
+  uint64_t stall_us = call->body_us + call->options.stall_timeout_ms * 1000u;
+  uint64_t slow_us
+      = call->deadline_us + call->body_bytes / CLIENT_MIN_BYTES_PER_MS * 1000u;
+  uint64_t extended_us = stall_us < slow_us ? stall_us : slow_us;
+
+  if (call->options.stall_timeout_ms == 0 || call->body_bytes == 0)
+    return call->deadline_us;
+  return extended_us > call->deadline_us ? extended_us : call->deadline_us;
+}
+
 /* Parses responses until the one to this call is complete. */
 static ca_http_read_t
 call_parse (ca_http_pool_call_t *call)
@@ -362,11 +384,14 @@
 call_on_timeout (evutil_socket_t fd, short what, void *context)
 {
   ca_http_pool_call_t *call = context;
+  uint64_t now_us = ca_clock_boot_us ();
 
   (void)fd;
   (void)what;
   if (call->idle)
     call_free (call);
+  else if (call->connected && call_extended_deadline_us (call) > now_us)
+    call_set_timer (call, call_extended_deadline_us (call) - now_us);
   else
     call_fail (call, call->connected ? CA_HTTP_OUTCOME_INTERRUPTED
                                      : CA_HTTP_OUTCOME_NOT_SENT);
@@ -477,6 +502,7 @@
   call->skipping = false;
   call->skipped = 0;
   call->skipped_bytes = 0;
+  call->body_bytes = 0;
   call->reader.response_to_head = strcmp (options->method, "HEAD") == 0;
   call->options.method = call->reader.response_to_head ? "HEAD" : "";
   call->deadline_us
--- a/packages/http/client.h
+++ b/packages/http/client.h
@@ -52,6 +52,9 @@
   bool has_body;               /* send Content-Length even if it is 0 */
   uint32_t connect_timeout_ms; /* to establish the connection */
   uint32_t timeout_ms;         /* for the whole call; 0: none */
+  /* While the response's body arrives, the timeout is extended to this long
+   * after its latest bytes, if they come fast enough on average.  0: never. */
+  uint32_t stall_timeout_ms;
   uint32_t max_idle_ms; /* maximum idle time of a reused connection; 0: open a
                            new one */
   ca_http_head_action_t (*on_head) (void *context, const ca_http_head_t *head);
--- a/tests/gateway/test_http.c
+++ b/tests/gateway/test_http.c
@@ -41,6 +41,7 @@
   const char *answers[2]; /* to the first request and to later ones */
   const char *filler;     /* sent after the response without end, or NULL */
   size_t filled;          /* bytes of it */
+  struct ev_token_bucket_cfg *rate; /* of its responses; NULL: no limit */
   after_response_t after;
   int requests;
   char got[4096];
@@ -134,6 +135,8 @@
           break;
         }
     }
+  if (server->rate != NULL)
+    bufferevent_set_rate_limit (stream, server->rate);
   bufferevent_setcb (stream, raw_read, raw_written, raw_event, server);
   bufferevent_enable (stream, EV_READ | EV_WRITE);
 }
@@ -409,6 +412,81 @@
   raw_end (&server);
 }
 
+#define LARGE_BYTES 100000
+#define LARGE_TIMEOUT_MS 200
+
+/* Counts a body without keeping it. */
+static bool
+count_body (void *context, const char *bytes, size_t count)
+{
+  call_result_t *result = context;
+
+  (void)bytes;
+  result->bytes += count;
+  return true;
+}
+
+/* Makes a call whose timeout is extended while the response arrives, at so many
+ * bytes each 10 ms. */
+static call_result_t
+make_large_call (size_t bytes_per_tick)
+{
+  const struct timeval tick = { 0, 10000 };
+  char *answer = malloc (LARGE_BYTES + 128);
+  int head = sprintf (answer, HEAD "Content-Length: %d\r\n\r\n", LARGE_BYTES);
+  raw_server_t server;
+  ca_http_pool_t pool;
+  call_result_t result = { .done = false };
+  ca_http_pool_call_options_t options = { .method = "GET",
+                                          .target = "/x",
+                                          .connect_timeout_ms = 1000,
+                                          .timeout_ms = LARGE_TIMEOUT_MS,
+                                          .stall_timeout_ms = LARGE_TIMEOUT_MS,
+                                          .on_head = result_on_head,
+                                          .on_body = count_body,
+                                          .on_done = result_on_done,
+                                          .context = &result };
+
+  memset (answer + head, 'x', LARGE_BYTES);
+  answer[head + LARGE_BYTES] = '\0';
+  raw_start (&server, answer, AFTER_KEEP_OPEN);
+  server.rate = ev_token_bucket_cfg_new (EV_RATE_LIMIT_MAX, EV_RATE_LIMIT_MAX,
+                                         bytes_per_tick, bytes_per_tick, &tick);
+  ca_http_pool_init (&pool, server.base);
+  result.base = server.base;
+  options.address = server.address;
+  ca_http_pool_call_start (&pool, &options);
+  while (!result.done)
+    event_base_loop (server.base, EVLOOP_ONCE);
+  ca_http_pool_finish (&pool);
+  raw_end (&server);
+  ev_token_bucket_cfg_free (server.rate);
+  free (answer);
+  return result;
+}
+
+/* A large response arrives for longer than the call's timeout. */
+static void
+test_large_answer_outlasts_timeout (void **state)
+{
+  call_result_t result = make_large_call (1500);
+
+  (void)state;
+  assert_int_equal (result.outcome, CA_HTTP_OUTCOME_COMPLETE);
+  assert_int_equal (result.bytes, LARGE_BYTES);
+}
+
+/* A trickle extends the timeout by next to nothing. */
+static void
+test_trickling_answer_times_out (void **state)
+{
+  call_result_t result = make_large_call (16);
+
+  (void)state;
+  assert_int_equal (result.outcome, CA_HTTP_OUTCOME_INTERRUPTED);
+  assert_true (result.bytes < LARGE_BYTES / 2);
+}
+
 static void
 test_kept_connection (void **state)
 {
@@ -721,6 +799,8 @@
     cmocka_unit_test (test_answers_without_end),
     cmocka_unit_test (test_extra_answer),
     cmocka_unit_test (test_late_answer),
+    cmocka_unit_test (test_large_answer_outlasts_timeout),
+    cmocka_unit_test (test_trickling_answer_times_out),
     cmocka_unit_test (test_kept_connection),
     cmocka_unit_test (test_no_listener),
     cmocka_unit_test (test_timeout_discards_unsent),
