Build a version from what differs from the one before, in slices

What callers saw: a calm fleet that fails a third of its requests where processor time is scarce, only because versions have many routes. Cause: each version was decoded, allocated and freed as a whole, in one piece on the event loop: 8 us a route. Requests that were read, and messages of peers, waited. Change: the text is scanned for its rows; a row with the same digest as in the version before is shared with it, by reference count, and only others are decoded (none is shared if the rows of the services differ, to which routes refer by place). A catalog that is replaced frees its text and index at once, also if long requests still hold it. A text whose version is already in force, or being built, is not decoded. Guarded too: texts that end early, a service that is inserted, versions that arrive while another is built.

--- a/packages/gateway/catalog.c
+++ b/packages/gateway/catalog.c
@@ -53,24 +53,47 @@
   }
 }
 
+ca_route_t *
+ca_route_ref (ca_route_t *route)
+{
+  route->references++;
+  return route;
+}
+
+static void
+catalog_unref_route (ca_route_t *route)
+{
+  if (--route->references > 0)
+    return;
+  free (route->name);
+  free (route->key);
+  free (route);
+}
+
+void
+ca_catalog_retire (ca_catalog_t *catalog)
+{
+  HASH_CLEAR (by_key, catalog->routes_by_key);
+  HASH_CLEAR (by_digest, catalog->routes_by_digest);
+  free (catalog->text);
+  catalog->text = NULL;
+  catalog->text_bytes = 0;
+}
+
 void
 ca_catalog_unref (ca_catalog_t *catalog)
 {
   if (catalog == NULL || --catalog->references > 0)
     return;
-  HASH_CLEAR (hh, catalog->routes_by_key);
+  ca_catalog_retire (catalog);
   for (uint32_t i = 0; i < catalog->route_count; i++)
-    {
-      free (catalog->routes[i].name);
-      free (catalog->routes[i].key);
-    }
+    catalog_unref_route (catalog->routes[i].route);
   for (uint32_t i = 0; i < catalog->workspace_count; i++)
     free (catalog->workspaces[i].name);
   catalog_free_services (catalog);
   catalog_free_keys (catalog);
   free (catalog->routes);
   free (catalog->workspaces);
-  free (catalog->text);
   free (catalog);
 }
 
@@ -100,28 +123,75 @@
 }
 
 ca_route_t *
-ca_catalog_add_route (ca_catalog_t *catalog, const char *name, const char *host,
-                      const char *prefix)
+ca_route_new (const char *name, const char *host, const char *prefix)
 {
-  ca_route_t *route
-      = catalog_append_row ((void **)&catalog->routes, &catalog->route_count,
-                            sizeof *catalog->routes);
+  ca_route_t *route = calloc (1, sizeof *route);
   size_t host_bytes = strlen (host);
   size_t prefix_bytes = strlen (prefix);
 
+  route->references = 1;
   route->name = strdup (name);
   route->key = malloc (host_bytes + prefix_bytes + 1);
-  route->key_bytes = catalog_write_key (route->key, host, host_bytes, prefix,
-                                        prefix_bytes + 1)
-                     - 1;
+  route->key_bytes
+      = catalog_write_key (route->key, host, host_bytes, prefix, prefix_bytes);
+  route->key[route->key_bytes] = '\0';
   route->prefix = route->key + host_bytes;
+  HASH_VALUE (route->key, route->key_bytes, route->key_hash);
+  return route;
+}
+
+void
+ca_catalog_reserve_routes (ca_catalog_t *catalog, size_t count)
+{
+  catalog->routes = calloc (count, sizeof *catalog->routes);
+}
+
+/* Notes what the look-up of a route needs to know of all. */
+static void
+catalog_measure_route (ca_catalog_t *catalog, const ca_route_t *route)
+{
+  size_t host_bytes = (size_t)(route->prefix - route->key);
+  size_t prefix_bytes = route->key_bytes - host_bytes;
+
   if (host_bytes > catalog->host_max_bytes)
     catalog->host_max_bytes = host_bytes;
   if (prefix_bytes > catalog->prefix_max_bytes)
     catalog->prefix_max_bytes = prefix_bytes;
-  if (prefix_bytes == 0 || prefix[prefix_bytes - 1] != '/')
+  if (prefix_bytes == 0 || route->prefix[prefix_bytes - 1] != '/')
     catalog->has_partial_prefixes = true;
-  return route;
+}
+
+void
+ca_catalog_add_route (ca_catalog_t *catalog, ca_route_t *route)
+{
+  ca_route_place_t *place = &catalog->routes[catalog->route_count++];
+  ca_route_place_t *first = NULL;
+
+  place->route = route;
+  catalog_measure_route (catalog, route);
+  HASH_FIND_BYHASHVALUE (by_key, catalog->routes_by_key, route->key,
+                         route->key_bytes, route->key_hash, first);
+  if (first == NULL)
+    HASH_ADD_KEYPTR_BYHASHVALUE (by_key, catalog->routes_by_key, route->key,
+                                 route->key_bytes, route->key_hash, place);
+  HASH_FIND_BYHASHVALUE (by_digest, catalog->routes_by_digest, &route->digest,
+                         sizeof route->digest, (unsigned)route->digest.low,
+                         first);
+  if (first == NULL)
+    HASH_ADD_KEYPTR_BYHASHVALUE (by_digest, catalog->routes_by_digest,
+                                 &route->digest, sizeof route->digest,
+                                 (unsigned)route->digest.low, place);
+}
+
+ca_route_t *
+ca_catalog_find_same_route (const ca_catalog_t *catalog,
+                            const ca_digest_t *digest)
+{
+  ca_route_place_t *place = NULL;
+
+  HASH_FIND_BYHASHVALUE (by_digest, catalog->routes_by_digest, digest,
+                         sizeof *digest, (unsigned)digest->low, place);
+  return place == NULL ? NULL : place->route;
 }
 
 ca_service_t *
@@ -150,22 +220,6 @@
   HASH_ADD_KEYPTR (hh, catalog->keys, row->key, strlen (row->key), row);
 }
 
-void
-ca_catalog_freeze (ca_catalog_t *catalog)
-{
-  for (uint32_t i = 0; i < catalog->route_count; i++)
-    {
-      ca_route_t *route = &catalog->routes[i];
-      ca_route_t *first = NULL;
-
-      HASH_FIND (hh, catalog->routes_by_key, route->key, route->key_bytes,
-                 first);
-      if (first == NULL)
-        HASH_ADD_KEYPTR (hh, catalog->routes_by_key, route->key,
-                         route->key_bytes, route);
-    }
-}
-
 int32_t
 ca_catalog_find_service (const ca_catalog_t *catalog, const char *name)
 {
@@ -193,15 +247,15 @@
 {
   for (size_t end = key_bytes + 1; end-- > host_bytes;)
     {
-      ca_route_t *route = NULL;
+      ca_route_place_t *place = NULL;
 
       if (!catalog->has_partial_prefixes
           && (end == host_bytes || key[end - 1] != '/'))
         continue;
-      HASH_FIND (hh, catalog->routes_by_key, key, end, route);
-      if (route != NULL && route->key_bytes == end
-          && (size_t)(route->prefix - route->key) == host_bytes)
-        return route;
+      HASH_FIND (by_key, catalog->routes_by_key, key, end, place);
+      if (place != NULL
+          && (size_t)(place->route->prefix - place->route->key) == host_bytes)
+        return place->route;
     }
   return NULL;
 }
--- a/packages/gateway/catalog.h
+++ b/packages/gateway/catalog.h
@@ -1,8 +1,8 @@
 /* One version of the operator's configuration, in the form used by the
  * gateway.
  *
- * An adapter builds a catalog and freezes it; it never changes afterwards.
- * Requests hold a reference to the catalog that admitted them. */
+ * An adapter builds a catalog; it does not change afterwards.  Requests hold a
+ * reference to the catalog that admitted them. */
 #ifndef CA_GATEWAY_CATALOG_H
 #define CA_GATEWAY_CATALOG_H
 
@@ -27,11 +27,22 @@
   uint32_t weight;
 } ca_route_target_t;
 
+/* Digest of a text, which stands for the text itself. */
 typedef struct
 {
+  uint64_t high;
+  uint64_t low;
+} ca_digest_t;
+
+/* A route, shared by the versions in which its row has the same text. */
+typedef struct
+{
+  uint32_t references;
+  ca_digest_t digest; /* of its row */
   char *name;
-  char *key;          /* host, in lower case, and prefix, for the look-up */
-  size_t key_bytes;   /* length of the key */
+  char *key;        /* host, in lower case, and prefix, for the look-up */
+  size_t key_bytes; /* length of the key */
+  unsigned key_hash;
   const char *prefix; /* within the key */
   ca_route_kind_t kind;
   bool resumable; /* streams may continue at another endpoint */
@@ -44,9 +55,16 @@
   uint32_t max_attempts;
   ca_route_target_t targets[CA_ROUTE_TARGETS_MAX];
   uint32_t target_count;
-  UT_hash_handle hh; /* by key */
 } ca_route_t;
 
+/* Place of a route in one version. */
+typedef struct
+{
+  ca_route_t *route;
+  UT_hash_handle by_key;
+  UT_hash_handle by_digest;
+} ca_route_place_t;
+
 /* Maximum number of availability zones in a price list. */
 #define CA_CATALOG_ZONES_MAX 16
 
@@ -95,12 +113,14 @@
 {
   uint64_t version;
   uint32_t references;
-  ca_route_t *routes;
+  ca_route_place_t *routes;
   uint32_t route_count;
-  ca_route_t *routes_by_key; /* once frozen; the first row of each key */
-  size_t host_max_bytes;     /* of the routes' hosts */
-  size_t prefix_max_bytes;   /* of the routes' prefixes */
-  bool has_partial_prefixes; /* some prefix ends within a path segment */
+  ca_route_place_t *routes_by_key; /* the first row of each key */
+  ca_route_place_t *routes_by_digest;
+  size_t host_max_bytes;       /* of the routes' hosts */
+  size_t prefix_max_bytes;     /* of the routes' prefixes */
+  bool has_partial_prefixes;   /* some prefix ends within a path segment */
+  ca_digest_t services_digest; /* of the rows of the services */
   ca_service_t *services;
   uint32_t service_count;
   ca_catalog_workspace_t *workspaces;
@@ -121,17 +141,30 @@
 ca_catalog_t *ca_catalog_ref (ca_catalog_t *catalog);
 void ca_catalog_unref (ca_catalog_t *catalog);
 
-/* Each appends a row, zeroed but for the texts that are passed, which are
- * copied; the pointer is valid until the next row of that kind is appended. */
-ca_route_t *ca_catalog_add_route (ca_catalog_t *catalog, const char *name,
-                                  const char *host, const char *prefix);
+/* Frees what only a catalog in force needs: its text and what finds routes. */
+void ca_catalog_retire (ca_catalog_t *catalog);
+
+/* New route with one reference, zeroed but for the texts, which are copied. */
+ca_route_t *ca_route_new (const char *name, const char *host,
+                          const char *prefix);
+ca_route_t *ca_route_ref (ca_route_t *route);
+
+/* Makes room for all routes; called once, before the first is added. */
+void ca_catalog_reserve_routes (ca_catalog_t *catalog, size_t count);
+
+/* Adds a route and takes over the caller's reference. */
+void ca_catalog_add_route (ca_catalog_t *catalog, ca_route_t *route);
+
+/* Each appends a zeroed row; the pointer is valid until the next row of that
+ * kind is appended. */
 ca_service_t *ca_catalog_add_service (ca_catalog_t *catalog);
 ca_catalog_workspace_t *ca_catalog_add_workspace (ca_catalog_t *catalog);
 void ca_catalog_add_key (ca_catalog_t *catalog, const char *key,
                          uint32_t workspace);
 
-/* Indexes the routes for look-up; nothing may be added afterwards. */
-void ca_catalog_freeze (ca_catalog_t *catalog);
+/* Route whose row has the digest, or NULL. */
+ca_route_t *ca_catalog_find_same_route (const ca_catalog_t *catalog,
+                                        const ca_digest_t *digest);
 
 /* Index of the service, or -1 if there is none. */
 int32_t ca_catalog_find_service (const ca_catalog_t *catalog, const char *name);
--- a/packages/gateway/state_sync.c
+++ b/packages/gateway/state_sync.c
@@ -46,6 +46,8 @@
       catalog->version, former == NULL ? 0 : former->version,
       catalog->route_count, catalog->workspace_count, catalog->text_bytes,
       catalog->source == NULL ? "a file" : catalog->source, catalog->build_us);
+  if (former != NULL)
+    ca_catalog_retire (former);
   ca_catalog_unref (former);
 }
 
--- a/tests/gateway/cluster.c
+++ b/tests/gateway/cluster.c
@@ -1,6 +1,7 @@
 /* Helpers for the entries of a test. */
 #include "cluster.h"
 
+#include "platform/config.h"
 #include "platform/records.h"
 
 #include <stdio.h>
@@ -69,6 +70,6 @@
 
   ca_error_init (&error);
   ca_gateway_catalog (gateway, now_us,
-                      ca_records_parse_catalog (text, strlen (text), &error));
+                      ca_config_parse (text, strlen (text), &error));
   ca_gateway_config_validated (gateway, now_us, now_us, now_us);
 }
--- a/tests/gateway/script.c
+++ b/tests/gateway/script.c
@@ -26,6 +26,7 @@
  * The response head stays in effect until the next head of that request. */
 #include "cluster.h"
 #include "gateway/gateway.h"
+#include "platform/config.h"
 #include "platform/records.h"
 
 #include <inttypes.h>
@@ -269,7 +270,7 @@
   bytes = fread (text, 1, sizeof text, file);
   fclose (file);
   ca_error_init (&error);
-  catalog = ca_records_parse_catalog (text, bytes, &error);
+  catalog = ca_config_parse (text, bytes, &error);
   if (catalog == NULL)
     printf ("%s\n", error.message);
   else
--- a/tests/gateway/test_config_size.c
+++ b/tests/gateway/test_config_size.c
@@ -1,6 +1,6 @@
 /* Guards against versions and requests that cost the more processor time the
  * more routes a configuration has. */
-#include "platform/records.h"
+#include "platform/config_loader.h"
 
 #include <setjmp.h>
 #include <stdarg.h>
@@ -20,6 +20,7 @@
 
 #define LOOK_UPS 2000
 #define VERSIONS 10
+#define STEP_ROWS 100
 
 static uint64_t
 processor_us (void)
@@ -62,7 +63,7 @@
   ca_catalog_t *catalog;
 
   ca_error_init (&error);
-  catalog = ca_records_parse_catalog (text, bytes, &error);
+  catalog = ca_config_parse (text, bytes, &error);
   free (text);
   assert_non_null (catalog);
   return catalog;
@@ -143,7 +144,7 @@
 
   (void)state;
   ca_error_init (&error);
-  catalog = ca_records_parse_catalog (text, sizeof text - 1, &error);
+  catalog = ca_config_parse (text, sizeof text - 1, &error);
   assert_non_null (catalog);
   for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
     {
@@ -159,6 +160,205 @@
   ca_catalog_unref (catalog);
 }
 
+/* Builds a version after another one, as an entry does. */
+static ca_catalog_t *
+build_after (ca_catalog_t *former, const char *text, size_t bytes)
+{
+  ca_config_build_t build;
+  ca_config_build_status_t status;
+  ca_error_t error;
+  ca_catalog_t *catalog;
+
+  ca_error_init (&error);
+  assert_true (ca_config_build_init (&build, text, bytes, former, &error));
+  do
+    status = ca_config_build_step (&build, STEP_ROWS, &error);
+  while (status == CA_CONFIG_BUILD_MORE);
+  assert_int_equal (status, CA_CONFIG_BUILD_DONE);
+  catalog = ca_config_build_take (&build);
+  ca_config_build_finish (&build);
+  return catalog;
+}
+
+/* A version after another one is the same as if it were the first. */
+static void
+test_next_version_equals_first (void **state)
+{
+  ca_catalog_t *former = build (1, 50, 7);
+  size_t bytes;
+  char *text = configuration (2, 60, 9, &bytes);
+  ca_catalog_t *next = build_after (former, text, bytes);
+
+  (void)state;
+  ca_catalog_retire (former);
+  ca_catalog_unref (former);
+  assert_int_equal (next->version, 2);
+  assert_int_equal (next->route_count, 60);
+  for (size_t i = 0; i < 60; i++)
+    {
+      char host[64];
+      char path[64];
+      const ca_route_t *route;
+
+      snprintf (host, sizeof host, "h%zu.example", i);
+      snprintf (path, sizeof path, "/p%zu/", i);
+      route = ca_catalog_find_route (next, host, path);
+      assert_non_null (route);
+      assert_int_equal (route->targets[0].service, i == 9);
+    }
+  /* A service more in front moves the place of all others. */
+  free (text);
+  text = strdup ("{\"version\":3,\"services\":[{\"name\":\"new\"},"
+                 "{\"name\":\"a\"},{\"name\":\"b\"}],\"routes\":[{\"name\":"
+                 "\"r-0\",\"host\":\"h0.example\",\"prefix\":\"/p0/\","
+                 "\"route_kind\":\"idempotent\",\"timeout_ms\":1000,"
+                 "\"target_latency_ms\":150,\"priority\":2,\"service\":\"a\","
+                 "\"max_attempts\":2}]}");
+  former = next;
+  next = build_after (former, text, strlen (text));
+  assert_int_equal (
+      ca_catalog_find_route (next, "h0.example", "/p0/")->targets[0].service,
+      1);
+  ca_catalog_unref (former);
+  ca_catalog_unref (next);
+  free (text);
+}
+
+/* Texts that end early, or hold something else, are refused; an entry keeps the
+ * version that it has. */
+static void
+test_malformed_texts (void **state)
+{
+  static const char *const texts[] = {
+    "",
+    "{",
+    "[]",
+    "7",
+    "{\"version\":1,\"routes\":[{\"name\":\"a\"}",
+    "{\"version\":1,\"routes\":[{\"name\":\"a\"}]",
+    "{\"version\":1,\"routes\":[{\"name\":\"a\"},]}",
+    "{\"version\":1,\"routes\":[,{\"name\":\"a\"}]}",
+    "{\"version\":1,\"routes\":[{\"name\":\"a\"]}]}",
+    "{\"version\":1,\"routes\":[{\"name\"}]}",
+    "{\"version\":1,\"routes\":[{\"name\":\"a\"}{\"name\":\"b\"}]}",
+    "{\"version\":1,\"routes\":[]}x",
+    "{\"version\":1 \"routes\":[]}",
+    "{\"version\":1,\"routes\":[\"\\\"]}",
+    "{version:1}",
+    "{\"version\":1,}",
+    "{\"version\":1,\"limits\":{]}",
+    "{\"version\":-1}",
+    "{\"version\":1.5}",
+    "{\"version\":\"1\"}",
+  };
+  ca_error_t error;
+
+  (void)state;
+  for (size_t i = 0; i < sizeof texts / sizeof texts[0]; i++)
+    {
+      ca_error_init (&error);
+      if (ca_config_parse (texts[i], strlen (texts[i]), &error) != NULL)
+        fail_msg ("taken: %s", texts[i]);
+      assert_int_equal (error.kind, CA_ERROR_BAD_INTENT);
+    }
+}
+
+/* Catalogs that a loader has built, and events handled meanwhile. */
+typedef struct
+{
+  ca_catalog_t *current;
+  uint64_t versions[8];
+  size_t built;
+  size_t refused;
+  size_t other_events;
+  struct event *other;
+} loading_t;
+
+static ca_catalog_t *
+on_current (void *context)
+{
+  return ((loading_t *)context)->current;
+}
+
+static void
+on_built (void *context, ca_catalog_t *catalog)
+{
+  loading_t *loading = context;
+
+  ca_catalog_unref (loading->current);
+  loading->current = catalog;
+  loading->versions[loading->built++] = catalog->version;
+}
+
+static void
+on_refused (void *context, const char *message)
+{
+  (void)message;
+  ((loading_t *)context)->refused++;
+}
+
+static void
+on_other_event (evutil_socket_t fd, short what, void *context)
+{
+  const struct timeval now = { 0, 0 };
+  loading_t *loading = context;
+
+  (void)fd;
+  (void)what;
+  loading->other_events++;
+  if (loading->built < 2)
+    event_add (loading->other, &now);
+}
+
+static void
+load (ca_config_loader_t *loader, uint64_t version, size_t routes)
+{
+  size_t bytes;
+  char *text = configuration (version, routes, routes, &bytes);
+
+  ca_config_loader_load (loader, "a test", text, bytes);
+  free (text);
+}
+
+/* Events are handled while a large version is built; of those that arrive
+ * meanwhile the newest is built next. */
+static void
+test_large_version_holds_up_nothing (void **state)
+{
+  const struct timeval now = { 0, 0 };
+  loading_t loading = { .current = NULL };
+  const ca_config_loader_handler_t handler
+      = { on_current, on_built, on_refused, &loading };
+  struct event_base *base = event_base_new ();
+  ca_config_loader_t loader;
+
+  (void)state;
+  loading.other = evtimer_new (base, on_other_event, &loading);
+  event_add (loading.other, &now);
+  ca_config_loader_init (&loader, base, &handler);
+  load (&loader, 2, 50000);
+  assert_true (ca_config_loader_is_busy (&loader));
+  load (&loader, 3, 100);
+  load (&loader, 5, 100);
+  load (&loader, 4, 100);
+  ca_config_loader_load (&loader, "a test", "{\"version\":-1}", 14);
+  load (&loader, 1, 100);
+  event_base_dispatch (base);
+  assert_int_equal (loading.built, 2);
+  assert_int_equal (loading.versions[0], 2);
+  assert_int_equal (loading.versions[1], 5);
+  assert_int_equal (loading.refused, 1);
+  assert_true (loading.other_events >= 5);
+  load (&loader, 5, 100);
+  assert_int_equal (loading.built, 2);
+  ca_config_loader_load (&loader, "a test", "{", 1);
+  assert_int_equal (loading.refused, 2);
+  ca_config_loader_finish (&loader);
+  ca_catalog_unref (loading.current);
+  event_free (loading.other);
+  event_base_free (base);
+}
+
 /* Versions that move one route each. */
 static void
 test_next_version_is_cheap (void **state)
@@ -177,12 +377,10 @@
           char *text = configuration (version, sizes[i],
                                       (size_t)version % sizes[i], &bytes);
           uint64_t started_us = processor_us ();
-          ca_error_t error;
           ca_catalog_t *next;
 
-          ca_error_init (&error);
-          next = ca_records_parse_catalog (text, bytes, &error);
-          assert_non_null (next);
+          next = build_after (former, text, bytes);
+          ca_catalog_retire (former);
           ca_catalog_unref (former);
           former = next;
           spent_us += processor_us () - started_us;
@@ -203,6 +401,9 @@
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_longest_prefix_matches),
     cmocka_unit_test (test_look_up_costs_the_same_with_many_routes),
+    cmocka_unit_test (test_next_version_equals_first),
+    cmocka_unit_test (test_malformed_texts),
+    cmocka_unit_test (test_large_version_holds_up_nothing),
     cmocka_unit_test (test_next_version_is_cheap),
   };
 
--- a/tests/gateway/test_records.c
+++ b/tests/gateway/test_records.c
@@ -1,5 +1,6 @@
 /* Guards against rows of another writer that end an entry, or name an endpoint
  * that is none. */
+#include "platform/config.h"
 #include "platform/records.h"
 
 #include <setjmp.h>
@@ -128,7 +129,7 @@
 
   (void)state;
   ca_error_init (&error);
-  catalog = ca_records_parse_catalog (text, sizeof text - 1, &error);
+  catalog = ca_config_parse (text, sizeof text - 1, &error);
   assert_non_null (catalog);
   assert_int_equal (catalog->services[0].slots, UINT32_MAX);
   assert_int_equal (catalog->services[0].cache_tokens, UINT32_MAX);
@@ -136,9 +137,9 @@
   assert_int_equal (catalog->services[0].max_endpoints, UINT32_MAX);
   assert_int_equal (catalog->services[0].boot_ms, UINT32_MAX);
   assert_int_equal (catalog->services[1].boot_ms, 0);
-  assert_int_equal (catalog->routes[0].timeout_ms, UINT32_MAX);
-  assert_int_equal (catalog->routes[0].target_ms, 1000);
-  assert_int_equal (catalog->routes[0].priority, UINT32_MAX);
+  assert_int_equal (catalog->routes[0].route->timeout_ms, UINT32_MAX);
+  assert_int_equal (catalog->routes[0].route->target_ms, 1000);
+  assert_int_equal (catalog->routes[0].route->priority, UINT32_MAX);
   assert_int_equal (catalog->workspaces[0].default_cost, UINT32_MAX);
   assert_int_equal (catalog->body_bytes, UINT32_MAX);
   ca_catalog_unref (catalog);
@@ -152,7 +153,7 @@
 
   (void)state;
   ca_error_init (&error);
-  assert_null (ca_records_parse_catalog (text, sizeof text - 1, &error));
+  assert_null (ca_config_parse (text, sizeof text - 1, &error));
 }
 
 int
--- a/tests/gateway/test_state_sync.c
+++ b/tests/gateway/test_state_sync.c
@@ -8,6 +8,7 @@
 
 #include "gateway/freshness.h"
 #include "gateway/watch.h"
+#include "platform/config.h"
 #include "platform/records.h"
 #include "platform/settings.h"
 
@@ -218,8 +219,7 @@
   for (size_t i = 0; i < sizeof texts / sizeof texts[0]; i++)
     {
       ca_error_init (&error);
-      assert_null (
-          ca_records_parse_catalog (texts[i], strlen (texts[i]), &error));
+      assert_null (ca_config_parse (texts[i], strlen (texts[i]), &error));
       assert_int_equal (error.kind, CA_ERROR_BAD_INTENT);
     }
 }
