Send a large configuration to peers in requested parts, as a change

What callers saw: late versions, lost heartbeats and refusals for tens of seconds after a version with many routes, long after the last one. Cause: the reader of a zone sent the whole text to each of some 20 peers at once, 18 MB in the users' record. Where links are narrow no part of such a message was acknowledged within 500 ms; the link was closed with heartbeats, permits and the update itself on it. Each peer then read the store, and asked others for the text every 300 ms while the answer before was on its way: two entries of one zone sent 24 MB/s each, the limit of their links, for 20 s. Change: an update names the version, and a row over 16 KB is left out of it. Who lacks the version requests its packed text (zstd), one part of 16 KB after the other, from one peer; a sender has parts on their way to eight peers at most. A text is packed against that of the version before where the receiver has it. A copy counts as recent if its version is the reader's, by whichever way it came. Older entries get rows up to 16 KB as before, and read larger ones from the store.

--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 
 PACKAGES := git gcc make cmake pkg-config libevent-dev libprotobuf-c-dev \
   libcmocka-dev libjansson-dev libxxhash-dev libbsd-dev uthash-dev \
-  libhttp-parser-dev curl gnuplot-nox spin
+  libhttp-parser-dev libzstd-dev curl gnuplot-nox spin
 
 .PHONY: deps build sanitize test check demo lint format soak model bench report \
   pages clean
--- a/packages/gateway/gateway.c
+++ b/packages/gateway/gateway.c
@@ -52,6 +52,7 @@
   ca_service_stats_finish (gateway);
   ca_usage_rows_finish (&gateway->usage);
   ca_registry_finish (&gateway->registry);
+  ca_config_transfer_finish (gateway);
   ca_catalog_unref (gateway->catalog);
 }
 
--- a/packages/gateway/gateway.h
+++ b/packages/gateway/gateway.h
@@ -13,6 +13,7 @@
 #include "gateway/affinity.h"
 #include "gateway/bucket.h"
 #include "gateway/catalog.h"
+#include "gateway/config_transfer.h"
 #include "gateway/freshness.h"
 #include "gateway/registry.h"
 #include "gateway/stream_versions.h"
@@ -351,6 +352,7 @@
   bool loads_counted;        /* its load is included in the endpoints' counts */
   Camphor__Pulse *heartbeat; /* latest; owned */
   struct ca_usage_rows usage; /* of this incarnation and earlier ones */
+  ca_config_want_t config_want;
   UT_hash_handle hh;
 } ca_peer_t;
 
@@ -433,6 +435,7 @@
   uint32_t validation_attempts;     /* peers asked since the last validation */
   uint64_t outdated_since_us;       /* a peer has had a newer one since */
   uint64_t next_catalog_request_us; /* earliest next request to a peer */
+  ca_config_transfer_t config_transfer;
   /* Requests. */
   TAILQ_HEAD (ca_exchanges, ca_exchange) exchanges;
   uint32_t open;
@@ -540,7 +543,7 @@
 /* Sends followers the rows that changed after version `after`, up to the
  * version that the watch has. */
 void ca_relay_rows (ca_gateway_t *gateway, uint64_t now_us,
-                    const struct ca_watch *watch, uint64_t after,
+                    struct ca_watch *watch, uint64_t after,
                     Camphor__TableRow **rows, size_t count);
 
 /* Fingerprint of a request, by which its copies are recognised: of its content
--- a/packages/gateway/peers.c
+++ b/packages/gateway/peers.c
@@ -850,26 +850,6 @@
                             heartbeat->config_age_us);
 }
 
-/* Answers a peer that requests a newer configuration. */
-static void
-peer_send_catalog (ca_gateway_t *gateway, const Camphor__Envelope *envelope)
-{
-  const ca_peer_t *peer = ca_peers_find (gateway, envelope->from);
-  Camphor__Envelope answer = CAMPHOR__ENVELOPE__INIT;
-  Camphor__CatalogText text = CAMPHOR__CATALOG_TEXT__INIT;
-
-  if (peer == NULL || gateway->catalog == NULL
-      || gateway->catalog->version <= envelope->catalog_want->have_version)
-    return;
-  text.version = gateway->catalog->version;
-  text.text.data = (uint8_t *)gateway->catalog->text;
-  text.text.len = gateway->catalog->text_bytes;
-  answer.body_case = CAMPHOR__ENVELOPE__BODY_CATALOG_TEXT;
-  answer.catalog_text = &text;
-  ca_counters_add (&gateway->counters, CA_COUNT_CONFIGS_SENT, 1);
-  ca_peers_send (gateway, &peer->address, &answer);
-}
-
 void
 ca_gateway_envelope (ca_gateway_t *gateway, uint64_t now_us,
                      Camphor__Envelope *envelope)
@@ -922,12 +902,10 @@
       ca_stream_versions_answer (gateway, envelope);
       return;
     case CAMPHOR__ENVELOPE__BODY_CATALOG_WANT:
-      peer_send_catalog (gateway, envelope);
+      ca_config_transfer_answer (gateway, envelope);
       return;
     case CAMPHOR__ENVELOPE__BODY_CATALOG_TEXT:
-      gateway->ports.parse_catalog (
-          gateway->ports.context, envelope->catalog_text->version,
-          envelope->catalog_text->text.data, envelope->catalog_text->text.len);
+      ca_config_transfer_receive (gateway, envelope);
       return;
     default:
       return;
--- a/packages/gateway/private.h
+++ b/packages/gateway/private.h
@@ -546,6 +546,25 @@
 size_t ca_peers_ranked (const ca_gateway_t *gateway, uint64_t key,
                         bool in_contact, const ca_peer_t **peers, size_t max);
 
+/* config_transfer.c */
+
+/* Requests a version from a peer, if this entry neither has nor requests it or
+ * a newer one already.  True if it does so. */
+bool ca_config_transfer_start (ca_gateway_t *gateway, const ca_peer_t *peer,
+                               uint64_t version);
+
+/* Notes that a new configuration has replaced `former`, whose text is taken. */
+void ca_config_transfer_replaced (ca_gateway_t *gateway, ca_catalog_t *former);
+
+/* Answers a peer's request, and takes the answer to one of this entry. */
+void ca_config_transfer_answer (ca_gateway_t *gateway,
+                                const Camphor__Envelope *envelope);
+void ca_config_transfer_receive (ca_gateway_t *gateway,
+                                 const Camphor__Envelope *envelope);
+
+void ca_config_transfer_tick (ca_gateway_t *gateway);
+void ca_config_transfer_finish (ca_gateway_t *gateway);
+
 /* relay.c */
 
 /* Applies a table update from a peer. */
--- a/packages/gateway/relay.c
+++ b/packages/gateway/relay.c
@@ -22,6 +22,10 @@
 #define RELAY_MAX_AGE_SHARE 0.6
 #define RELAY_UPDATE_SHARE 0.1
 
+/* A larger configuration is not sent in an update: peers request the version
+ * that the update names (config_transfer.c). */
+#define RELAY_MAX_ROW_BYTES (16 * 1024)
+
 /* Returns a share of the bound on propagation. */
 static uint64_t
 relay_share_us (const ca_gateway_t *gateway, double share)
@@ -56,6 +60,8 @@
   update->until = watch->after;
   update->stamp_us = gateway->now_us;
   update->age_us = gateway->now_us - watch->validated_us;
+  if (watch->holds_config && gateway->catalog != NULL)
+    update->config_version = gateway->catalog->version;
 }
 
 static const char *const relay_roles[]
@@ -103,7 +109,7 @@
   else
     role = senior > 0 ? CA_WATCH_FOLLOWER : CA_WATCH_READER;
   relay_log_changes (gateway, watch, role, same_zone);
-  if (watch->role != CA_WATCH_READER || !watch->listed
+  if (watch->role != CA_WATCH_READER || !watch->listed || watch->is_applying
       || now_us < watch->next_update_us)
     return;
   watch->next_update_us = now_us + relay_share_us (gateway, RELAY_UPDATE_SHARE);
@@ -112,8 +118,18 @@
   relay_send (gateway, &update);
 }
 
+static size_t
+relay_row_bytes (Camphor__TableRow **rows, size_t count)
+{
+  size_t bytes = 0;
+
+  for (size_t i = 0; i < count; i++)
+    bytes += rows[i]->value.len;
+  return bytes;
+}
+
 void
-ca_relay_rows (ca_gateway_t *gateway, uint64_t now_us, const ca_watch_t *watch,
+ca_relay_rows (ca_gateway_t *gateway, uint64_t now_us, ca_watch_t *watch,
                uint64_t after, Camphor__TableRow **rows, size_t count)
 {
   Camphor__TableWord update = CAMPHOR__TABLE_WORD__INIT;
@@ -121,6 +137,12 @@
   gateway->now_us = now_us;
   if (watch->role != CA_WATCH_READER || count == 0)
     return;
+  if (watch->holds_config
+      && relay_row_bytes (rows, count) > RELAY_MAX_ROW_BYTES)
+    {
+      watch->next_update_us = now_us;
+      return;
+    }
   relay_fill (gateway, watch, &update);
   update.after = after;
   update.rows = rows;
@@ -146,4 +168,5 @@
   if (validated_us > 0)
     gateway->ports.apply_table_update (gateway->ports.context, update,
                                        (uint64_t)validated_us);
+  ca_config_transfer_start (gateway, peer, update->config_version);
 }
--- a/packages/gateway/state_sync.c
+++ b/packages/gateway/state_sync.c
@@ -47,7 +47,10 @@
       catalog->route_count, catalog->workspace_count, catalog->text_bytes,
       catalog->source == NULL ? "a file" : catalog->source, catalog->build_us);
   if (former != NULL)
-    ca_catalog_retire (former);
+    {
+      ca_config_transfer_replaced (gateway, former);
+      ca_catalog_retire (former);
+    }
   ca_catalog_unref (former);
 }
 
@@ -287,29 +290,43 @@
                             proof->config_age_us);
 }
 
+/* The peer with the newest configuration that is newer than this entry's, one
+ * of this zone if possible; NULL if there is none. */
+static const ca_peer_t *
+state_sync_newest_peer (const ca_gateway_t *gateway, uint64_t own_version)
+{
+  const ca_peer_t *best = NULL;
+  const ca_peer_t *peer;
+
+  for (peer = gateway->peers; peer != NULL; peer = peer->hh.next)
+    {
+      const Camphor__Pulse *heartbeat = peer->heartbeat;
+
+      if (heartbeat == NULL || !heartbeat->config_known
+          || heartbeat->config_version <= own_version
+          || gateway->now_us - peer->received_us >= CA_PEER_TIMEOUT_US)
+        continue;
+      if (best == NULL
+          || heartbeat->config_version > best->heartbeat->config_version
+          || (heartbeat->config_version == best->heartbeat->config_version
+              && ca_peers_in_same_zone (gateway, peer)
+              && !ca_peers_in_same_zone (gateway, best)))
+        best = peer;
+    }
+  return best;
+}
+
 /* Requests a peer's newer configuration if the store does not deliver it. */
 static void
 state_sync_request_catalog (ca_gateway_t *gateway)
 {
   uint64_t own_version
       = gateway->catalog == NULL ? 0 : gateway->catalog->version;
-  Camphor__Envelope envelope = CAMPHOR__ENVELOPE__INIT;
-  Camphor__CatalogWant request = CAMPHOR__CATALOG_WANT__INIT;
-  ca_peer_t *peer;
-  ca_peer_t *best = NULL;
+  const ca_peer_t *best;
 
   if (gateway->now_us < gateway->next_catalog_request_us)
     return;
-  for (peer = gateway->peers; peer != NULL; peer = peer->hh.next)
-    {
-      if (peer->heartbeat != NULL && peer->heartbeat->config_known
-          && peer->heartbeat->config_version > own_version
-          && gateway->now_us - peer->received_us < CA_PEER_TIMEOUT_US
-          && (best == NULL
-              || peer->heartbeat->config_version
-                     > best->heartbeat->config_version))
-        best = peer;
-    }
+  best = state_sync_newest_peer (gateway, own_version);
   if (best == NULL)
     {
       gateway->outdated_since_us = 0;
@@ -322,17 +339,7 @@
     return;
   gateway->next_catalog_request_us
       = gateway->now_us + CATALOG_REQUEST_PERIOD_US;
-  ca_counters_add (&gateway->counters, CA_COUNT_CONFIGS_REQUESTED, 1);
-  ca_gateway_log (
-      gateway, CA_EVENT_CONFIG_REQUESTED, NULL, best->heartbeat->name,
-      "version %" PRIu64 ", has %" PRIu64
-      ", a peer is known to have a newer one for %" PRIu64 " ms",
-      best->heartbeat->config_version, own_version,
-      (gateway->now_us - gateway->outdated_since_us) / CA_US_PER_MS);
-  request.have_version = own_version;
-  envelope.body_case = CAMPHOR__ENVELOPE__BODY_CATALOG_WANT;
-  envelope.catalog_want = &request;
-  ca_peers_send (gateway, &best->address, &envelope);
+  ca_config_transfer_start (gateway, best, best->heartbeat->config_version);
 }
 
 void
@@ -341,4 +348,5 @@
   if (!state_sync_list_is_recovering (gateway))
     ca_registry_expire (&gateway->registry, gateway->now_us, 0);
   state_sync_request_catalog (gateway);
+  ca_config_transfer_tick (gateway);
 }
--- a/packages/gateway/watch.h
+++ b/packages/gateway/watch.h
@@ -46,6 +46,8 @@
   uint64_t max_update_age_us; /* age at which a reader's update expires */
   uint64_t next_update_us;    /* when a reader next sends an update */
   bool update_is_stale;       /* a follower reads the store itself */
+  bool holds_config;          /* its row is the configuration */
+  bool is_applying;           /* the latest change is not in force yet */
 } ca_watch_t;
 
 /* Initialises caller-owned memory. */
--- a/packages/wire/peer.pb-c.c
+++ b/packages/wire/peer.pb-c.c
@@ -5144,7 +5144,7 @@
   (ProtobufCMessageInit) camphor__table_row__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor camphor__table_word__field_descriptors[7] =
+static const ProtobufCFieldDescriptor camphor__table_word__field_descriptors[8] =
 {
   {
     "table",
@@ -5230,10 +5230,23 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "config_version",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Camphor__TableWord, config_version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned camphor__table_word__field_indices_by_name[] = {
   1,   /* field[1] = after */
   4,   /* field[4] = age_us */
+  7,   /* field[7] = config_version */
   6,   /* field[6] = era */
   5,   /* field[5] = rows */
   3,   /* field[3] = stamp_us */
@@ -5243,7 +5256,7 @@
 static const ProtobufCIntRange camphor__table_word__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor camphor__table_word__descriptor =
 {
@@ -5253,14 +5266,14 @@
   "Camphor__TableWord",
   "camphor",
   sizeof(Camphor__TableWord),
-  7,
+  8,
   camphor__table_word__field_descriptors,
   camphor__table_word__field_indices_by_name,
   1,  camphor__table_word__number_ranges,
   (ProtobufCMessageInit) camphor__table_word__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor camphor__catalog_want__field_descriptors[1] =
+static const ProtobufCFieldDescriptor camphor__catalog_want__field_descriptors[4] =
 {
   {
     "have_version",
@@ -5274,14 +5287,53 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "want_version",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Camphor__CatalogWant, want_version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "offset",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Camphor__CatalogWant, offset),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "parts",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Camphor__CatalogWant, parts),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned camphor__catalog_want__field_indices_by_name[] = {
   0,   /* field[0] = have_version */
+  2,   /* field[2] = offset */
+  3,   /* field[3] = parts */
+  1,   /* field[1] = want_version */
 };
 static const ProtobufCIntRange camphor__catalog_want__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 1 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor camphor__catalog_want__descriptor =
 {
@@ -5291,14 +5343,14 @@
   "Camphor__CatalogWant",
   "camphor",
   sizeof(Camphor__CatalogWant),
-  1,
+  4,
   camphor__catalog_want__field_descriptors,
   camphor__catalog_want__field_indices_by_name,
   1,  camphor__catalog_want__number_ranges,
   (ProtobufCMessageInit) camphor__catalog_want__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor camphor__catalog_text__field_descriptors[2] =
+static const ProtobufCFieldDescriptor camphor__catalog_text__field_descriptors[6] =
 {
   {
     "version",
@@ -5324,15 +5376,67 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "base_version",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Camphor__CatalogText, base_version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "packed_bytes",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Camphor__CatalogText, packed_bytes),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "text_bytes",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Camphor__CatalogText, text_bytes),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "offset",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Camphor__CatalogText, offset),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned camphor__catalog_text__field_indices_by_name[] = {
+  2,   /* field[2] = base_version */
+  5,   /* field[5] = offset */
+  3,   /* field[3] = packed_bytes */
   1,   /* field[1] = text */
+  4,   /* field[4] = text_bytes */
   0,   /* field[0] = version */
 };
 static const ProtobufCIntRange camphor__catalog_text__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor camphor__catalog_text__descriptor =
 {
@@ -5342,7 +5446,7 @@
   "Camphor__CatalogText",
   "camphor",
   sizeof(Camphor__CatalogText),
-  2,
+  6,
   camphor__catalog_text__field_descriptors,
   camphor__catalog_text__field_indices_by_name,
   1,  camphor__catalog_text__number_ranges,
--- a/packages/wire/peer.pb-c.h
+++ b/packages/wire/peer.pb-c.h
@@ -805,31 +805,60 @@
    * of the store, to which the versions belong
    */
   uint64_t era;
+  /*
+   * Of the sender's configuration, if the table holds it; 0 otherwise.  A row
+   * that is too large for a message is left out, and requested by this version.
+   */
+  uint64_t config_version;
 };
 #define CAMPHOR__TABLE_WORD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&camphor__table_word__descriptor) \
-    , 0, 0, 0, 0, 0, 0,NULL, 0 }
+    , 0, 0, 0, 0, 0, 0,NULL, 0, 0 }
 
 
+/*
+ * Asks for the receiver's configuration if it is newer; with `parts`, for the
+ * part at `offset` of its packed text.
+ */
 struct  Camphor__CatalogWant
 {
   ProtobufCMessage base;
   uint64_t have_version;
+  /*
+   * the one whose part is requested
+   */
+  uint64_t want_version;
+  uint64_t offset;
+  protobuf_c_boolean parts;
 };
 #define CAMPHOR__CATALOG_WANT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&camphor__catalog_want__descriptor) \
-    , 0 }
+    , 0, 0, 0, 0 }
 
 
+/*
+ * A configuration, whole or, if `packed_bytes` is not 0, a part of its packed
+ * text.  That may refer to the text of `base_version`, if not 0.
+ */
 struct  Camphor__CatalogText
 {
   ProtobufCMessage base;
   uint64_t version;
   ProtobufCBinaryData text;
+  uint64_t base_version;
+  /*
+   * of all parts
+   */
+  uint64_t packed_bytes;
+  /*
+   * unpacked
+   */
+  uint64_t text_bytes;
+  uint64_t offset;
 };
 #define CAMPHOR__CATALOG_TEXT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&camphor__catalog_text__descriptor) \
-    , 0, {0,NULL} }
+    , 0, {0,NULL}, 0, 0, 0, 0 }
 
 
 typedef enum {
--- a/tests/regress/test_config_narrow_links.sh
+++ b/tests/regress/test_config_narrow_links.sh
@@ -9,6 +9,7 @@
 LINK=1250000 # bytes a second that an entry gets from the store and its peers
 PROPAGATION_MS=2000
 SETTLE_S=3
+CONTROL=10000 # bytes a second that an entry may send to its peers, by the users' target
 
 now_ms () { echo $(($(date +%s%N) / 1000000)); }
 has_version () { # ENTRY VERSION
@@ -55,7 +56,13 @@
 
 for routes in 1400 2800 4200 5600; do
   put_version $((routes + 10)) $routes
+  before=$(sum_of camphorarch_peer_bytes_total)
+  since=$(now_ms)
   put_version $((routes + 11)) $routes
+  sent=$(($(sum_of camphorarch_peer_bytes_total) - before))
+  allowed=$((ENTRIES * CONTROL * (1 + ($(now_ms) - since + 999) / 1000)))
+  echo "$sent bytes between entries for a version with the same routes, $allowed allowed"
+  [ $sent -le $allowed ] || fail "entries send each other texts that they have"
 done
 
 stores=$(sum_of camphorarch_store_bytes_total)
