End an entry's own read of the store once its reader has brought the change

What callers saw: entries with narrow links that stay busy after the last version. Cause: a follower whose reader's copy was old asked the store itself, and went on to receive a large answer although the reader's update had brought it meanwhile: as a reader needs 1.1 s for such an answer, each follower asked. Change: an update that shows the copy to be recent ends the follower's call. The new test in gateway/test_relay failed before (no call ended).

--- a/packages/base/pack.h
+++ b/packages/base/pack.h
@@ -8,9 +8,9 @@
 /* Longest text that is unpacked. */
 #define CA_PACK_MAX_TEXT_BYTES (64u * 1024 * 1024)
 
-/* Packs a text.  `base`, which may be NULL, is a text that resembles it and that
- * the receiver has.  Returns the packed bytes, which the caller frees; NULL if
- * the text cannot be packed. */
+/* Packs a text.  `base`, which may be NULL, is a text that resembles it and
+ * that the receiver has.  Returns the packed bytes, which the caller frees;
+ * NULL if the text cannot be packed. */
 char *ca_pack (const char *text, size_t bytes, const char *base,
                size_t base_bytes, size_t *packed_bytes);
 
--- a/packages/gateway/config_transfer.c
+++ b/packages/gateway/config_transfer.c
@@ -1,10 +1,11 @@
 /* Transfer of large configurations between entries.
  *
- * The receiver requests one small part after the other.  So each link carries at
- * most one part at a time, other messages wait for no more than that, and nothing
- * is sent again that has arrived.  The text is packed, if possible against the
- * version that the receiver has, to which a new one usually adds little.  An
- * entry sends parts to a few peers at a time; the requests of others wait. */
+ * The receiver requests one small part after the other.  So each link carries
+ * at most one part at a time, other messages wait for no more than that, and
+ * nothing is sent again that has arrived.  The text is packed, if possible
+ * against the version that the receiver has, to which a new one usually adds
+ * little.  An entry sends parts to a few peers at a time; the requests of
+ * others wait. */
 #include "gateway/private.h"
 
 #include "base/pack.h"
@@ -178,8 +179,7 @@
   packed = transfer_pack (gateway, want->have_version);
   if (packed == NULL)
     return;
-  offset = want->want_version == packed->version
-                   && want->offset < packed->count
+  offset = want->want_version == packed->version && want->offset < packed->count
                ? (size_t)want->offset
                : 0;
   part.version = packed->version;
@@ -193,14 +193,14 @@
                       : TRANSFER_PART_BYTES;
   envelope.body_case = CAMPHOR__ENVELOPE__BODY_CATALOG_TEXT;
   envelope.catalog_text = &part;
-  want->sent_us
-      = offset + part.text.len < packed->count ? gateway->now_us : 0;
+  want->sent_us = offset + part.text.len < packed->count ? gateway->now_us : 0;
   if (want->sent_us == 0)
     ca_counters_add (&gateway->counters, CA_COUNT_CONFIGS_SENT, 1);
   ca_peers_send (gateway, &peer->address, &envelope);
 }
 
-/* Sends parts, the longest waiting request first, while few are on their way. */
+/* Sends parts, the longest waiting request first, while few are on their way.
+ */
 static void
 transfer_serve (ca_gateway_t *gateway)
 {
@@ -274,8 +274,8 @@
   transfer_serve (gateway);
 }
 
-/* Hands a complete text to the adapter, or requests the whole text if the change
- * cannot be used. */
+/* Hands a complete text to the adapter, or requests the whole text if the
+ * change cannot be used. */
 static void
 transfer_complete (ca_gateway_t *gateway)
 {
@@ -380,8 +380,8 @@
   if (gateway->catalog != NULL)
     transfer_serve (gateway);
   if (transfer->peer == 0
-      || gateway->now_us - transfer->requested_us
-             < TRANSFER_REPEAT_US << transfer->repeats)
+      || gateway->now_us - transfer->requested_us < TRANSFER_REPEAT_US
+                                                        << transfer->repeats)
     return;
   if (transfer->repeats++ < TRANSFER_MAX_REPEATS)
     transfer_request (gateway);
--- a/packages/gateway/watch.c
+++ b/packages/gateway/watch.c
@@ -131,6 +131,12 @@
     return false;
   if (validated_us > watch->validated_us)
     watch->validated_us = validated_us;
+  if (watch->busy && watch->role == CA_WATCH_FOLLOWER && watch->cancel != NULL)
+    {
+      /* The call would bring what the update has brought. */
+      watch->cancel (watch->context, watch);
+      watch->busy = false;
+    }
   if (until == watch->after)
     return false;
   watch->after = until;
--- a/packages/gateway/watch.h
+++ b/packages/gateway/watch.h
@@ -31,6 +31,8 @@
   uint32_t pause_ms; /* batches changes, since calls cost money */
   void (*list) (void *context, struct ca_watch *watch);
   void (*feed) (void *context, struct ca_watch *watch);
+  /* Ends the call in flight; NULL if it cannot be ended.  Set by the owner. */
+  void (*cancel) (void *context, struct ca_watch *watch);
   void *context;
   bool listed;
   bool busy;
@@ -71,10 +73,10 @@
                     ca_watch_status_t status, uint64_t version, bool changed,
                     uint64_t validated_us);
 
-/* Records an update from a peer: all changes after version `after` up to
- * `until`, as of `validated_us`; `changed` is true if it has rows.  Returns
- * true if the rows must be applied: they are newer than this watch's version
- * and no change between is missing. */
+/* Records an update from a peer, which ends a follower's own call: all changes
+ * after version `after` up to `until`, as of `validated_us`; `changed` is true
+ * if it has rows.  Returns true if the rows must be applied: they are newer
+ * than this watch's version and no change between is missing. */
 bool ca_watch_apply_update (ca_watch_t *watch, uint64_t after, uint64_t until,
                             uint64_t validated_us, bool changed);
 
--- a/tests/gateway/test_relay.c
+++ b/tests/gateway/test_relay.c
@@ -41,6 +41,7 @@
   bool drops_updates; /* updates to it are lost */
   call_t call;
   uint32_t calls;
+  uint32_t cancelled;       /* calls that were ended */
   uint64_t applied_version; /* latest version that it has */
   uint8_t *queue[QUEUE];
   size_t queue_bytes[QUEUE];
@@ -83,6 +84,16 @@
                   = world.now_us + watch->call_timeout_ms * CA_US_PER_MS };
 }
 
+static void
+on_cancel (void *context, ca_watch_t *watch)
+{
+  entry_t *entry = context;
+
+  (void)watch;
+  entry->call.out = false;
+  entry->cancelled++;
+}
+
 static void
 answer (entry_t *entry)
 {
@@ -194,6 +205,7 @@
   ca_gateway_init (&entry->gateway, &options, &ports, world.now_us,
                    WALL_US + world.now_us + index);
   ca_watch_init (&entry->watch, "t", 1, 10000, 600, on_list, on_feed, entry);
+  entry->watch.cancel = on_cancel;
   cluster_add_peers (&entry->gateway, ENTRIES);
   entry->alive = true;
 }
@@ -406,6 +418,50 @@
   world_end ();
 }
 
+/* True if all followers have asked the store. */
+static bool
+followers_call (size_t first)
+{
+  for (size_t i = 0; i < ENTRIES; i++)
+    {
+      if (i != first && !world.entries[i].call.out)
+        return false;
+    }
+  return true;
+}
+
+/* The reader is paused until its followers ask the store, whose answers take
+ * long; its update makes them needless. */
+static void
+test_update_ends_own_calls (void **state)
+{
+  uint64_t until_us;
+  size_t first;
+
+  (void)state;
+  world_start (ENTRIES);
+  first = reader ();
+  for (size_t i = 0; i < ENTRIES; i++)
+    world.entries[i].store_cut = i != first;
+  world.entries[first].frozen = true;
+  until_us = world.now_us + BOUND_MS * CA_US_PER_MS;
+  while (!followers_call (first) && world.now_us < until_us)
+    world_run (STEP_US / CA_US_PER_MS);
+  assert_true (followers_call (first));
+  world.entries[first].frozen = false;
+  assert_true (time_to_propagate_ms () <= 800);
+  world_run (500);
+  for (size_t i = 0; i < ENTRIES; i++)
+    {
+      if (i == first)
+        continue;
+      assert_int_equal (world.entries[i].cancelled, 1);
+      assert_false (world.entries[i].call.out);
+      assert_int_equal (world.entries[i].watch.failures, 0);
+    }
+  world_end ();
+}
+
 /* Updates that queue up while a follower is paused must not count as new. */
 static void
 test_follower_freezes (void **state)
@@ -443,6 +499,7 @@
     cmocka_unit_test (test_reader_loses_the_store),
     cmocka_unit_test (test_reader_freezes),
     cmocka_unit_test (test_updates_are_lost),
+    cmocka_unit_test (test_update_ends_own_calls),
     cmocka_unit_test (test_follower_freezes),
   };
 
