Begin no stream at an endpoint whose version is still to be named

What callers saw: 9 to 19 of 480 streams with events of two versions where the row of a new endpoint comes without its version first and with it 0.3 to 0.9 s later. Cause: a row without a version counted as a version of its own, and as one that may begin streams at once: they went on at others without one, whatever they ran. The settling time of a new version did not apply to it at an entry that had started with such rows. Change: beside endpoints that name a version, one that names none gets no resumable streams for its first 3 s. Software that never names versions is used as before. Not run: the case with real processes.

--- a/packages/gateway/gateway.h
+++ b/packages/gateway/gateway.h
@@ -288,6 +288,7 @@
   ca_reach_t reach;
   ca_brittle_t brittle;
   ca_software_version_t versions[CA_SOFTWARE_VERSIONS_MAX];
+  bool names_versions; /* an endpoint of the service has one */
   UT_hash_handle hh;
 } ca_service_stats_t;
 
--- a/packages/gateway/private.h
+++ b/packages/gateway/private.h
@@ -142,7 +142,7 @@
                                                ca_exchange_t *exchange);
 
 /* True if the exchange's stream may begin or go on at the endpoint. */
-bool ca_stream_versions_allows (const ca_gateway_t *gateway,
+bool ca_stream_versions_allows (ca_gateway_t *gateway,
                                 const ca_exchange_t *exchange,
                                 const ca_gateway_endpoint_t *endpoint);
 
--- a/packages/gateway/stream_versions.c
+++ b/packages/gateway/stream_versions.c
@@ -40,6 +40,10 @@
 /* The list of endpoints is current if it was validated this recently. */
 #define STREAM_LIST_AGE_US (1500 * CA_US_PER_MS)
 
+/* The record of an endpoint may lack its version at first.  Beside others that
+ * have one it gets no streams for so long. */
+#define STREAM_UNNAMED_US (3 * CA_US_PER_S)
+
 #define STREAM_SURVEY_PERIOD_US (500 * CA_US_PER_MS)
 
 /* After an interruption, the endpoint's next process may run another version;
@@ -156,6 +160,8 @@
   if (version->listed_us == 0 && gateway->registry_known)
     version->first_us = gateway->now_us;
   version->listed_us = gateway->now_us;
+  if (endpoint->version[0] != '\0')
+    ca_service_stats (gateway, endpoint->service)->names_versions = true;
   if (version->first_us != 0)
     endpoint->settles_us = version->first_us + STREAM_SETTLE_US;
 }
@@ -174,11 +180,25 @@
     ca_stream_versions_listed (gateway, endpoint);
 }
 
+/* True if the endpoint's version is expected to be named yet. */
+static bool
+stream_awaits_version (const ca_gateway_t *gateway,
+                       const ca_gateway_endpoint_t *endpoint,
+                       const ca_service_stats_t *stats)
+{
+  return endpoint->version[0] == '\0' && stats->names_versions
+         && gateway->now_us - endpoint->added_us < STREAM_UNNAMED_US;
+}
+
 bool
-ca_stream_versions_allows (const ca_gateway_t *gateway,
-                           const ca_exchange_t *exchange,
+ca_stream_versions_allows (ca_gateway_t *gateway, const ca_exchange_t *exchange,
                            const ca_gateway_endpoint_t *endpoint)
 {
+  if (stream_is_resumable (exchange)
+      && stream_awaits_version (
+          gateway, endpoint,
+          ca_service_stats (gateway, exchange->service->name)))
+    return false;
   if (exchange->version == 0)
     return true;
   return endpoint->version_number == exchange->version
