--- a/tests/gateway/test_config_size.c
+++ b/tests/gateway/test_config_size.c
@@ -1,7 +1,9 @@
 /* Guards against versions and requests that cost the more processor time the
  * more routes a configuration has. */
+#include "platform/answer.h"
 #include "platform/config_loader.h"
 
+#include <resolv.h>
 #include <setjmp.h>
 #include <stdarg.h>
 #include <stddef.h>
@@ -263,6 +265,112 @@
     }
 }
 
+/* An answer of the store with one row, whose value is the text. */
+static char *
+store_answer (const char *text, size_t bytes, size_t *answer_bytes)
+{
+  size_t room = 2 * bytes + 4;
+  char *value = malloc (room);
+  char *answer = NULL;
+  FILE *out = open_memstream (&answer, answer_bytes);
+
+  b64_ntop ((const unsigned char *)text, bytes, value, room);
+  fprintf (out,
+           "{\"rows\":[{\"table_name\":\"op\",\"part\":\"\",\"key\":"
+           "\"config\",\"row_version\":7,\"value\":\"%s\"}],\"row_version\":"
+           "9}",
+           value);
+  fclose (out);
+  free (value);
+  return answer;
+}
+
+/* What the entry that reads the store does for a version, up to its build. */
+static void
+test_answer_of_the_store_is_cheap (void **state)
+{
+  size_t bytes;
+  char *text = configuration (2, 7000, 7000, &bytes);
+  uint64_t spent_us = 0;
+
+  (void)state;
+  for (int i = 0; i < VERSIONS; i++)
+    {
+      size_t body_bytes;
+      char *body = store_answer (text, bytes, &body_bytes);
+      uint64_t started_us = processor_us ();
+      ca_answer_t answer;
+
+      assert_true (ca_answer_parse (&answer, body, body_bytes));
+      spent_us += processor_us () - started_us;
+      assert_int_equal (answer.row_count, 1);
+      assert_string_equal (answer.rows[0].key, "config");
+      assert_int_equal (answer.rows[0].version, 7);
+      assert_int_equal (answer.rows[0].bytes, bytes);
+      assert_memory_equal (answer.rows[0].value, text, bytes);
+      assert_int_equal (
+          json_integer_value (json_object_get (answer.root, "row_version")), 9);
+      ca_answer_finish (&answer);
+      free (body);
+    }
+  free (text);
+  printf ("7000 routes: %.1f ms to decode an answer\n",
+          (double)spent_us / VERSIONS / 1e3);
+  if (spent_us / VERSIONS > CHANGE_MAX_US)
+    fail_msg ("%.1f ms to decode an answer", (double)spent_us / VERSIONS / 1e3);
+}
+
+static void
+test_odd_answers (void **state)
+{
+  static const struct
+  {
+    const char *text;
+    int rows; /* -1: refused */
+    const char *key;
+    const char *value; /* of the first row, or NULL */
+  } cases[] = {
+    { "{}", 0, NULL, NULL },
+    { "{\"rows\":[]}", 0, NULL, NULL },
+    { "{\"rows\":7}", 0, NULL, NULL },
+    { "{\"rows\":[{\"key\":\"a\",\"value\":\"aGk=\"},{}]}", 2, "a", "hi" },
+    { "{\"rows\":[{\"key\":\"a\",\"value\":\"Pz8\\/\"}]}", 1, "a", "???" },
+    { "{\"rows\":[{\"key\":\"a\\u0000b\",\"value\":\"aGk=\"}]}", 1, "", NULL },
+    { "{\"rows\":[{\"key\":\"a\",\"value\":7}]}", 1, "a", NULL },
+    { "{\"rows\":[{\"key\":\"a\",\"value\":\"%\"}]}", 1, "a", NULL },
+    { "{\"rows\":[{\"key\":7,\"value\":\"aGk=\"}]}", 1, "", NULL },
+    { "", -1, NULL, NULL },
+    { "[]", -1, NULL, NULL },
+    { "{\"rows\":[{\"key\":\"a\"}", -1, NULL, NULL },
+    { "{\"rows\":[7]}", 1, "", NULL },
+    { "{\"rows\":[{\"key\":\"a\",\"value\":\"aGk=}]}", -1, NULL, NULL },
+    { "{\"row_version\":}", -1, NULL, NULL },
+    { "{\"rows\":[]}{", -1, NULL, NULL },
+  };
+
+  (void)state;
+  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
+    {
+      char *body = strdup (cases[i].text);
+      ca_answer_t answer;
+      bool valid = ca_answer_parse (&answer, body, strlen (body));
+
+      if (valid != (cases[i].rows >= 0)
+          || (valid && answer.row_count != (size_t)cases[i].rows))
+        fail_msg ("%s: %s", cases[i].text, valid ? "taken" : "refused");
+      if (valid && cases[i].key != NULL)
+        assert_string_equal (answer.rows[0].key, cases[i].key);
+      if (valid && cases[i].value != NULL)
+        assert_memory_equal (answer.rows[0].value, cases[i].value,
+                             strlen (cases[i].value));
+      else if (valid && answer.row_count > 0)
+        assert_null (answer.rows[0].value);
+      if (valid)
+        ca_answer_finish (&answer);
+      free (body);
+    }
+}
+
 /* Catalogs that a loader has built, and events handled meanwhile. */
 typedef struct
 {
@@ -403,6 +511,8 @@
     cmocka_unit_test (test_look_up_costs_the_same_with_many_routes),
     cmocka_unit_test (test_next_version_equals_first),
     cmocka_unit_test (test_malformed_texts),
+    cmocka_unit_test (test_answer_of_the_store_is_cheap),
+    cmocka_unit_test (test_odd_answers),
     cmocka_unit_test (test_large_version_holds_up_nothing),
     cmocka_unit_test (test_next_version_is_cheap),
   };
