Doubt an endpoint's software version only after a broken connection

Cause: any failed response, a whole one too, counted as a sign that the endpoint's process may have ended and come back as another version, so no stream went on there for 3 s; soon that held for all endpoints. Ejection is not behind it: an ejected endpoint is used if no other is left. Change: only a response that broke off puts the version in doubt. Measured: scripts/stream-after-failure: the stream goes on at once at an endpoint that failed a run before; it did not before. regress/test_stream_versions: none mixed; test_answers and test_endless_answers pass. Not run: the users' form with real processes; heads that break off still put a version in doubt.

--- a/packages/gateway/exchange.c
+++ b/packages/gateway/exchange.c
@@ -568,7 +568,8 @@
     ca_usage_count (gateway, exchange->workspace->name, at_us);
 }
 
-/* Handles an attempt that may have run but brought no valid response. */
+/* Handles an attempt that may have run but brought no valid response, or not
+ * all of it. */
 static void
 exchange_interrupted (ca_gateway_t *gateway, ca_exchange_t *exchange,
                       const char *reason)
@@ -580,11 +581,20 @@
   ca_crash_tracker_suspect (gateway, exchange, false);
   ca_gateway_endpoint_failed (exchange->endpoint, gateway->now_us, false);
   ca_slot_permits_ended (gateway, exchange->endpoint, false, true);
-  exchange->endpoint->interrupted_us = gateway->now_us;
   exchange_avoid (exchange, exchange->endpoint);
   exchange_retry (gateway, exchange, true);
 }
 
+/* Handles a response that broke off: the endpoint's process may have ended.  A
+ * whole response, valid or not, shows that it lives. */
+static void
+exchange_broken (ca_gateway_t *gateway, ca_exchange_t *exchange,
+                 const char *reason)
+{
+  exchange->endpoint->interrupted_us = gateway->now_us;
+  exchange_interrupted (gateway, exchange, reason);
+}
+
 /* Handles a report by the endpoint that it did not run the request. */
 static void
 exchange_rejected (ca_gateway_t *gateway, ca_exchange_t *exchange)
@@ -787,7 +797,7 @@
 {
   if (end != CA_END_COMPLETE)
     {
-      exchange_interrupted (gateway, exchange, "stream interrupted");
+      exchange_broken (gateway, exchange, "stream interrupted");
       return;
     }
   exchange_complete_stream (gateway, exchange);
@@ -874,9 +884,9 @@
   if (end == CA_END_COMPLETE)
     exchange_plain_answer (gateway, exchange);
   else
-    exchange_interrupted (gateway, exchange,
-                          end == CA_END_INTERRUPTED ? "response interrupted"
-                                                    : "malformed response");
+    exchange_broken (gateway, exchange,
+                     end == CA_END_INTERRUPTED ? "response interrupted"
+                                               : "malformed response");
 }
 
 void
