--- a/packages/gateway/config_transfer.c
+++ b/packages/gateway/config_transfer.c
@@ -111,7 +111,6 @@
   envelope.body_case = CAMPHOR__ENVELOPE__BODY_CATALOG_WANT;
   envelope.catalog_want = &want;
   transfer->requested_us = gateway->now_us;
-  ca_counters_add (&gateway->counters, CA_COUNT_CONFIGS_REQUESTED, 1);
   ca_peers_send (gateway, &peer->address, &envelope);
 }
 
@@ -129,6 +128,7 @@
   transfer->peer = peer->id;
   transfer->version = version;
   transfer->whole_only = false;
+  ca_counters_add (&gateway->counters, CA_COUNT_CONFIGS_REQUESTED, 1);
   ca_gateway_log (gateway, CA_EVENT_CONFIG_REQUESTED, NULL, peer->name,
                   "version %" PRIu64 ", has %" PRIu64, version,
                   transfer_own_version (gateway));
