--- a/tests/gateway/test_config_size.c
+++ b/tests/gateway/test_config_size.c
@@ -10,7 +10,9 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/mman.h>
 #include <time.h>
+#include <unistd.h>
 
 #include <cmocka.h>
 
@@ -475,6 +477,25 @@
   event_base_free (base);
 }
 
+/* A text that ends within its version is read no further than it goes: what
+ * follows it cannot be read. */
+static void
+test_version_at_the_end (void **state)
+{
+  static const char text[] = "{\"version\":12";
+  size_t page = (size_t)sysconf (_SC_PAGESIZE);
+  char *pages = mmap (NULL, 2 * page, PROT_READ | PROT_WRITE,
+                      MAP_PRIVATE | MAP_ANONYMOUS, -1, 0);
+  char *exact = pages + page - (sizeof text - 1);
+
+  (void)state;
+  assert_true (pages != MAP_FAILED);
+  assert_int_equal (mprotect (pages + page, page, PROT_NONE), 0);
+  memcpy (exact, text, sizeof text - 1);
+  assert_int_equal (ca_config_read_version (exact, sizeof text - 1), 12);
+  munmap (pages, 2 * page);
+}
+
 /* Versions that move one route each. */
 static void
 test_next_version_is_cheap (void **state)
@@ -519,6 +540,7 @@
     cmocka_unit_test (test_look_up_costs_the_same_with_many_routes),
     cmocka_unit_test (test_next_version_equals_first),
     cmocka_unit_test (test_malformed_texts),
+    cmocka_unit_test (test_version_at_the_end),
     cmocka_unit_test (test_answer_of_the_store_is_cheap),
     cmocka_unit_test (test_odd_answers),
     cmocka_unit_test (test_large_version_holds_up_nothing),
