Begin a transfer again when this entry's version changes meanwhile

What callers saw: a version that comes later than the bound at an entry that got the one before it by another way as it requested parts. Cause: a peer packs against the version that the requester names, which had changed; parts of the two packings do not fit, were dropped, and the transfer was given up only after its repeats. Change: parts that were received are dropped at once and the first one is requested again.

--- a/packages/gateway/config_transfer.c
+++ b/packages/gateway/config_transfer.c
@@ -41,18 +41,25 @@
   memset (packed, 0, sizeof *packed);
 }
 
-/* Ends the transfer to this entry. */
+/* Forgets the parts received. */
 static void
-transfer_stop (ca_config_transfer_t *transfer)
+transfer_discard (ca_config_transfer_t *transfer)
 {
   free (transfer->received);
   transfer->received = NULL;
   transfer->received_bytes = 0;
   transfer->packed_bytes = 0;
-  transfer->peer = 0;
   transfer->repeats = 0;
 }
 
+/* Ends the transfer to this entry. */
+static void
+transfer_stop (ca_config_transfer_t *transfer)
+{
+  transfer_discard (transfer);
+  transfer->peer = 0;
+}
+
 void
 ca_config_transfer_finish (ca_gateway_t *gateway)
 {
@@ -70,26 +77,6 @@
   return gateway->catalog == NULL ? 0 : gateway->catalog->version;
 }
 
-void
-ca_config_transfer_replaced (ca_gateway_t *gateway, ca_catalog_t *former)
-{
-  ca_config_transfer_t *transfer = &gateway->config_transfer;
-
-  transfer_free_packed (&transfer->whole);
-  transfer_free_packed (&transfer->change);
-  free (transfer->former_text);
-  transfer->former_text = NULL;
-  if (former->text_bytes <= TRANSFER_FORMER_MAX_BYTES)
-    {
-      transfer->former_text = former->text;
-      transfer->former_bytes = former->text_bytes;
-      transfer->former_version = former->version;
-      former->text = NULL;
-    }
-  if (transfer->peer != 0 && transfer->version <= gateway->catalog->version)
-    transfer_stop (transfer);
-}
-
 /* Requests the next part. */
 static void
 transfer_request (ca_gateway_t *gateway)
@@ -114,6 +101,34 @@
   ca_peers_send (gateway, &peer->address, &envelope);
 }
 
+void
+ca_config_transfer_replaced (ca_gateway_t *gateway, ca_catalog_t *former)
+{
+  ca_config_transfer_t *transfer = &gateway->config_transfer;
+
+  transfer_free_packed (&transfer->whole);
+  transfer_free_packed (&transfer->change);
+  free (transfer->former_text);
+  transfer->former_text = NULL;
+  if (former->text_bytes <= TRANSFER_FORMER_MAX_BYTES)
+    {
+      transfer->former_text = former->text;
+      transfer->former_bytes = former->text_bytes;
+      transfer->former_version = former->version;
+      former->text = NULL;
+    }
+  if (transfer->peer == 0)
+    return;
+  if (transfer->version <= gateway->catalog->version)
+    {
+      transfer_stop (transfer);
+      return;
+    }
+  /* The parts so far do not fit what is packed against the new version. */
+  transfer_discard (transfer);
+  transfer_request (gateway);
+}
+
 bool
 ca_config_transfer_start (ca_gateway_t *gateway, const ca_peer_t *peer,
                           uint64_t version)
@@ -292,10 +307,7 @@
                       has_base ? catalog->text_bytes : 0, text_bytes);
   if (text == NULL && has_base)
     {
-      free (transfer->received);
-      transfer->received = NULL;
-      transfer->received_bytes = 0;
-      transfer->packed_bytes = 0;
+      transfer_discard (transfer);
       transfer->whole_only = true;
       transfer_request (gateway);
       return;
--- a/tests/gateway/test_config_fleet.c
+++ b/tests/gateway/test_config_fleet.c
@@ -46,6 +46,7 @@
   ca_gateway_t gateway;
   ca_watch_t watch;
   bool alive;
+  bool store_cut; /* its calls to the store bring nothing */
   double rate;
   uint64_t up_free_us;
   uint64_t down_free_us;
@@ -234,7 +235,7 @@
   Camphor__TableRow *rows = &row;
   bool changed;
 
-  if (!entry->calls)
+  if (!entry->calls || entry->store_cut)
     return;
   if (!entry->answered
       && (world.changed > entry->call_after
@@ -499,6 +500,49 @@
   world_end ();
 }
 
+/* Gives an entry a version that no message brought. */
+static void
+apply_version (entry_t *entry, uint64_t version, size_t routes)
+{
+  size_t bytes;
+  char *text = configuration (version, routes, &bytes);
+
+  apply (entry, text, bytes);
+  ca_gateway_config_validated (&entry->gateway, world.now_us, world.now_us,
+                               world.now_us);
+  free (text);
+}
+
+/* An entry gets the version before by another way as it requests parts. */
+static void
+test_version_between_parts (void **state)
+{
+  entry_t *sender = &world.entries[0];
+  entry_t *receiver = &world.entries[1];
+  uint64_t from_us;
+
+  (void)state;
+  world_start (2, true);
+  sender->store_cut = true;
+  receiver->store_cut = true;
+  apply_version (sender, 2, 4000);
+  apply_version (sender, 3, 8000);
+  from_us = world.now_us;
+  while (receiver->gateway.config_transfer.received_bytes == 0
+         && world.now_us - from_us < 5 * CA_US_PER_S)
+    world_run (STEP_US / CA_US_PER_MS);
+  assert_true (receiver->gateway.config_transfer.received_bytes > 0);
+  apply_version (receiver, 2, 4000);
+  from_us = world.now_us;
+  while (receiver->gateway.catalog->version < 3
+         && world.now_us - from_us < 20 * CA_US_PER_S)
+    world_run (STEP_US / CA_US_PER_MS);
+  printf ("version between parts: %llu ms\n",
+          (unsigned long long)(world.now_us - from_us) / CA_US_PER_MS);
+  assert_true (world.now_us - from_us <= BOUND_MS * CA_US_PER_MS);
+  world_end ();
+}
+
 int
 main (void)
 {
@@ -509,6 +553,7 @@
     cmocka_unit_test (test_82_entries_lose_messages),
     cmocka_unit_test (test_300_entries),
     cmocka_unit_test (test_readers_end),
+    cmocka_unit_test (test_version_between_parts),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
