--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -6,6 +6,7 @@
 LOST=7
 STREAMS=5 # at each entry that is killed; their callers leave after 1.2 s, if it lives
 EVENT_MS=400
+DOWN_MS=900
 
 find_ports 20
 start_store
@@ -38,23 +39,30 @@
   for i in $(seq $LOST); do kill -KILL "${PID[entry$i]}"; done
   note "entries 1 to $LOST are killed"
 fi
+killed_ms=$(now_ms)
+restart_due () { [ "$TROUBLE" = 1 ] && [ -z "${restarted:-}" ] && [ $(($(now_ms) - killed_ms)) -ge $DOWN_MS ]; }
+restart () {
+  restarted=1
+  for i in $(seq $LOST); do start_entry "$i" "z$((1 + i % 3))"; done
+  note "entries 1 to $LOST have started again"
+}
 # shellcheck disable=SC2086
 wait $callers
 note "the callers have lost or closed their channels"
 begun=0
-for i in $(seq $LOST); do
+for from in $(seq $LOST); do
   for k in $(seq $STREAMS); do
-    last=$(last_event "a$i$k")
+    restart_due && restart
+    last=$(last_event "a$from$k")
     [ -n "$last" ] || continue
     begun=$((begun + 1))
-    stream $ENTRIES "b$i$k" "Resumes: a$i$k" "Last-Event-Id: $last" &
-    note "sent b$i$k to entry $ENTRIES, takes up a$i$k after event $last"
-    stream $ENTRIES "c$i$k" &
-    note "sent c$i$k to entry $ENTRIES, a new stream"
+    stream $ENTRIES "b$from$k" "Resumes: a$from$k" "Last-Event-Id: $last" &
+    note "sent b$from$k to entry $ENTRIES, takes up a$from$k after event $last"
+    stream $ENTRIES "c$from$k" &
+    note "sent c$from$k to entry $ENTRIES, a new stream"
     sleep 0.03
   done
 done
-[ "$TROUBLE" = 1 ] && for i in $(seq $LOST); do start_entry "$i" "z$((1 + i % 3))"; done
 sleep 5
 count () { # PREFIX: streams whose response has an event
   local n=0 f
