--- /dev/null
+++ b/tests/gateway/lease_world.c
@@ -0,0 +1,317 @@
+/* Entries that compete for the leader's lease, in virtual time. */
+#include "lease_world.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+world_t world;
+
+static const char config[]
+    = "{\"version\":1,\"routes\":[{\"name\":\"r\",\"host\":\"h\",\"prefix\":"
+      "\"/\",\"route_kind\":\"streaming\",\"timeout_ms\":1000,"
+      "\"target_latency_ms\":1000,\"service\":\"s\",\"max_attempts\":1}],"
+      "\"services\":[{\"name\":\"s\",\"inference_engine\":{\"slots\":64,"
+      "\"kv_cache_tokens\":300000},\"scaling\":{\"minimum\":1,\"maximum\":8,"
+      "\"boot_time_s\":4.0,\"spot_price\":0.2,\"zone_prices\":{\"z1\":1.0,"
+      "\"z2\":1.2,\"z3\":1.1}}}],\"tenants\":[{\"name\":\"w\",\"api_keys\":"
+      "[\"k\"]}]}";
+
+static entry_t *
+entry_of (void *context)
+{
+  return context;
+}
+
+static void
+read_lease (void *context)
+{
+  entry_t *entry = entry_of (context);
+
+  ca_leader_lease_read (&entry->leader, world.now_us, CA_CALL_OK, world.version,
+                        world.version == 0 ? NULL : world.row, world.now_us);
+}
+
+static void
+write_lease (void *context, uint64_t version, const char *text)
+{
+  entry_t *entry = entry_of (context);
+
+  if (version != world.version)
+    {
+      ca_leader_lease_written (&entry->leader, world.now_us, CA_CALL_CONFLICT,
+                               0);
+      return;
+    }
+  world.version++;
+  strlcpy (world.row, text, sizeof world.row);
+  if (world.write_answers_to_lose > 0)
+    {
+      world.write_answers_to_lose--;
+      ca_leader_lease_written (&entry->leader, world.now_us, CA_CALL_UNKNOWN,
+                               0);
+      return;
+    }
+  ca_leader_lease_written (&entry->leader, world.now_us, CA_CALL_OK,
+                           world.version);
+}
+
+static void
+record_holder (const entry_t *entry, uint64_t fence)
+{
+  size_t number = (size_t)(entry - world.entries);
+
+  for (size_t i = 0; i < world.token_count; i++)
+    {
+      if (world.tokens[i] != fence)
+        continue;
+      if (world.holders[i] != number)
+        world.fence_reused = true;
+      return;
+    }
+  assert_true (world.token_count < TOKENS_MAX);
+  world.tokens[world.token_count] = fence;
+  world.holders[world.token_count++] = number;
+}
+
+static void
+report_usage (void *context, uint64_t fence, uint64_t window,
+              const struct ca_usage_rows *counts)
+{
+  entry_t *entry = entry_of (context);
+  const ca_usage_row_t *row = TAILQ_FIRST (counts);
+  uint32_t count = row == NULL ? 0 : row->count;
+
+  record_holder (entry, fence);
+  if (fence < world.usage_fence)
+    {
+      ca_leader_usage_reported (&entry->leader, world.now_us, window,
+                                CA_CALL_CONFLICT);
+      return;
+    }
+  world.usage_fence = fence;
+  for (size_t i = 0; i < world.reports; i++)
+    {
+      if (world.windows[i] == window && world.counts[i] != count)
+        world.counts_differ = true;
+    }
+  assert_true (world.reports < REPORTS_MAX);
+  world.windows[world.reports] = window;
+  world.counts[world.reports++] = count;
+  ca_leader_usage_reported (&entry->leader, world.now_us, window, CA_CALL_OK);
+}
+
+static void
+order_scale (void *context, const ca_scale_order_t *order)
+{
+  entry_t *entry = entry_of (context);
+  order_t *row = &world.orders[world.order_count++ % ORDERS];
+
+  record_holder (entry, order->fence);
+  strlcpy (row->service, order->service, sizeof row->service);
+  strlcpy (row->zone, order->zone, sizeof row->zone);
+  row->reclaimable = order->reclaimable;
+  row->count = order->count;
+  row->at_us = world.now_us;
+  ca_leader_order_done (&entry->leader, world.now_us, order,
+                        world.reclaimable_unavailable && order->reclaimable
+                                && order->count > 0
+                            ? CA_CALL_CONFLICT
+                            : CA_CALL_OK);
+}
+
+static void
+on_exchange (void *context, ca_exchange_t *exchange)
+{
+  (void)context;
+  (void)exchange;
+}
+
+static void
+on_log (void *context, const ca_log_event_t *note)
+{
+  (void)context;
+  if (getenv ("NOTES") != NULL)
+    print_message ("%.3f %d %s\n", (double)(world.now_us - 1000000000) / 1e6,
+                   (int)note->event, note->detail);
+}
+
+static void
+on_send (void *context, const ca_address_t *to,
+         const Camphor__Envelope *envelope)
+{
+  entry_t *entry = &world.entries[to->port];
+
+  if (entry->alive && !entry->frozen && !entry_of (context)->frozen)
+    cluster_deliver (&entry->gateway, world.now_us, envelope);
+}
+
+static void
+on_restored (void *context)
+{
+  ca_leader_store_restored (&entry_of (context)->leader, world.now_us);
+}
+
+/* Passes the store's era to an entry, as an answer does. */
+static void
+entry_learn_era (size_t index)
+{
+  if (world.era != 0 && world.entries[index].alive)
+    assert_true (ca_gateway_store_era (&world.entries[index].gateway,
+                                       world.now_us, CA_ERA_NAMED, world.era));
+}
+
+void
+store_copy (void)
+{
+  strlcpy (world.row_copy, world.row, sizeof world.row_copy);
+  world.version_copy = world.version;
+}
+
+/* The store comes back from its copy. */
+void
+store_restore (void)
+{
+  strlcpy (world.row, world.row_copy, sizeof world.row);
+  world.version = world.version_copy;
+  world.era++;
+  for (size_t i = 0; i < ENTRIES; i++)
+    entry_learn_era (i);
+}
+
+void
+entry_start (size_t index)
+{
+  entry_t *entry = &world.entries[index];
+  ca_gateway_ports_t ports = { .context = entry,
+                               .cancel = on_exchange,
+                               .send_peer = on_send,
+                               .store_restored = on_restored,
+                               .log = on_log };
+  ca_leader_ports_t leader_ports
+      = { entry, read_lease, write_lease, report_usage, order_scale };
+  ca_gateway_options_t options;
+
+  cluster_options (&options, index, "z1");
+  options.bounds.lease_ms = 3000;
+  options.bounds.usage_window_s = USAGE_WINDOW_S;
+  options.bounds.usage_delay_s = 10;
+  options.bounds.retry_window_ms = 10000;
+  ca_gateway_init (&entry->gateway, &options, &ports, world.now_us,
+                   WALL_US + world.now_us);
+  ca_leader_init (&entry->leader, &entry->gateway, &leader_ports, true, true);
+  cluster_configure (&entry->gateway, world.now_us, config);
+  cluster_add_peers (&entry->gateway, ENTRIES);
+  entry->alive = true;
+  entry_learn_era (index);
+}
+
+void
+entry_end (size_t index)
+{
+  entry_t *entry = &world.entries[index];
+
+  if (!entry->alive)
+    return;
+  ca_leader_finish (&entry->leader);
+  ca_gateway_finish (&entry->gateway);
+  entry->alive = false;
+}
+
+void
+world_start (size_t entries)
+{
+  memset (&world, 0, sizeof world);
+  world.now_us = UINT64_C (1000000000);
+  for (size_t i = 0; i < entries; i++)
+    entry_start (i);
+}
+
+void
+world_run (uint64_t ms)
+{
+  uint64_t until_us = world.now_us + ms * CA_US_PER_MS;
+
+  while (world.now_us < until_us)
+    {
+      world.now_us += STEP_US;
+      for (size_t i = 0; i < ENTRIES; i++)
+        {
+          entry_t *entry = &world.entries[i];
+
+          if (!entry->alive || entry->frozen)
+            continue;
+          ca_gateway_tick (&entry->gateway, world.now_us,
+                           WALL_US + world.now_us);
+          ca_leader_tick (&entry->leader, world.now_us);
+        }
+    }
+}
+
+void
+world_end (void)
+{
+  assert_false (world.fence_reused);
+  assert_false (world.counts_differ);
+  for (size_t i = 0; i < ENTRIES; i++)
+    entry_end (i);
+}
+
+size_t
+leader (void)
+{
+  size_t found = ENTRIES;
+
+  for (size_t i = 0; i < ENTRIES; i++)
+    {
+      if (world.entries[i].alive && world.entries[i].leader.held)
+        {
+          assert_int_equal (found, ENTRIES);
+          found = i;
+        }
+    }
+  return found;
+}
+
+uint32_t
+reported_count (uint64_t window)
+{
+  uint32_t count = 0;
+
+  for (size_t i = 0; i < world.reports; i++)
+    {
+      if (world.windows[i] == window)
+        count = world.counts[i];
+    }
+  return count;
+}
+
+uint64_t
+current_window (void)
+{
+  return (WALL_US + world.now_us) / (USAGE_WINDOW_S * CA_US_PER_S);
+}
+
+bool
+is_reported (uint64_t window)
+{
+  for (size_t i = 0; i < world.reports; i++)
+    {
+      if (world.windows[i] == window)
+        return true;
+    }
+  return false;
+}
+
+void
+world_run_with_usage (uint64_t ms)
+{
+  for (uint64_t i = 0; i < ms; i += 100)
+    {
+      for (size_t k = 0; k < ENTRIES; k++)
+        {
+          if (world.entries[k].alive)
+            ca_usage_count (&world.entries[k].gateway, "w", world.now_us);
+        }
+      world_run (100);
+    }
+}
