leader: a usage window is not reported again after a drill of the store

Cause: what guards against a row of an older copy, the latest window and token heard of, is kept in memory. An entry that starts has none, and the row does not say when it was written. Ruled out: a late report (the first was accepted before the drill) and windows of different clocks (the second count is the copy's).

Change: the row names its era. Over a row of another era, or of a build that names none, an entry waits for a lease, and gives up the windows that have settled, unless it has led or heard the leader until the drill, or a peer of this era has. Tokens are of an era, so that none is given out twice without any knowledge. What a new leader takes for reported is passed on to peers.

--- a/packages/base/events.c
+++ b/packages/base/events.c
@@ -202,6 +202,10 @@
   { CA_EVENT_USAGE_INHERITED, CA_LEVEL_INFO, "usage_inherited",
     "all entries had restarted; usage counts were read from the lease",
     NO_ACTION },
+  { CA_EVENT_USAGE_SKIPPED, CA_LEVEL_WARNING, "usage_skipped",
+    "the store came back from an older copy and no entry knows which windows "
+    "were reported; those that may have been are not reported again",
+    "compare the windows with the platform's records" },
 };
 
 static const char *const level_names[]
--- a/packages/gateway/gateway.c
+++ b/packages/gateway/gateway.c
@@ -87,6 +87,13 @@
   gateway->ports.log (gateway->ports.context, &log_event);
 }
 
+void
+ca_gateway_hear_leader (ca_gateway_t *gateway)
+{
+  gateway->reports_known = true;
+  gateway->leader_heard_us = gateway->now_us;
+}
+
 double
 ca_gateway_random (ca_gateway_t *gateway)
 {
--- a/packages/gateway/gateway.h
+++ b/packages/gateway/gateway.h
@@ -452,9 +452,13 @@
   bool store_unreachable;      /* all kinds of calls fail */
   uint64_t store_recovered_us; /* when it answered again; 0 if it always did */
   uint64_t store_era;          /* 0 until one is known */
+  uint64_t store_era_us;       /* when this entry learned of it */
   bool bad_era_logged;         /* since the last answer of this era */
   uint64_t lease_fence;        /* highest fencing token known */
   uint64_t usage_reported;     /* latest window that may have been reported */
+  bool reports_known;       /* no window after it has been, as this entry hears
+                               the leaders */
+  uint64_t leader_heard_us; /* no entry led unheard before this time */
   bool registry_known;
   ca_registry_t registry;
   uint64_t validation_requested_us; /* last request to any peer */
--- a/packages/gateway/leader.c
+++ b/packages/gateway/leader.c
@@ -26,6 +26,10 @@
  * have received neither the holder's heartbeat nor the others' counts. */
 #define LEASE_STARTUP_DELAY_US CA_US_PER_S
 
+/* Each era of the store has fencing tokens of its own, so that one that the
+ * store has forgotten is not given out again. */
+#define LEASE_TOKENS_PER_ERA UINT64_C (1000000)
+
 /* A lease row that names times further ahead than this is not one. */
 #define LEASE_AHEAD_S 3600
 
@@ -144,14 +148,26 @@
   return recent;
 }
 
+/* Returns a fencing token that no holder has used. */
+static uint64_t
+lease_next_token (const ca_leader_t *leader)
+{
+  const ca_gateway_t *gateway = leader->gateway;
+  uint64_t before_era = gateway->store_era * LEASE_TOKENS_PER_ERA;
+
+  return (gateway->lease_fence > before_era ? gateway->lease_fence : before_era)
+         + 1;
+}
+
 /* Renews or takes the lease.  The row also stores the counts to report. */
 static void
 lease_write (ca_leader_t *leader, uint64_t fence)
 {
   json_t *row = json_pack (
-      "{s:s, s:I, s:I, s:b, s:I, s:I, s:I, s:o, s:I, s:o}", "holder",
+      "{s:s, s:I, s:I, s:I, s:b, s:I, s:I, s:I, s:o, s:I, s:o}", "holder",
       leader->gateway->options.name, "life",
-      (json_int_t)leader->gateway->incarnation, "fence", (json_int_t)fence,
+      (json_int_t)leader->gateway->incarnation, "era",
+      (json_int_t)leader->gateway->store_era, "fence", (json_int_t)fence,
       "given_up", leader->gateway->stopping, "at_us",
       (json_int_t)lease_store_us (leader), "reported",
       (json_int_t)leader->reported, "window", (json_int_t)leader->window,
@@ -179,6 +195,24 @@
     leader->gateway->lease_fence = fence;
 }
 
+/* True if the row was written in the store's present era.  One that was not may
+ * be an older copy, or an entry of an older build wrote it. */
+static bool
+lease_is_current (const ca_leader_t *leader, const json_t *row)
+{
+  return (uint64_t)json_integer_value (json_object_get (row, "era"))
+         == leader->gateway->store_era;
+}
+
+/* True while a holder that this entry does not know may act under a lease that
+ * it took or renewed before the store lost its row. */
+static bool
+lease_may_be_held (const ca_leader_t *leader)
+{
+  return leader->gateway->now_us
+         < leader->gateway->store_era_us + lease_duration_us (leader);
+}
+
 /* Marks the lease as held; it was written at `since_us`. */
 static void
 lease_hold (ca_leader_t *leader, uint64_t since_us)
@@ -189,6 +223,7 @@
   leader->gateway->leads = true;
   leader->fence = leader->attempt_fence;
   lease_note_fence (leader, leader->fence);
+  ca_gateway_hear_leader (leader->gateway);
   leader->valid_until_us
       = since_us + lease_duration_us (leader) - LEASE_MARGIN_US;
   if (!acquired)
@@ -285,6 +320,48 @@
       json_object_size (json_object_get (row, "recent")));
 }
 
+/* Treats each window as reported that a holder may have reported, if neither
+ * the store nor this entry knows which ones were. */
+static void
+lease_skip_usage (ca_leader_t *leader)
+{
+  uint64_t settled = ca_usage_latest_settled (leader);
+
+  if (leader->gateway->reports_known || leader->gateway->store_era == 0
+      || settled <= leader->reported)
+    return;
+  if (leader->reported != 0)
+    ca_gateway_log (leader->gateway, CA_EVENT_USAGE_SKIPPED, NULL, NULL,
+                    "windows %" PRIu64 " to %" PRIu64
+                    " may have been reported before era %" PRIu64,
+                    leader->reported + 1, settled, leader->gateway->store_era);
+  leader->reported = settled;
+}
+
+/* Makes the windows known to the other entries that this one takes for
+ * reported as it takes the lease. */
+static void
+lease_publish_reported (ca_leader_t *leader)
+{
+  if (leader->reported > leader->gateway->usage_reported)
+    leader->gateway->usage_reported = leader->reported;
+}
+
+/* Takes the lease over no row, or one that cannot be used. */
+static void
+lease_take_without_row (ca_leader_t *leader)
+{
+  ca_usage_rows_finish (&leader->counts);
+  ca_usage_rows_finish (&leader->min_counts);
+  leader->window = 0;
+  leader->recorded = false;
+  if (leader->gateway->usage_reported > leader->reported)
+    leader->reported = leader->gateway->usage_reported;
+  lease_skip_usage (leader);
+  lease_publish_reported (leader);
+  lease_write (leader, lease_next_token (leader));
+}
+
 /* Takes over the report that the row contains. */
 static void
 lease_restore_usage (ca_leader_t *leader, const json_t *row)
@@ -306,6 +383,9 @@
       leader->reported = leader->gateway->usage_reported;
       leader->window = 0;
     }
+  if (!lease_is_current (leader, row))
+    lease_skip_usage (leader);
+  lease_publish_reported (leader);
   leader->recorded = leader->window != 0;
   if (leader->window == 0)
     return;
@@ -346,7 +426,7 @@
 }
 
 /* Takes the lease over a row that is none.  Each take-over was a transaction,
- * so no fencing token exceeds the row's version. */
+ * so no era has given out more fencing tokens than the row's version. */
 static void
 lease_replace_row (ca_leader_t *leader)
 {
@@ -357,8 +437,9 @@
       leader->vacant_since_us = leader->gateway->now_us;
       return;
     }
-  lease_note_fence (leader, leader->version);
-  lease_write (leader, leader->gateway->lease_fence + 1);
+  lease_note_fence (leader, leader->gateway->store_era * LEASE_TOKENS_PER_ERA
+                                + leader->version);
+  lease_take_without_row (leader);
 }
 
 /* Decides whether to take the lease, from the row that was read. */
@@ -377,7 +458,8 @@
   bool own_row = same_entry && incarnation == leader->gateway->incarnation;
   bool given_up = json_is_true (json_object_get (row, "given_up"));
 
-  if (own_row && fence == leader->attempt_fence && leader->attempt_fence != 0)
+  if (own_row && fence == leader->attempt_fence && leader->attempt_fence != 0
+      && lease_is_current (leader, row))
     {
       /* This entry's own write, whose answer was lost. */
       if (given_up)
@@ -396,12 +478,19 @@
       leader->vacant_since_us = leader->gateway->now_us;
       return;
     }
+  if (!lease_is_current (leader, row) && lease_may_be_held (leader))
+    {
+      leader->next_call_us
+          = leader->gateway->store_era_us + lease_duration_us (leader)
+            + LEASE_SENIORITY_US * ca_peers_seniority (leader->gateway);
+      return;
+    }
   /* A former incarnation of this entry has ended, so its lease is void. */
   if (!same_entry && !given_up && store_us < at_us + lease_duration_us (leader))
     return;
   lease_restore_usage (leader, row);
   lease_note_fence (leader, fence);
-  lease_write (leader, leader->gateway->lease_fence + 1);
+  lease_write (leader, lease_next_token (leader));
 }
 
 /* Writes the lease again over a row of an older copy.  False if another entry
@@ -445,8 +534,9 @@
   leader->version = version;
   if (text == NULL)
     {
-      if (!leader->rewrites || !lease_rewrite (leader, NULL))
-        lease_write (leader, leader->gateway->lease_fence + 1);
+      if (leader->rewrites && lease_rewrite (leader, NULL))
+        return;
+      lease_take_without_row (leader);
       return;
     }
   row = json_loads (text, 0, NULL);
--- a/packages/gateway/leader_private.h
+++ b/packages/gateway/leader_private.h
@@ -14,6 +14,10 @@
 /* Reports the next window when that is due. */
 void ca_usage_report_tick (ca_leader_t *leader);
 
+/* Latest window whose counts have arrived from all entries; later ones are not
+ * reported yet. */
+uint64_t ca_usage_latest_settled (const ca_leader_t *leader);
+
 /* Adds up the counts of one window: those that the entries reported, but at
  * least those that a former holder stored, which may include counts of entries
  * that have ended since. */
--- a/packages/gateway/peers.c
+++ b/packages/gateway/peers.c
@@ -558,6 +558,7 @@
   heartbeat->store_era = gateway->store_era;
   heartbeat->lease_fence = gateway->lease_fence;
   heartbeat->usage_reported = gateway->usage_reported;
+  heartbeat->reports_known = gateway->reports_known;
   heartbeat->delegate_port = gateway->options.delegate_port;
   heartbeat->grants_slots = true;
   heartbeat->lends_quota = true;
@@ -708,6 +709,9 @@
     if (gateway->now_us - since_us > PEER_RETENTION_US)
       peer_free (gateway, peer);
   }
+  /* No entry can lead unheard while all are in contact. */
+  if (ca_peers_live_count (gateway) == ca_peers_known_count (gateway))
+    gateway->leader_heard_us = gateway->now_us;
   peer_agree_wall_offset (gateway);
   peer_send_due_heartbeats (gateway, wall_us);
 }
@@ -839,6 +843,11 @@
   peer_apply_draining (gateway, heartbeat);
   ca_state_sync_peer_era (gateway, heartbeat->store_era);
   peer_note_lease (gateway, heartbeat->lease_fence, heartbeat->usage_reported);
+  if (peer->leads)
+    ca_gateway_hear_leader (gateway);
+  else if (heartbeat->reports_known
+           && heartbeat->store_era == gateway->store_era)
+    gateway->reports_known = true;
   if (heartbeat->config_known && gateway->catalog != NULL
       && heartbeat->echo_us > 0 && heartbeat->echo_us <= gateway->now_us
       && heartbeat->config_version == gateway->catalog->version)
--- a/packages/gateway/private.h
+++ b/packages/gateway/private.h
@@ -13,6 +13,10 @@
 /* Returns an entry's number in messages, a hash of its name. */
 uint64_t ca_gateway_id (const char *name);
 
+/* Records that this entry leads, or has heard from the entry that does, so that
+ * it knows which windows were reported. */
+void ca_gateway_hear_leader (ca_gateway_t *gateway);
+
 /* Returns a uniformly distributed number in [0, 1). */
 double ca_gateway_random (ca_gateway_t *gateway);
 
--- a/packages/gateway/state_sync.c
+++ b/packages/gateway/state_sync.c
@@ -99,6 +99,10 @@
   uint64_t former = gateway->store_era;
 
   gateway->store_era = era;
+  gateway->store_era_us = gateway->now_us;
+  if (gateway->now_us - gateway->leader_heard_us
+      >= gateway->options.bounds.lease_ms * CA_US_PER_MS)
+    gateway->reports_known = false;
   if (former == 0)
     return;
   ca_counters_add (&gateway->counters, CA_COUNT_STORE_RESTORES, 1);
--- a/packages/gateway/usage_report.c
+++ b/packages/gateway/usage_report.c
@@ -16,9 +16,8 @@
   return leader->gateway->options.bounds.usage_window_s * CA_US_PER_S;
 }
 
-/* Latest window whose counts have arrived from all entries. */
-static uint64_t
-usage_latest_settled (const ca_leader_t *leader)
+uint64_t
+ca_usage_latest_settled (const ca_leader_t *leader)
 {
   uint64_t wall_us
       = ca_gateway_wall_us (leader->gateway, leader->gateway->now_us);
@@ -38,7 +37,7 @@
 static void
 usage_begin (ca_leader_t *leader)
 {
-  uint64_t settled = usage_latest_settled (leader);
+  uint64_t settled = ca_usage_latest_settled (leader);
   uint64_t oldest = settled
                     - leader->gateway->options.bounds.usage_delay_s
                           / leader->gateway->options.bounds.usage_window_s;
@@ -92,7 +91,9 @@
   ca_gateway_log (leader->gateway, CA_EVENT_USAGE_REPORTED, NULL, NULL,
                   "reported window %" PRIu64 " under lease %" PRIu64, window,
                   leader->fence);
-  leader->reported = window;
+  /* Later windows are skipped if they may have been reported. */
+  if (window > leader->reported)
+    leader->reported = window;
   leader->window = 0;
   ca_usage_rows_finish (&leader->counts);
 }
--- a/packages/wire/peer.pb-c.c
+++ b/packages/wire/peer.pb-c.c
@@ -4794,7 +4794,7 @@
   (ProtobufCMessageInit) camphor__lease_notice__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor camphor__pulse__field_descriptors[29] =
+static const ProtobufCFieldDescriptor camphor__pulse__field_descriptors[30] =
 {
   {
     "name",
@@ -5144,6 +5144,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "reports_known",
+    30,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Camphor__Pulse, reports_known),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned camphor__pulse__field_indices_by_name[] = {
   26,   /* field[26] = brittle */
@@ -5167,6 +5179,7 @@
   19,   /* field[19] = omits_usage */
   3,   /* field[3] = port */
   17,   /* field[17] = reads_store */
+  29,   /* field[29] = reports_known */
   4,   /* field[4] = stamp_us */
   21,   /* field[21] = store_era */
   15,   /* field[15] = strikes */
@@ -5179,7 +5192,7 @@
 static const ProtobufCIntRange camphor__pulse__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 29 }
+  { 0, 30 }
 };
 const ProtobufCMessageDescriptor camphor__pulse__descriptor =
 {
@@ -5189,7 +5202,7 @@
   "Camphor__Pulse",
   "camphor",
   sizeof(Camphor__Pulse),
-  29,
+  30,
   camphor__pulse__field_descriptors,
   camphor__pulse__field_indices_by_name,
   1,  camphor__pulse__number_ranges,
--- a/packages/wire/peer.pb-c.h
+++ b/packages/wire/peer.pb-c.h
@@ -767,10 +767,14 @@
    * answers QuotaWant
    */
   protobuf_c_boolean lends_quota;
+  /*
+   * no window after `usage_reported` was reported
+   */
+  protobuf_c_boolean reports_known;
 };
 #define CAMPHOR__PULSE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&camphor__pulse__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0,NULL, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0,NULL, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0, 0 }
 
 
 /*
--- a/tests/gateway/lease_world.c
+++ b/tests/gateway/lease_world.c
@@ -1,6 +1,9 @@
 /* Entries that compete for the leader's lease, in virtual time. */
 #include "lease_world.h"
 
+#include "gateway/leader_private.h"
+
+#include <jansson.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -27,15 +30,44 @@
 {
   entry_t *entry = entry_of (context);
 
+  if (entry->no_store)
+    {
+      ca_leader_lease_read (&entry->leader, world.now_us, CA_CALL_UNKNOWN, 0,
+                            NULL, 0);
+      return;
+    }
   ca_leader_lease_read (&entry->leader, world.now_us, CA_CALL_OK, world.version,
                         world.version == 0 ? NULL : world.row, world.now_us);
 }
 
+/* Puts the row into the store, as a build before eras would write it if so
+ * set. */
+static void
+store_put (const char *text)
+{
+  json_t *row = json_loads (text, 0, NULL);
+  char *written;
+
+  if (world.rows_lack_era)
+    json_object_del (row, "era");
+  written = json_dumps (row, JSON_COMPACT);
+  assert_true (strlen (written) < sizeof world.row);
+  strlcpy (world.row, written, sizeof world.row);
+  free (written);
+  json_decref (row);
+}
+
 static void
 write_lease (void *context, uint64_t version, const char *text)
 {
   entry_t *entry = entry_of (context);
 
+  if (entry->no_store)
+    {
+      ca_leader_lease_written (&entry->leader, world.now_us, CA_CALL_REFUSED,
+                               0);
+      return;
+    }
   if (version != world.version)
     {
       ca_leader_lease_written (&entry->leader, world.now_us, CA_CALL_CONFLICT,
@@ -43,7 +75,7 @@
       return;
     }
   world.version++;
-  strlcpy (world.row, text, sizeof world.row);
+  store_put (text);
   if (world.write_answers_to_lose > 0)
     {
       world.write_answers_to_lose--;
@@ -140,8 +172,10 @@
          const Camphor__Envelope *envelope)
 {
   entry_t *entry = &world.entries[to->port];
+  const entry_t *sender = entry_of (context);
 
-  if (entry->alive && !entry->frozen && !entry_of (context)->frozen)
+  if (entry->alive && !entry->frozen && !entry->cut_off && !sender->frozen
+      && !sender->cut_off)
     cluster_deliver (&entry->gateway, world.now_us, envelope);
 }
 
@@ -155,11 +189,23 @@
 static void
 entry_learn_era (size_t index)
 {
-  if (world.era != 0 && world.entries[index].alive)
+  if (world.era != 0 && world.entries[index].alive
+      && !world.entries[index].no_store)
     assert_true (ca_gateway_store_era (&world.entries[index].gateway,
                                        world.now_us, CA_ERA_NAMED, world.era));
 }
 
+void
+store_reach_all (void)
+{
+  for (size_t i = 0; i < ENTRIES; i++)
+    {
+      world.entries[i].cut_off = false;
+      world.entries[i].no_store = false;
+      entry_learn_era (i);
+    }
+}
+
 void
 store_copy (void)
 {
@@ -226,6 +272,23 @@
     entry_start (i);
 }
 
+/* Notes whether two entries may act as the leader now. */
+static void
+check_leaders (void)
+{
+  size_t count = 0;
+
+  for (size_t i = 0; i < ENTRIES; i++)
+    {
+      const entry_t *entry = &world.entries[i];
+
+      if (entry->alive && !entry->frozen && ca_lease_is_valid (&entry->leader))
+        count++;
+    }
+  if (count > 1)
+    world.two_leaders = true;
+}
+
 void
 world_run (uint64_t ms)
 {
@@ -244,6 +307,7 @@
                            WALL_US + world.now_us);
           ca_leader_tick (&entry->leader, world.now_us);
         }
+      check_leaders ();
     }
 }
 
@@ -252,6 +316,7 @@
 {
   assert_false (world.fence_reused);
   assert_false (world.counts_differ);
+  assert_false (world.two_leaders);
   for (size_t i = 0; i < ENTRIES; i++)
     entry_end (i);
 }
--- a/tests/gateway/lease_world.h
+++ b/tests/gateway/lease_world.h
@@ -37,6 +37,8 @@
   ca_leader_t leader;
   bool alive;
   bool frozen;
+  bool cut_off;  /* from its peers, not from the store */
+  bool no_store; /* the store does not answer it */
 } entry_t;
 
 typedef struct
@@ -49,6 +51,7 @@
   uint64_t era;     /* 0: the store names none */
   char row_copy[CA_LEASE_BYTES];
   uint64_t version_copy;
+  bool rows_lack_era;        /* entries of an older build write them */
   int write_answers_to_lose; /* writes that are done but not answered */
   /* The cloud. */
   uint64_t usage_fence;
@@ -64,6 +67,7 @@
   size_t holders[TOKENS_MAX];  /* the entry that used each first */
   size_t token_count;
   bool fence_reused;
+  bool two_leaders; /* two entries held a valid lease at one time */
 } world_t;
 
 extern world_t world;
@@ -81,6 +85,9 @@
 void entry_start (size_t index);
 void entry_end (size_t index);
 
+/* Ends all cuts. */
+void store_reach_all (void);
+
 /* Keeps a copy of the lease row, and returns to it: the era rises, and live
  * entries learn it. */
 void store_copy (void);
