leader: a renewal in flight does not record a report that was begun later

What would be seen: two reports for one window with different counts, if the store is slow as a window settles and all entries end before the next write of the lease row takes effect. Found by the review by reading.

Cause: the answer to any write of the row marked the current report as recorded, also one that was begun after the write was sent. The report then left before its counts were in the store.

Change: the answer counts only for the window that the written row contains.

Test: gateway/test_gateway_leader, test_report_is_in_the_row_first, failed before (world.counts_differ) with writes that take 0.1 to 1.3 s to take effect.

--- a/packages/gateway/leader.c
+++ b/packages/gateway/leader.c
@@ -181,6 +181,7 @@
   leader->sent_us = leader->gateway->now_us;
   leader->attempt_fence = fence;
   leader->attempt_us = leader->gateway->now_us;
+  leader->attempt_window = leader->window;
   leader->next_call_us = leader->gateway->now_us + LEASE_RENEW_US;
   leader->ports.write_lease (leader->ports.context, leader->version, text);
   free (text);
@@ -563,7 +564,9 @@
           return;
         }
       lease_hold (leader, leader->sent_us);
-      leader->recorded = leader->window != 0;
+      /* A report that was begun meanwhile is not in the row. */
+      leader->recorded
+          = leader->window != 0 && leader->window == leader->attempt_window;
       return;
     case CA_CALL_CONFLICT:
       lease_drop (leader, "another entry wrote the row");
--- a/packages/gateway/leader.h
+++ b/packages/gateway/leader.h
@@ -92,6 +92,7 @@
   uint64_t vacant_since_us;  /* since when no leader is live */
   uint64_t attempt_fence;    /* fencing token of the latest write */
   uint64_t attempt_us;       /* when that write was sent */
+  uint64_t attempt_window;   /* the report in it */
   uint64_t blocked_until_us; /* no attempt before this, after a refusal */
   /* Usage. */
   uint64_t window;   /* that is being reported; 0 if none */
--- a/tests/gateway/lease_world.c
+++ b/tests/gateway/lease_world.c
@@ -57,25 +57,21 @@
   json_decref (row);
 }
 
+/* Carries out the entry's write if it is due. */
 static void
-write_lease (void *context, uint64_t version, const char *text)
+carry_out_write (entry_t *entry)
 {
-  entry_t *entry = entry_of (context);
-
-  if (entry->no_store)
-    {
-      ca_leader_lease_written (&entry->leader, world.now_us, CA_CALL_REFUSED,
-                               0);
-      return;
-    }
-  if (version != world.version)
+  if (entry->write_due_us == 0 || world.now_us < entry->write_due_us)
+    return;
+  entry->write_due_us = 0;
+  if (entry->write_version != world.version)
     {
       ca_leader_lease_written (&entry->leader, world.now_us, CA_CALL_CONFLICT,
                                0);
       return;
     }
   world.version++;
-  store_put (text);
+  store_put (entry->write_text);
   if (world.write_answers_to_lose > 0)
     {
       world.write_answers_to_lose--;
@@ -87,6 +83,23 @@
                            world.version);
 }
 
+static void
+write_lease (void *context, uint64_t version, const char *text)
+{
+  entry_t *entry = entry_of (context);
+
+  if (entry->no_store)
+    {
+      ca_leader_lease_written (&entry->leader, world.now_us, CA_CALL_REFUSED,
+                               0);
+      return;
+    }
+  entry->write_due_us = world.now_us + world.write_delay_us;
+  entry->write_version = version;
+  strlcpy (entry->write_text, text, sizeof entry->write_text);
+  carry_out_write (entry);
+}
+
 static void
 record_holder (const entry_t *entry, uint64_t fence)
 {
@@ -260,6 +273,7 @@
     return;
   ca_leader_finish (&entry->leader);
   ca_gateway_finish (&entry->gateway);
+  entry->write_due_us = 0;
   entry->alive = false;
 }
 
@@ -305,6 +319,7 @@
             continue;
           ca_gateway_tick (&entry->gateway, world.now_us,
                            WALL_US + world.now_us);
+          carry_out_write (entry);
           ca_leader_tick (&entry->leader, world.now_us);
         }
       check_leaders ();
--- a/tests/gateway/lease_world.h
+++ b/tests/gateway/lease_world.h
@@ -37,8 +37,11 @@
   ca_leader_t leader;
   bool alive;
   bool frozen;
-  bool cut_off;  /* from its peers, not from the store */
-  bool no_store; /* the store does not answer it */
+  bool cut_off;          /* from its peers, not from the store */
+  bool no_store;         /* the store does not answer it */
+  uint64_t write_due_us; /* when its write takes effect; 0: none is open */
+  uint64_t write_version;
+  char write_text[CA_LEASE_BYTES];
 } entry_t;
 
 typedef struct
@@ -52,6 +55,7 @@
   char row_copy[CA_LEASE_BYTES];
   uint64_t version_copy;
   bool rows_lack_era;        /* entries of an older build write them */
+  uint64_t write_delay_us;   /* until a write takes effect and is answered */
   int write_answers_to_lose; /* writes that are done but not answered */
   /* The cloud. */
   uint64_t usage_fence;
--- a/tests/gateway/test_leader.c
+++ b/tests/gateway/test_leader.c
@@ -173,6 +173,34 @@
   world_end ();
 }
 
+/* Guards against a report that is sent before the lease row has its counts: if
+ * all entries end then, a later leader reports the window with other counts.
+ * The store is slow, so that a renewal is in flight as the window settles. */
+static void
+test_report_is_in_the_row_first (void **state)
+{
+  (void)state;
+  for (uint64_t delay_ms = 100; delay_ms < 1400; delay_ms += 100)
+    {
+      size_t reports;
+
+      world_start (TWO_ENTRIES);
+      world_run_with_usage (7000);
+      world.write_delay_us = delay_ms * CA_US_PER_MS;
+      world_run_with_usage (10000);
+      reports = world.reports;
+      while (world.reports == reports)
+        world_run (STEP_US / CA_US_PER_MS);
+      entry_end (0);
+      entry_end (1);
+      world_run (500);
+      entry_start (0);
+      entry_start (1);
+      world_run_with_usage (12000);
+      world_end ();
+    }
+}
+
 /* After a rolling restart no incarnation has received all counts of the window.
  * Those in the lease row must be reported too. */
 static void
@@ -425,6 +453,7 @@
     cmocka_unit_test (test_holder_pauses),
     cmocka_unit_test (test_lost_answers),
     cmocka_unit_test (test_usage_after_a_restart_of_all),
+    cmocka_unit_test (test_report_is_in_the_row_first),
     cmocka_unit_test (test_usage_after_a_rolling_restart),
     cmocka_unit_test (test_new_entry_waits),
     cmocka_unit_test (test_every_window),
