streams: entries that start take over which versions have served

Cause: that a service has had a single version counted only for an entry that had observed it for 120 s; no entry is up for so long between two restarts. Streams went on by their records alone, which end with three entries.

Change: the leader records in the lease row, and in heartbeats once that is done, all versions listed within 120 s, and since when that is known. An entry takes it over if the record ends at most 6 s before its own first list. A version that is not recorded gets no new streams for 8 s if others serve, so none that came and went unseen has begun one. A row of another era is not believed. An entry asks the store for a recent list when a stream depends on it; the leader's is at most 1.5 s old.

Known red: gateway/test_gateway_streams_lost, the same while two versions serve.

--- a/packages/base/events.c
+++ b/packages/base/events.c
@@ -206,6 +206,10 @@
     "the store came back from an older copy and no entry knows which windows "
     "were reported; those that may have been are not reported again",
     "compare the windows with the platform's records" },
+  { CA_EVENT_VERSIONS_KNOWN, CA_LEVEL_INFO, "versions_known",
+    "the entry took over which versions of endpoints serve or have served "
+    "since before it started",
+    NO_ACTION },
 };
 
 static const char *const level_names[]
--- a/packages/gateway/gateway.c
+++ b/packages/gateway/gateway.c
@@ -24,6 +24,7 @@
   gateway->ports = *ports;
   gateway->now_us = now_us;
   gateway->started_us = now_us;
+  gateway->history_since_us = now_us;
   gateway->id = ca_gateway_id (options->name);
   gateway->incarnation = wall_us;
   gateway->rng[0] = (unsigned short)options->seed;
--- a/packages/gateway/gateway.h
+++ b/packages/gateway/gateway.h
@@ -17,6 +17,7 @@
 #include "gateway/freshness.h"
 #include "gateway/registry.h"
 #include "gateway/stream_versions.h"
+#include "gateway/version_history.h"
 #include "gateway/window.h"
 #include "wire/peer.pb-c.h"
 
@@ -485,6 +486,12 @@
   uint64_t next_stream_expiry_us;
   uint64_t next_version_survey_us;
   uint64_t list_validated_us; /* all changes of the list up to then are known */
+  bool list_wanted;           /* a decision needs a more recent list */
+  uint64_t first_list_us;     /* the list has been known without a gap since */
+  bool history_from_start;    /* no entry ran before the history begins */
+  uint64_t history_since_us; /* all versions that were listed since are known */
+  uint32_t recorded_versions[CA_VERSION_HISTORY_MAX]; /* by the leader */
+  size_t recorded_count;
   bool stopping;
   uint64_t stop_us;       /* start of the stop */
   uint64_t stop_grace_us; /* time until this entry is killed after it */
@@ -532,6 +539,9 @@
 void ca_gateway_store_state (ca_gateway_t *gateway, uint64_t now_us, bool down,
                              bool gone);
 
+/* Era of a store that has never come back from an older copy. */
+#define CA_STORE_FIRST_ERA 1
+
 /* What an answer of the store, or a peer, says of the store's era: the number
  * of times that it came back from an older copy, plus 1. */
 typedef enum
--- a/packages/gateway/leader.c
+++ b/packages/gateway/leader.c
@@ -21,6 +21,9 @@
 #define LEASE_SENIORITY_US (400 * CA_US_PER_MS)
 #define LEASE_RETRY_US (500 * CA_US_PER_MS)
 
+/* Time between writes of the row for versions of endpoints that it lacks. */
+#define LEASE_VERSIONS_US (300 * CA_US_PER_MS)
+
 /* A new entry does not take over an existing lease within this time after its
  * start, which exceeds the heartbeat period with 90 entries.  Until then it may
  * have received neither the holder's heartbeat nor the others' counts. */
@@ -104,6 +107,13 @@
   return (uint64_t)((int64_t)leader->gateway->now_us + freshness->offset_us);
 }
 
+/* The store's clock minus the local one. */
+static int64_t
+lease_clock_offset_us (const ca_leader_t *leader)
+{
+  return leader->gateway->config_freshness.offset_us;
+}
+
 /* Counts of the window that is being reported. */
 static json_t *
 lease_counts_json (const ca_leader_t *leader)
@@ -174,8 +184,15 @@
       "counts", lease_counts_json (leader), "wall_us",
       (json_int_t)ca_gateway_wall_us (leader->gateway, leader->gateway->now_us),
       "recent", lease_recent_json (leader));
-  char *text = json_dumps (row, JSON_COMPACT);
-
+  json_t *history;
+  char *text;
+
+  ca_version_history_fill (leader->gateway, &leader->attempt_history);
+  history = ca_version_history_to_json (&leader->attempt_history,
+                                        lease_clock_offset_us (leader));
+  if (history != NULL)
+    json_object_set_new (row, "versions", history);
+  text = json_dumps (row, JSON_COMPACT);
   leader->busy = true;
   leader->given_up = leader->gateway->stopping;
   leader->sent_us = leader->gateway->now_us;
@@ -240,6 +257,18 @@
     }
 }
 
+/* True if a version of endpoints is not in the row yet. */
+static bool
+lease_lacks_version (const ca_leader_t *leader)
+{
+  ca_version_history_t history;
+
+  if (leader->gateway->now_us < leader->attempt_us + LEASE_VERSIONS_US)
+    return false;
+  ca_version_history_fill (leader->gateway, &history);
+  return history.exists && ca_version_history_lacks (leader->gateway, &history);
+}
+
 static void
 lease_read (ca_leader_t *leader)
 {
@@ -268,7 +297,7 @@
   if (leader->held)
     {
       /* A planned stop releases the lease together with the latest counts. */
-      if (now_us >= leader->next_call_us
+      if (now_us >= leader->next_call_us || lease_lacks_version (leader)
           || (leader->gateway->stopping && !leader->given_up))
         lease_write (leader, leader->fence);
       return;
@@ -348,6 +377,20 @@
     leader->gateway->usage_reported = leader->reported;
 }
 
+/* Takes over what the row's writer knew of versions of endpoints. */
+static void
+lease_take_history (ca_leader_t *leader, const json_t *row)
+{
+  ca_version_history_t history;
+
+  if (!lease_is_current (leader, row))
+    return;
+  ca_version_history_from_json (&history, json_object_get (row, "versions"),
+                                -lease_clock_offset_us (leader));
+  ca_version_history_recorded (leader->gateway, &history);
+  ca_version_history_take (leader->gateway, &history);
+}
+
 /* Takes the lease over no row, or one that cannot be used. */
 static void
 lease_take_without_row (ca_leader_t *leader)
@@ -537,10 +580,15 @@
     {
       if (leader->rewrites && lease_rewrite (leader, NULL))
         return;
+      /* Before the store first came back from a copy it has lost nothing. */
+      if (leader->gateway->store_era <= CA_STORE_FIRST_ERA)
+        leader->gateway->history_from_start = true;
       lease_take_without_row (leader);
       return;
     }
   row = json_loads (text, 0, NULL);
+  if (lease_is_row (leader, row, store_us))
+    lease_take_history (leader, row);
   if (!lease_is_row (leader, row, store_us))
     lease_replace_row (leader);
   else if (!leader->rewrites || !lease_rewrite (leader, row))
@@ -564,6 +612,7 @@
           return;
         }
       lease_hold (leader, leader->sent_us);
+      ca_version_history_recorded (leader->gateway, &leader->attempt_history);
       /* A report that was begun meanwhile is not in the row. */
       leader->recorded
           = leader->window != 0 && leader->window == leader->attempt_window;
--- a/packages/gateway/leader.h
+++ b/packages/gateway/leader.h
@@ -85,14 +85,15 @@
   bool rewrites;    /* the store lost the row: the holder writes it again */
   uint64_t version; /* of the row */
   uint64_t fence;
-  uint64_t valid_until_us;   /* end of the lease, on this machine's clock */
-  bool given_up;             /* the latest write releases the lease */
-  uint64_t sent_us;          /* when the call in flight was sent */
-  uint64_t next_call_us;     /* next call */
-  uint64_t vacant_since_us;  /* since when no leader is live */
-  uint64_t attempt_fence;    /* fencing token of the latest write */
-  uint64_t attempt_us;       /* when that write was sent */
-  uint64_t attempt_window;   /* the report in it */
+  uint64_t valid_until_us;  /* end of the lease, on this machine's clock */
+  bool given_up;            /* the latest write releases the lease */
+  uint64_t sent_us;         /* when the call in flight was sent */
+  uint64_t next_call_us;    /* next call */
+  uint64_t vacant_since_us; /* since when no leader is live */
+  uint64_t attempt_fence;   /* fencing token of the latest write */
+  uint64_t attempt_us;      /* when that write was sent */
+  uint64_t attempt_window;  /* the report in it */
+  ca_version_history_t attempt_history; /* the versions in it */
   uint64_t blocked_until_us; /* no attempt before this, after a refusal */
   /* Usage. */
   uint64_t window;   /* that is being reported; 0 if none */
--- a/packages/gateway/peers.c
+++ b/packages/gateway/peers.c
@@ -56,6 +56,7 @@
   uint64_t lost_services[CA_LOST_SERVICES_MAX];
   Camphor__BrittleService brittle[HEARTBEAT_MAX_BRITTLE];
   Camphor__BrittleService *brittle_rows[HEARTBEAT_MAX_BRITTLE];
+  ca_version_history_message_t history;
 } peer_heartbeat_buffer_t;
 
 ca_peer_t *
@@ -538,6 +539,21 @@
     buffer->brittle_rows[i] = &buffer->brittle[i];
 }
 
+/* Fills in the leader's history of versions, once all of it is recorded. */
+static void
+peer_fill_history (const ca_gateway_t *gateway, peer_heartbeat_buffer_t *buffer)
+{
+  ca_version_history_t history;
+
+  if (!gateway->leads)
+    return;
+  ca_version_history_fill (gateway, &history);
+  if (!history.exists || ca_version_history_lacks (gateway, &history))
+    return;
+  ca_version_history_to_message (gateway, &history, &buffer->history);
+  buffer->heartbeat.history = &buffer->history.message;
+}
+
 /* Builds the heartbeat that is the same for all peers. */
 static void
 peer_build_heartbeat (ca_gateway_t *gateway, uint64_t wall_us,
@@ -579,6 +595,7 @@
   peer_fill_crash_records (gateway, buffer);
   peer_fill_limits (gateway, buffer);
   peer_fill_brittle (gateway, buffer);
+  peer_fill_history (gateway, buffer);
 }
 
 /* True if the peer is still to be sent a heartbeat in this round. */
@@ -843,6 +860,8 @@
   peer_apply_draining (gateway, heartbeat);
   ca_state_sync_peer_era (gateway, heartbeat->store_era);
   peer_note_lease (gateway, heartbeat->lease_fence, heartbeat->usage_reported);
+  if (heartbeat->history != NULL)
+    ca_version_history_receive (gateway, heartbeat->history);
   if (peer->leads)
     ca_gateway_hear_leader (gateway);
   else if (heartbeat->reports_known
--- a/packages/gateway/private.h
+++ b/packages/gateway/private.h
@@ -157,6 +157,67 @@
 void ca_quota_loan_receive (ca_gateway_t *gateway,
                             const Camphor__Envelope *envelope);
 
+/* version_history.c */
+
+/* Returns this entry's knowledge of a version of the service; a new one
+ * replaces the one that was listed least recently. */
+ca_software_version_t *ca_version_history_find (ca_gateway_t *gateway,
+                                                ca_service_stats_t *stats,
+                                                uint32_t version);
+
+/* True if this entry knows all versions at which streams that may still be
+ * taken up have begun. */
+bool ca_version_history_is_complete (const ca_gateway_t *gateway);
+
+/* True if entries may have begun streams at the version lately. */
+bool ca_version_history_may_have_begun (const ca_gateway_t *gateway,
+                                        const ca_software_version_t *version);
+
+/* Time from which on the version is used for new streams; 0 if no other one
+ * serves. */
+uint64_t ca_version_history_settles_us (const ca_gateway_t *gateway,
+                                        const ca_service_stats_t *stats,
+                                        const ca_software_version_t *version);
+
+/* Fills in what this entry knows. */
+void ca_version_history_fill (const ca_gateway_t *gateway,
+                              ca_version_history_t *history);
+
+/* True if a version of the history is not recorded yet. */
+bool ca_version_history_lacks (const ca_gateway_t *gateway,
+                               const ca_version_history_t *history);
+
+/* Notes that the leader has recorded the history. */
+void ca_version_history_recorded (ca_gateway_t *gateway,
+                                  const ca_version_history_t *history);
+
+/* Takes over a recorded history that begins earlier than this entry's. */
+void ca_version_history_take (ca_gateway_t *gateway,
+                              const ca_version_history_t *history);
+
+/* Notes that versions may have come and gone unseen since the list was
+ * validated. */
+void ca_version_history_note_gap (ca_gateway_t *gateway);
+
+/* The leader's message, and the storage of its rows. */
+typedef struct
+{
+  Camphor__VersionHistory message;
+  char *services[CA_VERSION_HISTORY_MAX];
+  uint32_t versions[CA_VERSION_HISTORY_MAX];
+  uint64_t first_ages_us[CA_VERSION_HISTORY_MAX];
+  uint64_t listed_ages_us[CA_VERSION_HISTORY_MAX];
+} ca_version_history_message_t;
+
+/* Fills in the message, which refers to the history's texts. */
+void ca_version_history_to_message (const ca_gateway_t *gateway,
+                                    const ca_version_history_t *history,
+                                    ca_version_history_message_t *buffer);
+
+/* Applies the leader's message. */
+void ca_version_history_receive (ca_gateway_t *gateway,
+                                 const Camphor__VersionHistory *message);
+
 /* stream_versions.c */
 
 typedef enum
--- a/packages/gateway/state_sync.c
+++ b/packages/gateway/state_sync.c
@@ -171,7 +171,12 @@
 ca_gateway_list_end (ca_gateway_t *gateway, uint64_t now_us)
 {
   gateway->now_us = now_us;
+  if (gateway->registry_known)
+    ca_version_history_note_gap (gateway);
+  else
+    gateway->first_list_us = now_us;
   gateway->registry_known = true;
+  gateway->next_version_survey_us = now_us;
   if (!state_sync_list_is_recovering (gateway))
     ca_registry_expire (&gateway->registry, now_us, 0);
 }
@@ -216,7 +221,11 @@
   gateway->now_us = now_us;
   confirmed = !state_sync_list_is_recovering (gateway);
   if (ca_registry_find (&gateway->registry, id) == NULL)
-    return;
+    {
+      /* It came and went since the list was read. */
+      ca_version_history_note_gap (gateway);
+      return;
+    }
   ca_registry_remove (&gateway->registry, now_us, id, confirmed);
   ca_gateway_log (gateway, CA_EVENT_ENDPOINT_GONE, NULL, id, "%s",
                   confirmed ? "removed from the list"
--- a/packages/gateway/stream_versions.c
+++ b/packages/gateway/stream_versions.c
@@ -20,8 +20,6 @@
  */
 #define STREAM_ASKED 2
 
-/* How long a record is kept: longer than a caller goes on with a stream. */
-#define STREAM_RETENTION_US (120 * CA_US_PER_S)
 #define STREAM_EXPIRY_PERIOD_US (5 * CA_US_PER_S)
 
 /* Records kept at most; streams beyond that cannot be taken up. */
@@ -33,10 +31,6 @@
 /* Time for the answers of the peers that are asked. */
 #define STREAM_LOOKUP_US (200 * CA_US_PER_MS)
 
-/* A version is used for new streams once it has been listed for so long, if
- * another one serves: by then all entries that read the list know of it. */
-#define STREAM_SETTLE_US (2 * CA_US_PER_S)
-
 /* The list of endpoints is current if it was validated this recently. */
 #define STREAM_LIST_AGE_US (1500 * CA_US_PER_MS)
 
@@ -129,41 +123,21 @@
 
 /* Versions of services. */
 
-/* Returns the entry of a version; a new one replaces the one that was listed
- * least recently. */
-static ca_software_version_t *
-stream_service_version (ca_service_stats_t *stats, uint32_t version)
-{
-  ca_software_version_t *oldest = &stats->versions[0];
-
-  for (size_t i = 0; i < CA_SOFTWARE_VERSIONS_MAX; i++)
-    {
-      ca_software_version_t *known = &stats->versions[i];
-
-      if (known->version == version)
-        return known;
-      if (known->listed_us < oldest->listed_us)
-        oldest = known;
-    }
-  *oldest = (ca_software_version_t){ .version = version };
-  return oldest;
-}
-
 void
 ca_stream_versions_listed (ca_gateway_t *gateway,
                            ca_gateway_endpoint_t *endpoint)
 {
-  ca_software_version_t *version = stream_service_version (
-      ca_service_stats (gateway, endpoint->service), endpoint->version_number);
+  ca_service_stats_t *stats = ca_service_stats (gateway, endpoint->service);
+  ca_software_version_t *version
+      = ca_version_history_find (gateway, stats, endpoint->version_number);
 
-  /* All entries know those that served when this one started. */
-  if (version->listed_us == 0 && gateway->registry_known)
+  if (version->listed_us == 0)
     version->first_us = gateway->now_us;
   version->listed_us = gateway->now_us;
   if (endpoint->version[0] != '\0')
-    ca_service_stats (gateway, endpoint->service)->names_versions = true;
-  if (version->first_us != 0)
-    endpoint->settles_us = version->first_us + STREAM_SETTLE_US;
+    stats->names_versions = true;
+  endpoint->settles_us
+      = ca_version_history_settles_us (gateway, stats, version);
 }
 
 /* Notes the versions that serve now, periodically. */
@@ -206,25 +180,28 @@
              || gateway->now_us - endpoint->interrupted_us >= STREAM_UNSURE_US);
 }
 
-/* The only version that can have begun a stream of the service; 0 if this entry
- * does not know. */
+/* True if the list is recent enough to conclude anything from it. */
+static bool
+stream_list_is_recent (const ca_gateway_t *gateway)
+{
+  return gateway->now_us - gateway->list_validated_us < STREAM_LIST_AGE_US;
+}
+
+/* The only version that can have begun a stream of the service, as of the
+ * latest list; 0 if this entry does not know. */
 static uint32_t
-stream_single_version (const ca_gateway_t *gateway,
-                       const ca_service_stats_t *stats)
+stream_single_listed_version (const ca_gateway_t *gateway,
+                              const ca_service_stats_t *stats)
 {
   uint32_t single = 0;
 
-  if (gateway->now_us - gateway->started_us < STREAM_RETENTION_US
-      || gateway->now_us - gateway->list_validated_us >= STREAM_LIST_AGE_US)
+  if (!ca_version_history_is_complete (gateway))
     return 0;
   for (size_t i = 0; i < CA_SOFTWARE_VERSIONS_MAX; i++)
     {
       const ca_software_version_t *known = &stats->versions[i];
 
-      /* No entry begins a stream at a version that is not settled. */
-      if (known->listed_us == 0
-          || gateway->now_us - known->listed_us >= STREAM_RETENTION_US
-          || gateway->now_us - known->first_us < STREAM_SETTLE_US)
+      if (!ca_version_history_may_have_begun (gateway, known))
         continue;
       if (single != 0)
         return 0;
@@ -233,6 +210,17 @@
   return single;
 }
 
+/* The only version that can have begun a stream of the service; 0 if this entry
+ * does not know. */
+static uint32_t
+stream_single_version (const ca_gateway_t *gateway,
+                       const ca_service_stats_t *stats)
+{
+  return stream_list_is_recent (gateway)
+             ? stream_single_listed_version (gateway, stats)
+             : 0;
+}
+
 /* Records at peers. */
 
 /* Changes with the peers that may keep records. */
@@ -360,7 +348,7 @@
   gateway->next_stream_expiry_us = gateway->now_us + STREAM_EXPIRY_PERIOD_US;
   HASH_ITER (hh, gateway->streams, record, next)
   {
-    if (gateway->now_us - record->updated_us >= STREAM_RETENTION_US)
+    if (gateway->now_us - record->updated_us >= CA_STREAM_RETENTION_US)
       stream_drop (gateway, record);
   }
 }
@@ -474,6 +462,7 @@
 {
   const ca_stream_record_t *record;
   uint64_t stream;
+  bool awaits_list;
 
   if (exchange->resumes[0] == '\0' || exchange->version != 0
       || !stream_is_resumable (exchange))
@@ -489,7 +478,13 @@
     return CA_STREAM_LOOKUP_KNOWN;
   if (exchange->lookup_us == 0)
     stream_ask (gateway, exchange, stream);
-  if (exchange->lookups == 0
+  awaits_list
+      = !stream_list_is_recent (gateway)
+        && stream_single_listed_version (
+               gateway, ca_service_stats (gateway, exchange->service->name))
+               != 0;
+  gateway->list_wanted = gateway->list_wanted || awaits_list;
+  if ((exchange->lookups == 0 && !awaits_list)
       || gateway->now_us - exchange->lookup_us >= STREAM_LOOKUP_US)
     return CA_STREAM_LOOKUP_UNKNOWN;
   return CA_STREAM_LOOKUP_PENDING;
--- a/packages/gateway/stream_versions.h
+++ b/packages/gateway/stream_versions.h
@@ -17,7 +17,7 @@
 typedef struct
 {
   uint32_t version;   /* ca_stream_version; 0: unused */
-  uint64_t first_us;  /* first listed; 0 if it was when this entry started */
+  uint64_t first_us;  /* first listed, as far as this entry knows */
   uint64_t listed_us; /* last listed */
 } ca_software_version_t;
 
--- a/packages/gateway/watch.c
+++ b/packages/gateway/watch.c
@@ -38,6 +38,7 @@
 ca_watch_restart (ca_watch_t *watch, uint64_t at_us)
 {
   watch->busy = false;
+  watch->is_refreshing = false;
   watch->listed = false;
   watch->after = 0;
   watch->last_change_version = 0;
@@ -51,10 +52,12 @@
 {
   uint64_t age_ms = (now_us - watch->validated_us) / CA_US_PER_MS;
 
-  if (watch->failures > 0)
+  if (watch->failures > 0 || watch->is_refreshing)
     return 0;
   if (watch->role == CA_WATCH_INDEPENDENT)
-    return watch->wait_ms;
+    return watch->max_wait_ms > 0 && watch->max_wait_ms < watch->wait_ms
+               ? watch->max_wait_ms
+               : watch->wait_ms;
   return age_ms < watch->relay_wait_ms ? watch->relay_wait_ms - (uint32_t)age_ms
                                        : 0;
 }
@@ -87,6 +90,19 @@
     watch->list (watch->context, watch);
 }
 
+void
+ca_watch_refresh (ca_watch_t *watch, uint64_t now_us, uint64_t max_age_us)
+{
+  if (!watch->listed || !watch->busy || watch->is_refreshing
+      || watch->failures > 0 || watch->role != CA_WATCH_INDEPENDENT
+      || watch->cancel == NULL || now_us < watch->validated_us + max_age_us)
+    return;
+  watch->cancel (watch->context, watch);
+  watch->busy = false;
+  watch->is_refreshing = true;
+  watch->next_us = now_us;
+}
+
 void
 ca_watch_done (ca_watch_t *watch, uint64_t now_us, ca_watch_status_t status,
                uint64_t version, bool changed, uint64_t validated_us)
@@ -94,6 +110,7 @@
   uint64_t pause_us = WATCH_RETRY_MIN_US;
 
   watch->busy = false;
+  watch->is_refreshing = false;
   if (status == CA_WATCH_FAILED)
     {
       watch->failures++;
--- a/packages/gateway/watch.h
+++ b/packages/gateway/watch.h
@@ -45,6 +45,8 @@
   uint64_t validated_us;      /* all changes up to then were applied */
   ca_watch_role_t role;       /* set before each tick, like the next two */
   uint32_t relay_wait_ms;     /* a reader's wait at the store */
+  uint32_t max_wait_ms;       /* while this entry reads for itself; 0: none */
+  bool is_refreshing;         /* the next call does not wait */
   uint64_t max_update_age_us; /* age at which a reader's update expires */
   uint64_t next_update_us;    /* when a reader next sends an update */
   bool update_is_stale;       /* a follower reads the store itself */
@@ -66,6 +68,10 @@
 /* Makes the next call if it is due. */
 void ca_watch_tick (ca_watch_t *watch, uint64_t now_us);
 
+/* Asks the store at once, instead of waiting for a change, if this entry reads
+ * for itself and the latest answer is older than `max_age_us`. */
+void ca_watch_refresh (ca_watch_t *watch, uint64_t now_us, uint64_t max_age_us);
+
 /* Ends the call in flight.  `version` is the store's version in its answer,
  * which was made at `validated_us` or later; `changed` is true if it has
  * changes. */
--- a/packages/wire/peer.pb-c.c
+++ b/packages/wire/peer.pb-c.c
@@ -1627,6 +1627,51 @@
   assert(message->base.descriptor == &camphor__pulse__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   camphor__version_history__init
+                     (Camphor__VersionHistory         *message)
+{
+  static const Camphor__VersionHistory init_value = CAMPHOR__VERSION_HISTORY__INIT;
+  *message = init_value;
+}
+size_t camphor__version_history__get_packed_size
+                     (const Camphor__VersionHistory *message)
+{
+  assert(message->base.descriptor == &camphor__version_history__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t camphor__version_history__pack
+                     (const Camphor__VersionHistory *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &camphor__version_history__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t camphor__version_history__pack_to_buffer
+                     (const Camphor__VersionHistory *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &camphor__version_history__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Camphor__VersionHistory *
+       camphor__version_history__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Camphor__VersionHistory *)
+     protobuf_c_message_unpack (&camphor__version_history__descriptor,
+                                allocator, len, data);
+}
+void   camphor__version_history__free_unpacked
+                     (Camphor__VersionHistory *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &camphor__version_history__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   camphor__proof_want__init
                      (Camphor__ProofWant         *message)
 {
@@ -4794,7 +4839,7 @@
   (ProtobufCMessageInit) camphor__lease_notice__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor camphor__pulse__field_descriptors[30] =
+static const ProtobufCFieldDescriptor camphor__pulse__field_descriptors[31] =
 {
   {
     "name",
@@ -5156,6 +5201,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "history",
+    31,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Camphor__Pulse, history),
+    &camphor__version_history__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned camphor__pulse__field_indices_by_name[] = {
   26,   /* field[26] = brittle */
@@ -5166,6 +5223,7 @@
   11,   /* field[11] = demands */
   5,   /* field[5] = echo_us */
   27,   /* field[27] = grants_slots */
+  30,   /* field[30] = history */
   2,   /* field[2] = ip */
   18,   /* field[18] = leads */
   22,   /* field[22] = lease_fence */
@@ -5192,7 +5250,7 @@
 static const ProtobufCIntRange camphor__pulse__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 30 }
+  { 0, 31 }
 };
 const ProtobufCMessageDescriptor camphor__pulse__descriptor =
 {
@@ -5202,13 +5260,129 @@
   "Camphor__Pulse",
   "camphor",
   sizeof(Camphor__Pulse),
-  30,
+  31,
   camphor__pulse__field_descriptors,
   camphor__pulse__field_indices_by_name,
   1,  camphor__pulse__number_ranges,
   (ProtobufCMessageInit) camphor__pulse__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor camphor__version_history__field_descriptors[7] =
+{
+  {
+    "from_start",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Camphor__VersionHistory, from_start),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "since_age_us",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Camphor__VersionHistory, since_age_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "until_age_us",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Camphor__VersionHistory, until_age_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "services",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Camphor__VersionHistory, n_services),
+    offsetof(Camphor__VersionHistory, services),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "versions",
+    5,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED32,
+    offsetof(Camphor__VersionHistory, n_versions),
+    offsetof(Camphor__VersionHistory, versions),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "listed_ages_us",
+    6,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT64,
+    offsetof(Camphor__VersionHistory, n_listed_ages_us),
+    offsetof(Camphor__VersionHistory, listed_ages_us),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "first_ages_us",
+    7,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT64,
+    offsetof(Camphor__VersionHistory, n_first_ages_us),
+    offsetof(Camphor__VersionHistory, first_ages_us),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned camphor__version_history__field_indices_by_name[] = {
+  6,   /* field[6] = first_ages_us */
+  0,   /* field[0] = from_start */
+  5,   /* field[5] = listed_ages_us */
+  3,   /* field[3] = services */
+  1,   /* field[1] = since_age_us */
+  2,   /* field[2] = until_age_us */
+  4,   /* field[4] = versions */
+};
+static const ProtobufCIntRange camphor__version_history__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 7 }
+};
+const ProtobufCMessageDescriptor camphor__version_history__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "camphor.VersionHistory",
+  "VersionHistory",
+  "Camphor__VersionHistory",
+  "camphor",
+  sizeof(Camphor__VersionHistory),
+  7,
+  camphor__version_history__field_descriptors,
+  camphor__version_history__field_indices_by_name,
+  1,  camphor__version_history__number_ranges,
+  (ProtobufCMessageInit) camphor__version_history__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor camphor__proof_want__field_descriptors[1] =
 {
   {
--- a/packages/wire/peer.pb-c.h
+++ b/packages/wire/peer.pb-c.h
@@ -51,6 +51,7 @@
 typedef struct Camphor__QuotaLoan Camphor__QuotaLoan;
 typedef struct Camphor__LeaseNotice Camphor__LeaseNotice;
 typedef struct Camphor__Pulse Camphor__Pulse;
+typedef struct Camphor__VersionHistory Camphor__VersionHistory;
 typedef struct Camphor__ProofWant Camphor__ProofWant;
 typedef struct Camphor__Proof Camphor__Proof;
 typedef struct Camphor__TableRow Camphor__TableRow;
@@ -771,10 +772,55 @@
    * no window after `usage_reported` was reported
    */
   protobuf_c_boolean reports_known;
+  /*
+   * recorded by the sender, which leads
+   */
+  Camphor__VersionHistory *history;
 };
 #define CAMPHOR__PULSE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&camphor__pulse__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0,NULL, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0,NULL, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0, 0, NULL }
+
+
+/*
+ * All versions at which streams may have begun, by service.
+ */
+struct  Camphor__VersionHistory
+{
+  ProtobufCMessage base;
+  /*
+   * no entry ran before
+   */
+  protobuf_c_boolean from_start;
+  /*
+   * how long ago the record begins, otherwise
+   */
+  uint64_t since_age_us;
+  /*
+   * how long ago it ends
+   */
+  uint64_t until_age_us;
+  /*
+   * one for each version
+   */
+  size_t n_services;
+  char **services;
+  size_t n_versions;
+  uint32_t *versions;
+  /*
+   * since each was last listed
+   */
+  size_t n_listed_ages_us;
+  uint64_t *listed_ages_us;
+  /*
+   * since each was first listed
+   */
+  size_t n_first_ages_us;
+  uint64_t *first_ages_us;
+};
+#define CAMPHOR__VERSION_HISTORY__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&camphor__version_history__descriptor) \
+    , 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
 
 
 /*
@@ -1676,6 +1722,25 @@
 void   camphor__pulse__free_unpacked
                      (Camphor__Pulse *message,
                       ProtobufCAllocator *allocator);
+/* Camphor__VersionHistory methods */
+void   camphor__version_history__init
+                     (Camphor__VersionHistory         *message);
+size_t camphor__version_history__get_packed_size
+                     (const Camphor__VersionHistory   *message);
+size_t camphor__version_history__pack
+                     (const Camphor__VersionHistory   *message,
+                      uint8_t             *out);
+size_t camphor__version_history__pack_to_buffer
+                     (const Camphor__VersionHistory   *message,
+                      ProtobufCBuffer     *buffer);
+Camphor__VersionHistory *
+       camphor__version_history__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   camphor__version_history__free_unpacked
+                     (Camphor__VersionHistory *message,
+                      ProtobufCAllocator *allocator);
 /* Camphor__ProofWant methods */
 void   camphor__proof_want__init
                      (Camphor__ProofWant         *message);
@@ -1919,6 +1984,9 @@
 typedef void (*Camphor__Pulse_Closure)
                  (const Camphor__Pulse *message,
                   void *closure_data);
+typedef void (*Camphor__VersionHistory_Closure)
+                 (const Camphor__VersionHistory *message,
+                  void *closure_data);
 typedef void (*Camphor__ProofWant_Closure)
                  (const Camphor__ProofWant *message,
                   void *closure_data);
@@ -1982,6 +2050,7 @@
 extern const ProtobufCMessageDescriptor camphor__quota_loan__descriptor;
 extern const ProtobufCMessageDescriptor camphor__lease_notice__descriptor;
 extern const ProtobufCMessageDescriptor camphor__pulse__descriptor;
+extern const ProtobufCMessageDescriptor camphor__version_history__descriptor;
 extern const ProtobufCMessageDescriptor camphor__proof_want__descriptor;
 extern const ProtobufCMessageDescriptor camphor__proof__descriptor;
 extern const ProtobufCMessageDescriptor camphor__table_row__descriptor;
--- a/tests/gateway/streaming_entries.c
+++ b/tests/gateway/streaming_entries.c
@@ -373,6 +373,40 @@
     world.message_bytes += message->bytes;
 }
 
+/* The lease row, which also records the versions that serve. */
+
+static void
+on_read_lease (void *context)
+{
+  size_t index = (size_t)(uintptr_t)context;
+
+  ca_leader_lease_read (&world.leaders[index], world.now_us,
+                        world.entries[index].cut ? CA_CALL_UNKNOWN : CA_CALL_OK,
+                        world.lease_version,
+                        world.lease_version == 0 ? NULL : world.lease,
+                        world.now_us);
+}
+
+static void
+on_write_lease (void *context, uint64_t version, const char *text)
+{
+  size_t index = (size_t)(uintptr_t)context;
+  ca_call_status_t status = CA_CALL_OK;
+
+  if (world.entries[index].cut)
+    status = CA_CALL_REFUSED;
+  else if (version != world.lease_version)
+    status = CA_CALL_CONFLICT;
+  else
+    {
+      assert_true (strlen (text) < sizeof world.lease);
+      strlcpy (world.lease, text, sizeof world.lease);
+      world.lease_version++;
+    }
+  ca_leader_lease_written (&world.leaders[index], world.now_us, status,
+                           world.lease_version);
+}
+
 static void
 on_log (void *context, const ca_log_event_t *event)
 {
@@ -419,6 +453,9 @@
                                .refuse = on_refuse,
                                .send_peer = on_send,
                                .log = on_log };
+  ca_leader_ports_t leader_ports = { .context = (void *)(uintptr_t)index,
+                                     .read_lease = on_read_lease,
+                                     .write_lease = on_write_lease };
   entry_t *entry = &world.entries[index];
   ca_gateway_options_t options;
   char zone[16];
@@ -444,6 +481,10 @@
   entry->list_lag_us = (uint64_t)(uniform () * LIST_LAG_MAX_US);
   cluster_add_peers (&world.gateways[index], world.fleet->entries);
   cluster_configure (&world.gateways[index], world.now_us, world_config);
+  assert_true (ca_gateway_store_era (&world.gateways[index], world.now_us,
+                                     CA_ERA_NAMED, CA_STORE_FIRST_ERA));
+  ca_leader_init (&world.leaders[index], &world.gateways[index], &leader_ports,
+                  false, false);
   entry_list (index);
 }
 
@@ -473,6 +514,7 @@
     if (proxy->entry == index && proxy->sent && !proxy->ended)
       proxy_end (proxy, CA_END_INTERRUPTED, 0);
   }
+  ca_leader_finish (&world.leaders[index]);
   ca_gateway_finish (&world.gateways[index]);
   memset (world.idle[index], 0, sizeof world.idle[index]);
   while (request != NULL)
--- a/tests/gateway/streaming_fleet.c
+++ b/tests/gateway/streaming_fleet.c
@@ -52,7 +52,10 @@
     }
   else if (request->counted)
     world.gone_on++;
+  else if (request->early)
+    world.early_gone_on++;
   request->counted = false;
+  request->early = false;
   request->last_event = event;
 }
 
@@ -231,8 +234,8 @@
 static void
 step_endpoints (void)
 {
-  if (!world.fleet->versions_fixed && is_due (RELEASE_PERIOD_US)
-      && world.latest_version + 1 < VERSIONS_MAX)
+  if (!world.fleet->versions_fixed && !world.fleet->single_version
+      && is_due (RELEASE_PERIOD_US) && world.latest_version + 1 < VERSIONS_MAX)
     {
       world.latest_version++;
       world.release_left
@@ -290,12 +293,35 @@
   }
 }
 
+/* Kills all entries but a few, or all of a zone, in turn. */
+static void
+kill_most (void)
+{
+  size_t first = world.next_kill++;
+
+  for (size_t i = 0; i < world.fleet->entries; i++)
+    {
+      bool is_spared
+          = world.fleet->kills_zone
+                ? i % ZONES != first % ZONES
+                : (i + world.fleet->entries - first % world.fleet->entries)
+                          % world.fleet->entries
+                      < world.fleet->kill_spares;
+
+      if (!is_spared && world.entries[i].up)
+        entry_end (i);
+    }
+}
+
 static void
 step_entries (void)
 {
   const streaming_fleet_t *fleet = world.fleet;
 
-  if (is_due (fleet->kill_period_us))
+  if (is_due (fleet->kill_period_us)
+      && (fleet->kill_spares > 0 || fleet->kills_zone))
+    kill_most ();
+  else if (is_due (fleet->kill_period_us))
     {
       for (size_t i = 0; i < fleet->kill_count; i++)
         {
@@ -345,9 +371,14 @@
 {
   for (size_t i = 0; i < world.fleet->entries; i++)
     {
-      if (world.entries[i].up)
-        ca_gateway_tick (&world.gateways[i], world.now_us,
-                         WALL_US + world.now_us);
+      if (!world.entries[i].up)
+        continue;
+      if (!world.entries[i].cut)
+        ca_gateway_list_validated (&world.gateways[i],
+                                   world.now_us - world.entries[i].list_lag_us);
+      ca_gateway_tick (&world.gateways[i], world.now_us,
+                       WALL_US + world.now_us);
+      ca_leader_tick (&world.leaders[i], world.now_us);
     }
 }
 
@@ -400,13 +431,16 @@
     }
   print_message (
       "%zu entries, %zu endpoints, seed %llu: %llu streams of two versions; "
-      "%llu of %llu new ones begun, %llu of %llu taken up gone on, %llu "
-      "complete; %.0f bytes/s an entry\n",
+      "%llu of %llu new ones begun, %llu of %llu taken up gone on, %llu of "
+      "%llu at entries that have just started, %llu complete; %.0f bytes/s an "
+      "entry\n",
       fleet->entries, fleet->endpoints, (unsigned long long)seed,
       (unsigned long long)world.mixed, (unsigned long long)world.new_begun,
       (unsigned long long)world.new_sent, (unsigned long long)world.gone_on,
-      (unsigned long long)world.taken_up, (unsigned long long)world.complete,
-      streaming_fleet_message_bytes ());
+      (unsigned long long)world.taken_up,
+      (unsigned long long)world.early_gone_on,
+      (unsigned long long)world.early_taken_up,
+      (unsigned long long)world.complete, streaming_fleet_message_bytes ());
 }
 
 double
@@ -431,6 +465,10 @@
       if (world.taken_up >= TAKEN_UP_MIN)
         assert_true (2 * (double)world.gone_on / (double)world.taken_up
                      >= (double)world.new_begun / (double)world.new_sent);
+      if (fleet->checks_early && world.early_taken_up >= TAKEN_UP_MIN)
+        assert_true (2 * (double)world.early_gone_on
+                         / (double)world.early_taken_up
+                     >= (double)world.new_begun / (double)world.new_sent);
     }
 }
 
--- a/tests/gateway/streaming_fleet.h
+++ b/tests/gateway/streaming_fleet.h
@@ -30,10 +30,15 @@
   double streams_per_s;     /* at all entries together */
   uint64_t kill_period_us;  /* between kills of entries; 0: none */
   size_t kill_count;        /* entries killed at a time, at random, or all */
+  size_t kill_spares;       /* if set, all but so many, in turn, are killed */
+  bool kills_zone;          /* all entries of a zone are, in turn */
   uint64_t roll_period_us;  /* between planned restarts, in turn; 0: none */
   uint64_t cut_period_us;   /* some entries are cut off from the store and
                                their peers in its first half; 0: never */
   uint64_t crash_period_us; /* between crashes of an endpoint; 0: none */
+  bool single_version;      /* endpoints run one version all the time */
+  bool checks_early;        /* the share of streams that go on is checked also
+                               at entries that have just started again */
   bool versions_fixed;      /* half of the endpoints run the other version all
                                the time; else versions come and go */
   uint64_t run_us;          /* 0: the default */
@@ -69,6 +74,9 @@
 #define STREAMING_FLEET_LARGE                                                  \
   .entries = 82, .endpoints = 90, .streams_per_s = 300,                        \
   .run_us = 12 * CA_US_PER_S
+#define STREAMING_FLEET_195                                                    \
+  .entries = 195, .endpoints = 90, .streams_per_s = 300,                       \
+  .run_us = 12 * CA_US_PER_S
 #define STREAMING_FLEET_HUGE                                                   \
   .entries = 300, .endpoints = 90, .streams_per_s = 300,                       \
   .run_us = 12 * CA_US_PER_S
--- a/tests/gateway/streaming_world.c
+++ b/tests/gateway/streaming_world.c
@@ -242,6 +242,7 @@
 request_broken (request_t *request, uint64_t wait_us)
 {
   request->counted = false;
+  request->early = false;
   request->first_try = false;
   if (request->tries >= TRIES_MAX
       || world.now_us + wait_us >= request->deadline_us)
@@ -296,6 +297,12 @@
       request->counted = true;
       world.taken_up++;
     }
+  else if (request->last_event > 0 && !world.entries[entry].cut
+           && serving (request->first_version) >= 2)
+    {
+      request->early = true;
+      world.early_taken_up++;
+    }
 }
 
 static bool
--- a/tests/gateway/streaming_world.h
+++ b/tests/gateway/streaming_world.h
@@ -8,6 +8,7 @@
 
 #include "cluster.h"
 #include "gateway/gateway.h"
+#include "gateway/leader.h"
 #include "wire/frame.h"
 #include <stdio.h>
 #include <stdlib.h>
@@ -110,6 +111,7 @@
   uint32_t versions; /* bits */
   uint32_t first_version;
   bool counted; /* the open try is, as a new stream or one taken up */
+  bool early;   /* it is taken up at an entry that has just started */
   TAILQ_ENTRY (request) entries;
 } request_t;
 
@@ -214,6 +216,10 @@
 {
   const streaming_fleet_t *fleet;
   ca_gateway_t gateways[ENTRIES_MAX];
+  ca_leader_t leaders[ENTRIES_MAX];
+  char lease[CA_LEASE_BYTES]; /* the row in the store */
+  uint64_t lease_version;     /* 0: there is no row */
+  size_t next_kill;
   entry_t entries[ENTRIES_MAX];
   endpoint_t endpoints[ENDPOINTS_MAX];
   change_t changes[CHANGES_MAX];
@@ -236,6 +242,8 @@
   uint64_t new_begun;
   uint64_t taken_up;
   uint64_t gone_on;
+  uint64_t early_taken_up; /* at entries that have just started */
+  uint64_t early_gone_on;
   uint64_t mixed;
   uint64_t
       first_tries[2]; /* within the cut, at others and at entries cut off */
--- a/tests/gateway/test_stream_versions.c
+++ b/tests/gateway/test_stream_versions.c
@@ -123,6 +123,51 @@
   streaming_fleet_check (&fleet);
 }
 
+/* Guards against streams that are refused since all that knew which version
+ * began them ended with their entry, though one version has served all the
+ * time. */
+static void
+check_single_version (streaming_fleet_t fleet)
+{
+  fleet.single_version = true;
+  fleet.checks_early = true;
+  fleet.kill_period_us = 4500 * CA_US_PER_MS;
+  fleet.crash_period_us = 2 * CA_US_PER_S;
+  streaming_fleet_check (&fleet);
+}
+
+static void
+test_one_version_most_entries_killed (void **state)
+{
+  (void)state;
+  check_single_version (
+      (streaming_fleet_t){ STREAMING_FLEET_SMALL, .kill_count = 1 });
+  check_single_version (
+      (streaming_fleet_t){ STREAMING_FLEET_SMALL, .kill_count = 4 });
+  check_single_version (
+      (streaming_fleet_t){ STREAMING_FLEET_SMALL, .kill_spares = 1 });
+  check_single_version (
+      (streaming_fleet_t){ STREAMING_FLEET_SMALL, .kills_zone = true });
+  check_single_version (
+      (streaming_fleet_t){ STREAMING_FLEET_LARGE, .kill_spares = 10 });
+  check_single_version (
+      (streaming_fleet_t){ STREAMING_FLEET_195, .kill_spares = 24 });
+  check_single_version (
+      (streaming_fleet_t){ STREAMING_FLEET_195, .kills_zone = true });
+}
+
+static void
+test_one_version_all_entries_killed (void **state)
+{
+  (void)state;
+  check_single_version (
+      (streaming_fleet_t){ STREAMING_FLEET_SMALL, .kill_count = 8 });
+  check_single_version (
+      (streaming_fleet_t){ STREAMING_FLEET_LARGE, .kill_count = 82 });
+  check_single_version (
+      (streaming_fleet_t){ STREAMING_FLEET_195, .kill_count = 195 });
+}
+
 int
 main (void)
 {
@@ -136,6 +181,8 @@
     cmocka_unit_test (test_entries_cut_off),
     cmocka_unit_test (test_endpoints_crash),
     cmocka_unit_test (test_half_of_the_entries_killed),
+    cmocka_unit_test (test_one_version_most_entries_killed),
+    cmocka_unit_test (test_one_version_all_entries_killed),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
