--- a/tests/site/replica.c
+++ b/tests/site/replica.c
@@ -17,6 +17,7 @@
  * /control takes
  * {"fault": NAME, "next": N} for the next N requests: reject, error, reset,
  * cut, lost, encoded, unsigned, endless (a body, or an event, that never ends),
+ * swell (a body of 16 MB that does not end then),
  * drip (the same, a byte at a time), repeat (a request is rejected; if it comes
  * again on its connection it runs, and the rejection is written once more),
  * bare (it runs, and a rejection that names no request is written); or
@@ -48,6 +49,7 @@
 #define REPLICA_LIMIT_BYTES 32
 #define REPLICA_ENDLESS_BYTES (256 * 1024)
 #define REPLICA_DRIP_MS 50
+#define REPLICA_SWELL_BYTES (16 * 1024 * 1024)
 
 /* Spans over which limited requests are counted, and the time that the entries
  * have to learn of the limit. */
@@ -350,6 +352,27 @@
   return true;
 }
 
+/* Sends a large body whose end never comes; false if the response is another.
+ */
+static bool
+run_step_swell (run_t *run)
+{
+  ca_headers_t headers;
+  char *bytes;
+
+  if (strcmp (run->fault, "swell") != 0)
+    return false;
+  run_headers (run, &headers);
+  ca_http_response_begin (run->request, 200, &headers);
+  ca_headers_finish (&headers);
+  run->started = true;
+  replica.open++;
+  bytes = calloc (1, REPLICA_SWELL_BYTES);
+  ca_http_response_write (run->request, bytes, REPLICA_SWELL_BYTES);
+  free (bytes);
+  return true;
+}
+
 /* Sends the next part of a response; applies the faults that end it. */
 static void
 run_step (evutil_socket_t fd, short what, void *context)
@@ -359,7 +382,7 @@
 
   (void)fd;
   (void)what;
-  if (run_step_endless (run))
+  if (run_step_swell (run) || run_step_endless (run))
     return;
   if (strcmp (run->fault, "lost") == 0
       || (strcmp (run->fault, "cut") == 0 && run->count == 0))
