--- a/packages/http/server.c
+++ b/packages/http/server.c
@@ -174,6 +174,15 @@
   connection->state = CONNECTION_RESPONDING;
 }
 
+size_t
+ca_http_response_unsent (const ca_http_server_request_t *request)
+{
+  const ca_http_connection_t *connection
+      = (const ca_http_connection_t *)request;
+
+  return evbuffer_get_length (bufferevent_get_output (connection->stream));
+}
+
 void
 ca_http_response_write (ca_http_server_request_t *request, const void *bytes,
                         size_t count)
--- a/packages/http/server.h
+++ b/packages/http/server.h
@@ -71,6 +71,9 @@
                       const ca_headers_t *headers, const void *body,
                       size_t bytes);
 
+/* Bytes of responses that the client has not read yet. */
+size_t ca_http_response_unsent (const ca_http_server_request_t *request);
+
 /* Streamed response: head, any number of parts, end. */
 void ca_http_response_begin (ca_http_server_request_t *request, uint32_t status,
                              const ca_headers_t *headers);
--- a/tests/site/replica.c
+++ b/tests/site/replica.c
@@ -17,7 +17,7 @@
  * /control takes
  * {"fault": NAME, "next": N} for the next N requests: reject, error, reset,
  * cut, lost, encoded, unsigned, endless (a body, or an event, that never ends),
- * swell (a body of 16 MB that does not end then),
+ * flood (events without end), swell (a body of 16 MB that does not end then),
  * drip (the same, a byte at a time), repeat (a request is rejected; if it comes
  * again on its connection it runs, and the rejection is written once more),
  * bare (it runs, and a rejection that names no request is written); or
@@ -49,6 +49,8 @@
 #define REPLICA_LIMIT_BYTES 32
 #define REPLICA_ENDLESS_BYTES (256 * 1024)
 #define REPLICA_DRIP_MS 50
+#define REPLICA_FLOOD_EVENTS 16
+#define REPLICA_FLOOD_EVENT_BYTES 4096
 #define REPLICA_SWELL_BYTES (16 * 1024 * 1024)
 
 /* Spans over which limited requests are counted, and the time that the entries
@@ -352,6 +354,40 @@
   return true;
 }
 
+/* Sends events without end, as fast as they are read; false if the response is
+ * another. */
+static bool
+run_step_flood (run_t *run)
+{
+  static char piece[REPLICA_FLOOD_EVENT_BYTES];
+  struct timeval wait = { 0, 1000 };
+  char id[32];
+
+  if (strcmp (run->fault, "flood") != 0)
+    return false;
+  if (!run->started)
+    {
+      ca_headers_t headers;
+
+      memset (piece, 'x', sizeof piece);
+      run_headers (run, &headers);
+      ca_http_response_begin (run->request, 200, &headers);
+      ca_headers_finish (&headers);
+      run->started = true;
+      replica.open++;
+    }
+  for (size_t i = 0; i < REPLICA_FLOOD_EVENTS; i++)
+    {
+      ca_http_response_write (
+          run->request, id,
+          (size_t)snprintf (id, sizeof id, "id: %u\ndata: ", run->next++));
+      ca_http_response_write (run->request, piece, sizeof piece);
+      ca_http_response_write (run->request, "\n\n", 2);
+    }
+  event_add (run->timer, &wait);
+  return true;
+}
+
 /* Sends a large body whose end never comes; false if the response is another.
  */
 static bool
@@ -382,7 +418,7 @@
 
   (void)fd;
   (void)what;
-  if (run_step_swell (run) || run_step_endless (run))
+  if (run_step_flood (run) || run_step_swell (run) || run_step_endless (run))
     return;
   if (strcmp (run->fault, "lost") == 0
       || (strcmp (run->fault, "cut") == 0 && run->count == 0))
