leader: a missing lease row shows a first start only if no token is known

By reading: another writer may remove the lease row. An entry that then read the table took the history of versions for complete, though it had not seen all of it; a stream could go on at another version.

Change: an entry that knows a fencing token knows that somebody has led, and does not conclude a first start from a missing row. gateway/test_gateway_leader, lease_drills and stream_versions pass; no test of its own: no stand-in removes the row.

--- a/packages/gateway/leader.c
+++ b/packages/gateway/leader.c
@@ -580,8 +580,10 @@
     {
       if (leader->rewrites && lease_rewrite (leader, NULL))
         return;
-      /* Before the store first came back from a copy it has lost nothing. */
-      if (leader->gateway->store_era <= CA_STORE_FIRST_ERA)
+      /* No entry has led yet: before the store first came back from a copy it
+       * has lost nothing, and no peer knows a token. */
+      if (leader->gateway->store_era <= CA_STORE_FIRST_ERA
+          && leader->gateway->lease_fence == 0)
         leader->gateway->history_from_start = true;
       lease_take_without_row (leader);
       return;
