wire: fields for rollouts, endpoint speeds and admission

Entries share outcomes of a rollout, the measured speed and start window of endpoints, and the pressure at a service in their heartbeats.

Not used yet: no message grows.

--- a/packages/wire/peer.pb-c.c
+++ b/packages/wire/peer.pb-c.c
@@ -997,6 +997,96 @@
   assert(message->base.descriptor == &camphor__service_work__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   camphor__rollout_count__init
+                     (Camphor__RolloutCount         *message)
+{
+  static const Camphor__RolloutCount init_value = CAMPHOR__ROLLOUT_COUNT__INIT;
+  *message = init_value;
+}
+size_t camphor__rollout_count__get_packed_size
+                     (const Camphor__RolloutCount *message)
+{
+  assert(message->base.descriptor == &camphor__rollout_count__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t camphor__rollout_count__pack
+                     (const Camphor__RolloutCount *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &camphor__rollout_count__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t camphor__rollout_count__pack_to_buffer
+                     (const Camphor__RolloutCount *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &camphor__rollout_count__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Camphor__RolloutCount *
+       camphor__rollout_count__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Camphor__RolloutCount *)
+     protobuf_c_message_unpack (&camphor__rollout_count__descriptor,
+                                allocator, len, data);
+}
+void   camphor__rollout_count__free_unpacked
+                     (Camphor__RolloutCount *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &camphor__rollout_count__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   camphor__rollout_report__init
+                     (Camphor__RolloutReport         *message)
+{
+  static const Camphor__RolloutReport init_value = CAMPHOR__ROLLOUT_REPORT__INIT;
+  *message = init_value;
+}
+size_t camphor__rollout_report__get_packed_size
+                     (const Camphor__RolloutReport *message)
+{
+  assert(message->base.descriptor == &camphor__rollout_report__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t camphor__rollout_report__pack
+                     (const Camphor__RolloutReport *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &camphor__rollout_report__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t camphor__rollout_report__pack_to_buffer
+                     (const Camphor__RolloutReport *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &camphor__rollout_report__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Camphor__RolloutReport *
+       camphor__rollout_report__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Camphor__RolloutReport *)
+     protobuf_c_message_unpack (&camphor__rollout_report__descriptor,
+                                allocator, len, data);
+}
+void   camphor__rollout_report__free_unpacked
+                     (Camphor__RolloutReport *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &camphor__rollout_report__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   camphor__strike__init
                      (Camphor__Strike         *message)
 {
@@ -3659,7 +3749,7 @@
   (ProtobufCMessageInit) camphor__workspace_demand__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor camphor__seat_load__field_descriptors[4] =
+static const ProtobufCFieldDescriptor camphor__seat_load__field_descriptors[9] =
 {
   {
     "seat",
@@ -3709,17 +3799,82 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "streams",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Camphor__SeatLoad, streams),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "read_tokens",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Camphor__SeatLoad, read_tokens),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "speed_permille",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Camphor__SeatLoad, speed_permille),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "samples",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Camphor__SeatLoad, samples),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "window",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Camphor__SeatLoad, window),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned camphor__seat_load__field_indices_by_name[] = {
   3,   /* field[3] = held_tokens */
   1,   /* field[1] = open */
+  5,   /* field[5] = read_tokens */
+  7,   /* field[7] = samples */
   0,   /* field[0] = seat */
+  6,   /* field[6] = speed_permille */
+  4,   /* field[4] = streams */
   2,   /* field[2] = unread_tokens */
+  8,   /* field[8] = window */
 };
 static const ProtobufCIntRange camphor__seat_load__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor camphor__seat_load__descriptor =
 {
@@ -3729,7 +3884,7 @@
   "Camphor__SeatLoad",
   "camphor",
   sizeof(Camphor__SeatLoad),
-  4,
+  9,
   camphor__seat_load__field_descriptors,
   camphor__seat_load__field_indices_by_name,
   1,  camphor__seat_load__number_ranges,
@@ -3800,7 +3955,7 @@
   (ProtobufCMessageInit) camphor__usage_count__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor camphor__service_work__field_descriptors[4] =
+static const ProtobufCFieldDescriptor camphor__service_work__field_descriptors[8] =
 {
   {
     "service",
@@ -3850,17 +4005,69 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "pressure_permille",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Camphor__ServiceWork, pressure_permille),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "shed_level",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Camphor__ServiceWork, shed_level),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "workspaces",
+    7,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED32,
+    offsetof(Camphor__ServiceWork, n_workspaces),
+    offsetof(Camphor__ServiceWork, workspaces),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "workspace_work",
+    8,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Camphor__ServiceWork, n_workspace_work),
+    offsetof(Camphor__ServiceWork, workspace_work),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned camphor__service_work__field_indices_by_name[] = {
   1,   /* field[1] = busy_share */
   2,   /* field[2] = held_tokens */
+  4,   /* field[4] = pressure_permille */
   3,   /* field[3] = requests_per_s */
   0,   /* field[0] = service */
+  5,   /* field[5] = shed_level */
+  7,   /* field[7] = workspace_work */
+  6,   /* field[6] = workspaces */
 };
 static const ProtobufCIntRange camphor__service_work__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor camphor__service_work__descriptor =
 {
@@ -3870,13 +4077,245 @@
   "Camphor__ServiceWork",
   "camphor",
   sizeof(Camphor__ServiceWork),
-  4,
+  8,
   camphor__service_work__field_descriptors,
   camphor__service_work__field_indices_by_name,
   1,  camphor__service_work__number_ranges,
   (ProtobufCMessageInit) camphor__service_work__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor camphor__rollout_count__field_descriptors[5] =
+{
+  {
+    "route",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(Camphor__RolloutCount, route),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "target",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Camphor__RolloutCount, target),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "answers",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Camphor__RolloutCount, answers),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "failures",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Camphor__RolloutCount, failures),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "slow",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Camphor__RolloutCount, slow),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned camphor__rollout_count__field_indices_by_name[] = {
+  2,   /* field[2] = answers */
+  3,   /* field[3] = failures */
+  0,   /* field[0] = route */
+  4,   /* field[4] = slow */
+  1,   /* field[1] = target */
+};
+static const ProtobufCIntRange camphor__rollout_count__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor camphor__rollout_count__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "camphor.RolloutCount",
+  "RolloutCount",
+  "Camphor__RolloutCount",
+  "camphor",
+  sizeof(Camphor__RolloutCount),
+  5,
+  camphor__rollout_count__field_descriptors,
+  camphor__rollout_count__field_indices_by_name,
+  1,  camphor__rollout_count__number_ranges,
+  (ProtobufCMessageInit) camphor__rollout_count__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor camphor__rollout_report__field_descriptors[9] =
+{
+  {
+    "service",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Camphor__RolloutReport, service),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "order",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Camphor__RolloutReport, order),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "sent",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Camphor__RolloutReport, sent),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "sent_target",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Camphor__RolloutReport, sent_target),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "counts",
+    5,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Camphor__RolloutReport, n_counts),
+    offsetof(Camphor__RolloutReport, counts),
+    &camphor__rollout_count__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "stage",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Camphor__RolloutReport, stage),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "share_permille",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Camphor__RolloutReport, share_permille),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "open_old",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Camphor__RolloutReport, open_old),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "stage_seen",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Camphor__RolloutReport, stage_seen),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned camphor__rollout_report__field_indices_by_name[] = {
+  4,   /* field[4] = counts */
+  7,   /* field[7] = open_old */
+  1,   /* field[1] = order */
+  2,   /* field[2] = sent */
+  3,   /* field[3] = sent_target */
+  0,   /* field[0] = service */
+  6,   /* field[6] = share_permille */
+  5,   /* field[5] = stage */
+  8,   /* field[8] = stage_seen */
+};
+static const ProtobufCIntRange camphor__rollout_report__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 9 }
+};
+const ProtobufCMessageDescriptor camphor__rollout_report__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "camphor.RolloutReport",
+  "RolloutReport",
+  "Camphor__RolloutReport",
+  "camphor",
+  sizeof(Camphor__RolloutReport),
+  9,
+  camphor__rollout_report__field_descriptors,
+  camphor__rollout_report__field_indices_by_name,
+  1,  camphor__rollout_report__number_ranges,
+  (ProtobufCMessageInit) camphor__rollout_report__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor camphor__strike__field_descriptors[7] =
 {
   {
@@ -4839,7 +5278,7 @@
   (ProtobufCMessageInit) camphor__lease_notice__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor camphor__pulse__field_descriptors[31] =
+static const ProtobufCFieldDescriptor camphor__pulse__field_descriptors[32] =
 {
   {
     "name",
@@ -5213,6 +5652,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "rollouts",
+    32,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Camphor__Pulse, n_rollouts),
+    offsetof(Camphor__Pulse, rollouts),
+    &camphor__rollout_report__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned camphor__pulse__field_indices_by_name[] = {
   26,   /* field[26] = brittle */
@@ -5238,6 +5689,7 @@
   3,   /* field[3] = port */
   17,   /* field[17] = reads_store */
   29,   /* field[29] = reports_known */
+  31,   /* field[31] = rollouts */
   4,   /* field[4] = stamp_us */
   21,   /* field[21] = store_era */
   15,   /* field[15] = strikes */
@@ -5250,7 +5702,7 @@
 static const ProtobufCIntRange camphor__pulse__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 31 }
+  { 0, 32 }
 };
 const ProtobufCMessageDescriptor camphor__pulse__descriptor =
 {
@@ -5260,7 +5712,7 @@
   "Camphor__Pulse",
   "camphor",
   sizeof(Camphor__Pulse),
-  31,
+  32,
   camphor__pulse__field_descriptors,
   camphor__pulse__field_indices_by_name,
   1,  camphor__pulse__number_ranges,
--- a/packages/wire/peer.pb-c.h
+++ b/packages/wire/peer.pb-c.h
@@ -37,6 +37,8 @@
 typedef struct Camphor__SeatLoad Camphor__SeatLoad;
 typedef struct Camphor__UsageCount Camphor__UsageCount;
 typedef struct Camphor__ServiceWork Camphor__ServiceWork;
+typedef struct Camphor__RolloutCount Camphor__RolloutCount;
+typedef struct Camphor__RolloutReport Camphor__RolloutReport;
 typedef struct Camphor__Strike Camphor__Strike;
 typedef struct Camphor__EndpointLimit Camphor__EndpointLimit;
 typedef struct Camphor__PermitWant Camphor__PermitWant;
@@ -374,10 +376,30 @@
   uint32_t open;
   uint32_t unread_tokens;
   uint32_t held_tokens;
+  /*
+   * of `open`, those past their first event
+   */
+  uint32_t streams;
+  /*
+   * prompt tokens of the sender, per second
+   */
+  uint32_t read_tokens;
+  /*
+   * relative to the service; 0 if not measured
+   */
+  uint32_t speed_permille;
+  /*
+   * behind `speed_permille`, since the last one
+   */
+  uint32_t samples;
+  /*
+   * of a starting endpoint; 0 if it is not starting
+   */
+  uint32_t window;
 };
 #define CAMPHOR__SEAT_LOAD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&camphor__seat_load__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
@@ -408,10 +430,90 @@
   double busy_share;
   double held_tokens;
   double requests_per_s;
+  /*
+   * 1000: the most urgent begin to be late
+   */
+  uint32_t pressure_permille;
+  /*
+   * priorities that the sender sheds
+   */
+  uint32_t shed_level;
+  /*
+   * Work asked for by workspaces, by the hash of their names, in tokens per
+   * second; only while `shed_level` is not 0.
+   */
+  size_t n_workspaces;
+  uint32_t *workspaces;
+  size_t n_workspace_work;
+  uint32_t *workspace_work;
 };
 #define CAMPHOR__SERVICE_WORK__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&camphor__service_work__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0,NULL, 0,NULL }
+
+
+/*
+ * Outcomes at one side of a roll-out on one route.
+ */
+struct  Camphor__RolloutCount
+{
+  ProtobufCMessage base;
+  /*
+   * hash of its name
+   */
+  uint32_t route;
+  /*
+   * at the new version, else at the old ones
+   */
+  protobuf_c_boolean target;
+  uint32_t answers;
+  uint32_t failures;
+  uint32_t slow;
+};
+#define CAMPHOR__ROLLOUT_COUNT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&camphor__rollout_count__descriptor) \
+    , 0, 0, 0, 0, 0 }
+
+
+/*
+ * What the sender has seen of a roll-out since it learned of the order, and, of
+ * the leader, how far the roll-out is.
+ */
+struct  Camphor__RolloutReport
+{
+  ProtobufCMessage base;
+  char *service;
+  /*
+   * version of the order's row
+   */
+  uint64_t order;
+  /*
+   * requests to any version
+   */
+  uint32_t sent;
+  uint32_t sent_target;
+  size_t n_counts;
+  Camphor__RolloutCount **counts;
+  /*
+   * of the leader; 0 from others
+   */
+  uint32_t stage;
+  /*
+   * of requests for the target, at that stage
+   */
+  uint32_t share_permille;
+  /*
+   * requests of the sender at old versions
+   */
+  uint32_t open_old;
+  /*
+   * stage that the sender applies
+   */
+  uint32_t stage_seen;
+};
+#define CAMPHOR__ROLLOUT_REPORT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&camphor__rollout_report__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, 0, 0, 0, 0 }
 
 
 /*
@@ -776,10 +878,12 @@
    * recorded by the sender, which leads
    */
   Camphor__VersionHistory *history;
+  size_t n_rollouts;
+  Camphor__RolloutReport **rollouts;
 };
 #define CAMPHOR__PULSE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&camphor__pulse__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0,NULL, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0, 0, NULL }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0,NULL, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0, 0, NULL, 0,NULL }
 
 
 /*
@@ -1456,6 +1560,44 @@
 void   camphor__service_work__free_unpacked
                      (Camphor__ServiceWork *message,
                       ProtobufCAllocator *allocator);
+/* Camphor__RolloutCount methods */
+void   camphor__rollout_count__init
+                     (Camphor__RolloutCount         *message);
+size_t camphor__rollout_count__get_packed_size
+                     (const Camphor__RolloutCount   *message);
+size_t camphor__rollout_count__pack
+                     (const Camphor__RolloutCount   *message,
+                      uint8_t             *out);
+size_t camphor__rollout_count__pack_to_buffer
+                     (const Camphor__RolloutCount   *message,
+                      ProtobufCBuffer     *buffer);
+Camphor__RolloutCount *
+       camphor__rollout_count__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   camphor__rollout_count__free_unpacked
+                     (Camphor__RolloutCount *message,
+                      ProtobufCAllocator *allocator);
+/* Camphor__RolloutReport methods */
+void   camphor__rollout_report__init
+                     (Camphor__RolloutReport         *message);
+size_t camphor__rollout_report__get_packed_size
+                     (const Camphor__RolloutReport   *message);
+size_t camphor__rollout_report__pack
+                     (const Camphor__RolloutReport   *message,
+                      uint8_t             *out);
+size_t camphor__rollout_report__pack_to_buffer
+                     (const Camphor__RolloutReport   *message,
+                      ProtobufCBuffer     *buffer);
+Camphor__RolloutReport *
+       camphor__rollout_report__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   camphor__rollout_report__free_unpacked
+                     (Camphor__RolloutReport *message,
+                      ProtobufCAllocator *allocator);
 /* Camphor__Strike methods */
 void   camphor__strike__init
                      (Camphor__Strike         *message);
@@ -1942,6 +2084,12 @@
 typedef void (*Camphor__ServiceWork_Closure)
                  (const Camphor__ServiceWork *message,
                   void *closure_data);
+typedef void (*Camphor__RolloutCount_Closure)
+                 (const Camphor__RolloutCount *message,
+                  void *closure_data);
+typedef void (*Camphor__RolloutReport_Closure)
+                 (const Camphor__RolloutReport *message,
+                  void *closure_data);
 typedef void (*Camphor__Strike_Closure)
                  (const Camphor__Strike *message,
                   void *closure_data);
@@ -2036,6 +2184,8 @@
 extern const ProtobufCMessageDescriptor camphor__seat_load__descriptor;
 extern const ProtobufCMessageDescriptor camphor__usage_count__descriptor;
 extern const ProtobufCMessageDescriptor camphor__service_work__descriptor;
+extern const ProtobufCMessageDescriptor camphor__rollout_count__descriptor;
+extern const ProtobufCMessageDescriptor camphor__rollout_report__descriptor;
 extern const ProtobufCMessageDescriptor camphor__strike__descriptor;
 extern const ProtobufCMessageDescriptor camphor__endpoint_limit__descriptor;
 extern const ProtobufCMessageDescriptor camphor__permit_want__descriptor;
