--- a/packages/http/client.c
+++ b/packages/http/client.c
@@ -61,6 +61,7 @@
   ca_http_pool_call_options_t options;
   struct evbuffer *request; /* sent once the connection is established */
   bool idle;
+  bool reused; /* the connection has carried another call */
   bool connected;
   bool skipping;          /* the current response belongs to an earlier call */
   uint32_t skipped;       /* interim and earlier responses of this call */
@@ -494,6 +495,7 @@
 
   if (!reused)
     call = call_new (pool, &options->address);
+  call->reused = reused;
   TAILQ_INSERT_TAIL (&pool->busy, call, entries);
   call->options = *options;
   call->options.headers = NULL;
@@ -520,6 +522,12 @@
   return call;
 }
 
+bool
+ca_http_pool_call_is_reused (const ca_http_pool_call_t *call)
+{
+  return call->reused;
+}
+
 void
 ca_http_pool_call_cancel (ca_http_pool_call_t *call)
 {
--- a/packages/http/client.h
+++ b/packages/http/client.h
@@ -81,6 +81,10 @@
 bool ca_http_pool_is_connected (const ca_http_pool_t *pool,
                                 const ca_address_t *address);
 
+/* True if the connection has carried another call before, a response to which
+ * may arrive late. */
+bool ca_http_pool_call_is_reused (const ca_http_pool_call_t *call);
+
 /* Closes the call's connection; none of its callbacks run afterwards. */
 void ca_http_pool_call_cancel (ca_http_pool_call_t *call);
 
--- a/tests/site/replica.c
+++ b/tests/site/replica.c
@@ -20,7 +20,9 @@
  * flood (events without end), swell (a body of 16 MB that does not end then),
  * drip (the same, a byte at a time), repeat (a request is rejected; if it comes
  * again on its connection it runs, and the rejection is written once more),
- * bare (it runs, and a rejection that names no request is written); or
+ * bare (it runs, and a rejection that names no request is written), copy (it
+ * runs, and the latest whole answer is written in place of its own, without
+ * the id of a request); or
  * {"leaving": true}, which all responses then say, {"brittle": N}, as
  * --brittle, except that it does not end in the first 3 s, {"pause": TEXT},
  * with which requests are turned away, "" for none, or {"limit": TEXT}, which
@@ -96,6 +98,7 @@
   /* Latest request rejected by the fault "repeat", by a hash of its connection;
    * a request's address is that of its connection. */
   char rejected_ids[REPLICA_REPEATS][64];
+  char answered_id[64];            /* latest plain request answered */
   char limit[REPLICA_LIMIT_BYTES]; /* named in responses; empty: none */
   char pause[REPLICA_LIMIT_BYTES]; /* asked for by all; empty: none */
   bool leaving;                    /* said in responses */
@@ -287,6 +290,7 @@
   int bytes = snprintf (body, sizeof body, "answer to %s", run->id);
   uint32_t status = strcmp (run->fault, "error") == 0 ? 500 : 200;
 
+  strlcpy (replica.answered_id, run->id, sizeof replica.answered_id);
   run_headers (run, &headers);
   ca_http_respond (run->request, status, &headers, body, (size_t)bytes);
   ca_headers_finish (&headers);
@@ -517,6 +521,22 @@
   ca_headers_finish (&headers);
 }
 
+/* Runs a request and writes the latest answer once more, without an id. */
+static void
+answer_again (ca_http_server_request_t *request)
+{
+  ca_headers_t headers;
+  char body[256];
+  int bytes = snprintf (body, sizeof body, "answer to %s", replica.answered_id);
+
+  log_run (request);
+  ca_headers_init (&headers);
+  ca_headers_printf (&headers, "Camphorarch-Replica-Signature", "%s.%s",
+                     replica.id, replica.answered_id);
+  ca_http_respond (request, 200, &headers, body, (size_t)bytes);
+  ca_headers_finish (&headers);
+}
+
 /* Rejects a request for want of room; ends if there were too many. */
 static void
 reject_full (ca_http_server_request_t *request)
@@ -616,6 +636,8 @@
     reject_repeatedly (request);
   else if (strcmp (fault, "bare") == 0)
     reject_bare (request);
+  else if (strcmp (fault, "copy") == 0)
+    answer_again (request);
   else if (strcmp (fault, "reset") == 0)
     ca_http_response_abort (request);
   else
