state_sync: an entry that starts after a drill does not trust the store's copy

The entry read the configuration from a store that had come back from an older copy; each answer showed it as the newest, and the peers that had a newer one were heard only later.

An entry whose first known era is not the store's first now refuses requests with a key (503) until all listed peers have been heard, or the time for that has passed; and any entry does so in such an era while a live peer has a newer configuration. Stores that never came back from a copy are not affected.

--- a/packages/gateway/contact.c
+++ b/packages/gateway/contact.c
@@ -52,6 +52,21 @@
                 < ca_peers_contact_us (gateway);
 }
 
+bool
+ca_peers_all_heard (const ca_gateway_t *gateway)
+{
+  const ca_peer_t *peer;
+
+  if (!ca_peers_are_discovered (gateway))
+    return false;
+  for (peer = gateway->peers; peer != NULL; peer = peer->hh.next)
+    {
+      if (ca_peers_is_expected (gateway, peer))
+        return false;
+    }
+  return true;
+}
+
 uint32_t
 ca_peers_possible_count (const ca_gateway_t *gateway)
 {
--- a/packages/gateway/exchange.c
+++ b/packages/gateway/exchange.c
@@ -1045,8 +1045,9 @@
   if (!exchange->route->is_public && exchange->catalog->workspace_count > 0)
     {
       if (bounds->strict_revocation
-          && age_us + REVOCATION_MARGIN_US
-                 > bounds->revocation_ms * CA_US_PER_MS)
+          && (age_us + REVOCATION_MARGIN_US
+                  > bounds->revocation_ms * CA_US_PER_MS
+              || ca_state_sync_may_be_restored (gateway)))
         return CA_REFUSE_STALE;
       if (facts->key != NULL)
         exchange->workspace
--- a/packages/gateway/gateway.h
+++ b/packages/gateway/gateway.h
@@ -454,6 +454,7 @@
   uint64_t store_recovered_us; /* when it answered again; 0 if it always did */
   uint64_t store_era;          /* 0 until one is known */
   uint64_t store_era_us;       /* when this entry learned of it */
+  uint64_t first_store_era;    /* first one known to this entry; 0 if none */
   bool bad_era_logged;         /* since the last answer of this era */
   uint64_t lease_fence;        /* highest fencing token known */
   uint64_t usage_reported;     /* latest window that may have been reported */
--- a/packages/gateway/private.h
+++ b/packages/gateway/private.h
@@ -58,6 +58,11 @@
 void ca_state_sync_apply_validation (ca_gateway_t *gateway,
                                      const Camphor__Envelope *envelope);
 
+/* True if the configuration in force may come from an older copy of the store:
+ * a peer has a newer one, or this entry has started since the store came back
+ * and has not heard from all peers yet. */
+bool ca_state_sync_may_be_restored (const ca_gateway_t *gateway);
+
 /* select.c */
 
 /* The endpoint chosen for an exchange, and what its choice was based on. */
@@ -607,6 +612,9 @@
  * way. */
 bool ca_peers_is_expected (const ca_gateway_t *gateway, const ca_peer_t *peer);
 
+/* True if no listed peer is still expected to send its first heartbeat. */
+bool ca_peers_all_heard (const ca_gateway_t *gateway);
+
 /* True once this entry knows from the store how many others there are, or has
  * run for long enough to have heard from them. */
 bool ca_peers_are_discovered (const ca_gateway_t *gateway);
--- a/packages/gateway/state_sync.c
+++ b/packages/gateway/state_sync.c
@@ -100,6 +100,8 @@
 
   gateway->store_era = era;
   gateway->store_era_us = gateway->now_us;
+  if (gateway->first_store_era == 0)
+    gateway->first_store_era = era;
   if (gateway->now_us - gateway->leader_heard_us
       >= gateway->options.bounds.lease_ms * CA_US_PER_MS)
     gateway->reports_known = false;
@@ -330,6 +332,17 @@
   return best;
 }
 
+bool
+ca_state_sync_may_be_restored (const ca_gateway_t *gateway)
+{
+  if (gateway->store_era <= CA_STORE_FIRST_ERA || gateway->catalog == NULL)
+    return false;
+  if (state_sync_newest_peer (gateway, gateway->catalog->version) != NULL)
+    return true;
+  return gateway->first_store_era == gateway->store_era
+         && !ca_peers_all_heard (gateway);
+}
+
 /* Requests a peer's newer configuration if the store does not deliver it. */
 static void
 state_sync_request_catalog (ca_gateway_t *gateway)
