stream_versions: a stream is not ascribed to a process that may have ended

While the store was down an endpoint ended and started again under its id with other software. Streams that began there were ascribed to the version of the process that was listed, and went on at endpoints of that one; and 3 s after the interruption streams of that one went on there, though the list was as old as before.

After an interrupted response no stream goes on at the endpoint until a list that is 3 s later still names its process, whatever the time; the list is renewed if it is older. A stream that begins there is of an unknown version if the list predates the interruption or is not recent, and peers get a record of that also where they would conclude a single version.

--- a/packages/gateway/exchange.c
+++ b/packages/gateway/exchange.c
@@ -616,6 +616,8 @@
                  const char *reason)
 {
   exchange->endpoint->interrupted_us = gateway->now_us;
+  /* It shows soon if another process has taken the endpoint's place. */
+  gateway->list_wanted = true;
   exchange_interrupted (gateway, exchange, reason);
 }
 
--- a/packages/gateway/stream_versions.c
+++ b/packages/gateway/stream_versions.c
@@ -40,9 +40,10 @@
 
 #define STREAM_SURVEY_PERIOD_US (500 * CA_US_PER_MS)
 
-/* After an interruption, the endpoint's next process may run another version;
- * until its record has been written again, or for this long, no stream goes on
- * there. */
+/* After an interruption, the endpoint's next process may run another version.
+ * Until its record has been written again, or a list that is so much later
+ * still names the same process, no stream goes on there, and what begins there
+ * is of an unknown version. */
 #define STREAM_UNSURE_US (3 * CA_US_PER_S)
 
 /* Version of a stream that was begun by a process that the entry took for
@@ -164,6 +165,40 @@
          && gateway->now_us - endpoint->added_us < STREAM_UNNAMED_US;
 }
 
+/* True if the list is recent enough to conclude anything from it. */
+static bool
+stream_list_is_recent (const ca_gateway_t *gateway)
+{
+  return gateway->now_us - gateway->list_validated_us < STREAM_LIST_AGE_US;
+}
+
+/* True if the process behind the endpoint may be another one than listed, since
+ * a response of it was interrupted.  The wait for a list is short: one that is
+ * old is renewed. */
+static bool
+stream_process_is_unsure (ca_gateway_t *gateway,
+                          const ca_gateway_endpoint_t *endpoint)
+{
+  uint64_t sure_us = endpoint->interrupted_us + STREAM_UNSURE_US;
+
+  if (endpoint->interrupted_us < endpoint->listed_us
+      || gateway->list_validated_us >= sure_us)
+    return false;
+  gateway->list_wanted = gateway->list_wanted || gateway->now_us >= sure_us;
+  return true;
+}
+
+/* True if the version of a stream that begins at the endpoint is unknown, and
+ * the record of a new process may come too late to correct it. */
+static bool
+stream_begins_unsure (ca_gateway_t *gateway,
+                      const ca_gateway_endpoint_t *endpoint)
+{
+  return stream_process_is_unsure (gateway, endpoint)
+         && (gateway->list_validated_us < endpoint->interrupted_us
+             || !stream_list_is_recent (gateway));
+}
+
 bool
 ca_stream_versions_allows (ca_gateway_t *gateway, const ca_exchange_t *exchange,
                            const ca_gateway_endpoint_t *endpoint)
@@ -176,15 +211,7 @@
   if (exchange->version == 0)
     return true;
   return endpoint->version_number == exchange->version
-         && (endpoint->interrupted_us < endpoint->listed_us
-             || gateway->now_us - endpoint->interrupted_us >= STREAM_UNSURE_US);
-}
-
-/* True if the list is recent enough to conclude anything from it. */
-static bool
-stream_list_is_recent (const ca_gateway_t *gateway)
-{
-  return gateway->now_us - gateway->list_validated_us < STREAM_LIST_AGE_US;
+         && !stream_process_is_unsure (gateway, endpoint);
 }
 
 /* The only version that can have begun a stream of the service, as of the
@@ -223,6 +250,15 @@
 
 /* Records at peers. */
 
+/* True if peers cannot conclude the stream's version without its record. */
+static bool
+stream_needs_record (const ca_gateway_t *gateway,
+                     const ca_stream_record_t *record)
+{
+  return record->version == STREAM_VERSION_UNSURE
+         || stream_single_version (gateway, record->service) == 0;
+}
+
 /* Changes with the peers that may keep records. */
 static uint64_t
 stream_peers_signature (const ca_gateway_t *gateway)
@@ -325,8 +361,7 @@
   gateway->stream_peers_signature = signature;
   TAILQ_FOREACH (record, &gateway->own_streams, entries)
   {
-    if ((record->sent && !all)
-        || stream_single_version (gateway, record->service) != 0)
+    if ((record->sent && !all) || !stream_needs_record (gateway, record))
       continue;
     count += stream_add_notices (gateway, record, notices + count);
     if (count < STREAM_BATCH_MAX)
@@ -380,14 +415,16 @@
   if (!stream_is_resumable (exchange))
     return;
   if (exchange->version == 0)
-    exchange->version = exchange->endpoint->version_number;
+    exchange->version = stream_begins_unsure (gateway, exchange->endpoint)
+                            ? STREAM_VERSION_UNSURE
+                            : exchange->endpoint->version_number;
   record = stream_put (gateway, stream_number (exchange), exchange->version);
   if (record == NULL || record->service != NULL)
     return;
   record->service = ca_service_stats (gateway, exchange->service->name);
   record->sent = false;
   TAILQ_INSERT_TAIL (&gateway->own_streams, record, entries);
-  if (stream_single_version (gateway, record->service) == 0)
+  if (stream_needs_record (gateway, record))
     stream_send_notices (gateway, notices,
                          stream_add_notices (gateway, record, notices));
 }
