endpoints: engines are distinguished by their measured speed

Each entry compares the time to the first event with the one expected of the service's speed, and shares the means of its samples in heartbeats. The selection counts an engine's own slowness where the 20th and the 80th percentile of a service differ by more than 1.8, else all count the same.

--- a/packages/base/events.c
+++ b/packages/base/events.c
@@ -83,6 +83,11 @@
     "detail says what this entry knew of its load",
     "compare the open requests with the slots: an endpoint that is full before "
     "its slots are lacks memory" },
+  { CA_EVENT_ENDPOINTS_UNEVEN, CA_LEVEL_INFO, "endpoints_uneven",
+    "a service's engines differ in speed; the selection counts each one's",
+    "none; replace endpoints that stay slow" },
+  { CA_EVENT_ENDPOINTS_EVEN, CA_LEVEL_INFO, "endpoints_even",
+    "a service's engines are about equally fast again", "none" },
   { CA_EVENT_ENDPOINTS_NOT_BRITTLE, CA_LEVEL_INFO, "endpoints_not_brittle",
     "a service's endpoints no longer say that they bear few rejections",
     NO_ACTION },
--- a/packages/gateway/exchange.c
+++ b/packages/gateway/exchange.c
@@ -248,6 +248,7 @@
   exchange->phase_us = gateway->now_us;
   exchange->sent_us = gateway->now_us;
   exchange->endpoint_idle = selection->endpoint_idle;
+  exchange->expected_us = selection->expected_us;
   exchange->prefill_tokens = selection->prefill_tokens;
   exchange->unread_tokens = selection->prefill_tokens;
   exchange->held_tokens
--- a/packages/gateway/gateway.h
+++ b/packages/gateway/gateway.h
@@ -141,6 +141,8 @@
   uint32_t avoided_count;
   uint64_t sent_us;
   bool endpoint_idle;      /* no prompt was queued at the endpoint */
+  uint64_t expected_us;    /* of the first event, without the fixed part, at an
+                              endpoint of the service's speed */
   bool demand_counted;     /* included in the demand for the service */
   uint32_t prefill_tokens; /* prompt tokens that the endpoint must prefill */
   ca_answer_facts_t facts; /* without `bad_limit` */
@@ -291,6 +293,7 @@
   ca_window_t arrivals;
   double held_tokens;
   double baseline_need; /* endpoints, smoothed while none is reclaimed */
+  bool speeds_differ;   /* of its endpoints, see endpoint_speed.c */
   ca_reach_t reach;
   ca_brittle_t brittle;
   ca_software_version_t versions[CA_SOFTWARE_VERSIONS_MAX];
@@ -486,6 +489,7 @@
   uint64_t stream_peers_signature; /* of the peers that may keep records */
   uint64_t next_stream_expiry_us;
   uint64_t next_version_survey_us;
+  uint64_t next_speed_survey_us;
   uint64_t list_validated_us; /* all changes of the list up to then are known */
   bool list_wanted;           /* a decision needs a more recent list */
   uint64_t first_list_us;     /* the list has been known without a gap since */
--- a/packages/gateway/peers.c
+++ b/packages/gateway/peers.c
@@ -394,6 +394,19 @@
     gateway->usage_reported = window;
 }
 
+/* Fills in this entry's load at one endpoint, and its measured speed. */
+static void
+peer_fill_load (const ca_gateway_endpoint_t *endpoint, Camphor__SeatLoad *row)
+{
+  camphor__seat_load__init (row);
+  row->seat = endpoint->id;
+  row->open = endpoint->own_load.open;
+  row->unread_tokens = endpoint->own_load.unread_tokens;
+  row->held_tokens = endpoint->own_load.held_tokens;
+  row->samples = endpoint->model.round_count;
+  row->slowness_permille = (uint32_t)(endpoint->model.round_ratio * 1000 + 0.5);
+}
+
 /* Fills in this entry's load per endpoint, and the draining endpoints. */
 static void
 peer_fill_loads (const ca_gateway_t *gateway, peer_heartbeat_buffer_t *buffer)
@@ -410,18 +423,12 @@
           && heartbeat->n_left_lives < HEARTBEAT_MAX_DRAINING)
         buffer->draining[heartbeat->n_left_lives++]
             = ca_gateway_endpoint_instance (endpoint);
-      if (endpoint->own_load.open == 0
+      if ((endpoint->own_load.open == 0 && endpoint->model.round_count == 0)
           || heartbeat->n_loads == HEARTBEAT_MAX_LOADS)
         continue;
+      peer_fill_load (endpoint, &buffer->loads[heartbeat->n_loads]);
       buffer->load_rows[heartbeat->n_loads]
           = &buffer->loads[heartbeat->n_loads];
-      camphor__seat_load__init (&buffer->loads[heartbeat->n_loads]);
-      buffer->loads[heartbeat->n_loads].seat = endpoint->id;
-      buffer->loads[heartbeat->n_loads].open = endpoint->own_load.open;
-      buffer->loads[heartbeat->n_loads].unread_tokens
-          = endpoint->own_load.unread_tokens;
-      buffer->loads[heartbeat->n_loads].held_tokens
-          = endpoint->own_load.held_tokens;
       heartbeat->n_loads++;
     }
 }
@@ -716,6 +723,7 @@
     }
   gateway->round_started_us = gateway->now_us;
   gateway->rounds++;
+  ca_endpoint_speed_begin_round (gateway);
   HASH_ITER (hh, gateway->peers, peer, next)
   {
     uint64_t since_us
@@ -856,6 +864,7 @@
   peer->wall_offset_us
       = (int64_t)(heartbeat->wall_ms * CA_US_PER_MS) - (int64_t)gateway->now_us;
   peer_count_loads (gateway, peer, true);
+  ca_endpoint_speed_merge (gateway, heartbeat);
   ca_slot_permits_merge (gateway, peer);
   peer_apply_draining (gateway, heartbeat);
   ca_state_sync_peer_era (gateway, heartbeat->store_era);
--- a/packages/gateway/private.h
+++ b/packages/gateway/private.h
@@ -43,6 +43,28 @@
 /* Dispatches the waiting requests, since an endpoint may take one now. */
 void ca_exchanges_dispatch_waiting (ca_gateway_t *gateway);
 
+/* endpoint_speed.c */
+
+/* Factor by which an engine is slower than its service; 1 while the service's
+ * endpoints are not distinguished. */
+double ca_endpoint_speed_slowness (const ca_gateway_t *gateway,
+                                   const ca_service_stats_t *stats,
+                                   const ca_gateway_endpoint_t *endpoint);
+
+/* Takes a sample from the first event of an attempt; `fixed_us` of its time
+ * does not depend on the endpoint. */
+void ca_endpoint_speed_observe (ca_gateway_t *gateway,
+                                const ca_exchange_t *exchange,
+                                uint64_t fixed_us);
+
+void ca_endpoint_speed_tick (ca_gateway_t *gateway);
+
+/* Begins a round of heartbeats, which report the samples of the one before, and
+ * merges those in a peer's. */
+void ca_endpoint_speed_begin_round (ca_gateway_t *gateway);
+void ca_endpoint_speed_merge (ca_gateway_t *gateway,
+                              const Camphor__Pulse *heartbeat);
+
 /* state_sync.c */
 
 void ca_state_sync_tick (ca_gateway_t *gateway);
@@ -74,6 +96,8 @@
   uint64_t resumes_us;   /* when the first one that paused takes requests; 0 if
                             none has */
   uint64_t predicted_us; /* time to the first event or response */
+  uint64_t expected_us;  /* the same without its fixed part, at an endpoint of
+                            the service's speed */
   uint32_t prefill_tokens;             /* prompt tokens that it must prefill */
   uint32_t fetched_tokens;             /* prompt tokens fetched from `source` */
   const ca_gateway_endpoint_t *source; /* NULL if there is none */
--- a/packages/gateway/registry.h
+++ b/packages/gateway/registry.h
@@ -4,6 +4,7 @@
 #define CA_GATEWAY_REGISTRY_H
 
 #include "base/settings.h"
+#include "gateway/endpoint_model.h"
 
 #include <stdbool.h>
 #include <stdint.h>
@@ -105,6 +106,7 @@
   uint64_t settles_us;        /* all entries know its version from then on */
   uint64_t probed_us;         /* last connection that was tried */
   double latency_us;          /* smoothed, of plain responses */
+  ca_endpoint_model_t model;  /* speed, of an engine */
   ca_endpoint_limit_t limit;
   ca_slot_permits_t *slot_permits; /* NULL unless it is a brittle engine */
   /* Prompt parts that this entry has sent there. */
--- a/packages/gateway/select.c
+++ b/packages/gateway/select.c
@@ -124,6 +124,7 @@
   double rate;
   double weight;
 
+  ca_endpoint_speed_observe (gateway, exchange, SELECT_FIRST_EVENT_US);
   if (!exchange->endpoint_idle
       || exchange->prefill_tokens < SELECT_LEARN_TOKENS_MIN)
     return;
@@ -214,6 +215,7 @@
   double slots;                  /* of all that may take a request */
   double requests_per_heartbeat; /* of all entries, between two heartbeats */
   double us_per_token;           /* prefill time */
+  const ca_service_stats_t *stats;
 } select_survey_t;
 
 static select_survey_t
@@ -227,6 +229,7 @@
   ca_gateway_endpoint_t *endpoint;
   uint64_t best = 0;
 
+  survey.stats = stats;
   survey.us_per_token = CA_US_PER_MS / stats->prefill_tokens_per_ms;
   survey.requests_per_heartbeat
       = ca_window_sum (&stats->arrivals, gateway->now_us)
@@ -345,7 +348,9 @@
                     const ca_gateway_endpoint_t *endpoint,
                     const select_survey_t *survey, ca_selection_t *selection)
 {
-  double us_per_token = survey->us_per_token;
+  double slowness
+      = ca_endpoint_speed_slowness (gateway, survey->stats, endpoint);
+  double us_per_token = survey->us_per_token * slowness;
   double unread = (double)endpoint->own_load.unread_tokens
                   + select_peers_unread (gateway, endpoint, us_per_token);
   double open = (double)endpoint->own_load.open + endpoint->peer_load.open;
@@ -363,7 +368,8 @@
   read_us = selection->prefill_tokens * us_per_token;
   fetch_us = selection->fetched_tokens * select_fetch_us (exchange->service);
   cost = unread * us_per_token + read_us + fetch_us
-         + open * SELECT_BATCH_DELAY_US;
+         + open * SELECT_BATCH_DELAY_US * slowness;
+  selection->expected_us = (uint64_t)(cost / slowness);
   if (slots > 0 && open >= slots)
     cost += SELECT_FULL_US * (1 + (open - slots) / slots);
   if (exchange->service->cache_tokens > 0
--- a/packages/wire/peer.pb-c.c
+++ b/packages/wire/peer.pb-c.c
@@ -3824,12 +3824,12 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "speed_permille",
+    "slowness_permille",
     7,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Camphor__SeatLoad, speed_permille),
+    offsetof(Camphor__SeatLoad, slowness_permille),
     NULL,
     NULL,
     0,             /* flags */
@@ -3866,7 +3866,7 @@
   5,   /* field[5] = read_tokens */
   7,   /* field[7] = samples */
   0,   /* field[0] = seat */
-  6,   /* field[6] = speed_permille */
+  6,   /* field[6] = slowness_permille */
   4,   /* field[4] = streams */
   2,   /* field[2] = unread_tokens */
   8,   /* field[8] = window */
--- a/packages/wire/peer.pb-c.h
+++ b/packages/wire/peer.pb-c.h
@@ -385,12 +385,10 @@
    */
   uint32_t read_tokens;
   /*
-   * relative to the service; 0 if not measured
-   */
-  uint32_t speed_permille;
-  /*
-   * behind `speed_permille`, since the last one
+   * Mean time of the sender's answers to that expected of the service, and the
+   * number of these answers, in the round of heartbeats before; 0 if none.
    */
+  uint32_t slowness_permille;
   uint32_t samples;
   /*
    * of a starting endpoint; 0 if it is not starting
