--- a/packages/gateway/catalog.c
+++ b/packages/gateway/catalog.c
@@ -161,6 +161,33 @@
     catalog->has_partial_prefixes = true;
 }
 
+static void
+catalog_keep_tightest (uint32_t *tightest_ms, uint32_t target_ms)
+{
+  if (*tightest_ms == 0 || target_ms < *tightest_ms)
+    *tightest_ms = target_ms;
+}
+
+/* Keeps the tightest objective of the engines' routes. */
+static void
+catalog_note_objective (ca_catalog_t *catalog, const ca_route_t *route)
+{
+  bool is_engine = false;
+
+  for (uint32_t i = 0; i < route->target_count; i++)
+    is_engine = is_engine
+                || (route->targets[i].service < catalog->service_count
+                    && catalog->services[route->targets[i].service].is_engine);
+  if (!is_engine)
+    return;
+  catalog_keep_tightest (&catalog->engine_target_ms, route->target_ms);
+  catalog_keep_tightest (
+      &catalog->engine_targets_ms[route->priority < CA_CATALOG_PRIORITIES
+                                      ? route->priority
+                                      : CA_CATALOG_PRIORITIES - 1],
+      route->target_ms);
+}
+
 void
 ca_catalog_add_route (ca_catalog_t *catalog, ca_route_t *route)
 {
@@ -169,6 +196,7 @@
 
   place->route = route;
   catalog_measure_route (catalog, route);
+  catalog_note_objective (catalog, route);
   HASH_FIND_BYHASHVALUE (by_key, catalog->routes_by_key, route->key,
                          route->key_bytes, route->key_hash, first);
   if (first == NULL)
--- a/packages/gateway/catalog.h
+++ b/packages/gateway/catalog.h
@@ -109,6 +109,11 @@
   UT_hash_handle hh;
 } ca_api_key_t;
 
+/* Priorities of routes that are distinguished; higher numbers count as the
+ * last.
+ */
+#define CA_CATALOG_PRIORITIES 10
+
 typedef struct
 {
   uint64_t version;
@@ -117,6 +122,10 @@
   uint32_t route_count;
   ca_route_place_t *routes_by_key; /* the first row of each key */
   ca_route_place_t *routes_by_digest;
+  uint32_t engine_target_ms; /* tightest objective of the engines' routes; 0 if
+                                there is none */
+  /* The same for the routes of each priority. */
+  uint32_t engine_targets_ms[CA_CATALOG_PRIORITIES];
   size_t host_max_bytes;       /* of the routes' hosts */
   size_t prefix_max_bytes;     /* of the routes' prefixes */
   bool has_partial_prefixes;   /* some prefix ends within a path segment */
--- a/packages/gateway/endpoint_model.c
+++ b/packages/gateway/endpoint_model.c
@@ -14,9 +14,12 @@
  * measures wrongly, moves little. */
 #define MODEL_RATIO_MAX 5.0
 
-/* Weight of one sample.  An endpoint answers some four prompts a second to all
- * entries, so the model follows a change within two seconds. */
-#define MODEL_SAMPLE_WEIGHT 0.15
+/* Weight of one sample that is faster or slower than the model.  Prompts that
+ * other entries have just sent make answers slower, never faster, so the model
+ * follows the faster ones: with equal weights, equal endpoints looked different
+ * by a factor of 1.8 with 72 entries. */
+#define MODEL_FASTER_WEIGHT 0.3
+#define MODEL_SLOWER_WEIGHT 0.05
 
 /* Weight of one peer's samples at most. */
 #define MODEL_PEER_WEIGHT_MAX 0.25
@@ -48,11 +51,14 @@
          * exp (-(double)(now_us - model->updated_us) / MODEL_DECAY_US);
 }
 
+/* Moves the model towards `count` samples with this mean. */
 static void
 model_move (ca_endpoint_model_t *model, uint64_t now_us, double sample,
-            double weight)
+            uint32_t count, double max_weight)
 {
   double current = model_current (model, now_us);
+  double one = sample < current ? MODEL_FASTER_WEIGHT : MODEL_SLOWER_WEIGHT;
+  double weight = fmin (1 - pow (1 - one, count), max_weight);
 
   model->log_slowness = current + (sample - current) * weight;
   model->updated_us = now_us;
@@ -64,7 +70,7 @@
 {
   double sample = model_log (ratio);
 
-  model_move (model, now_us, sample, MODEL_SAMPLE_WEIGHT);
+  model_move (model, now_us, sample, 1, 1);
   model->sum += sample;
   model->count++;
   if (model->known < MODEL_KNOWN_SAMPLES)
@@ -75,12 +81,9 @@
 ca_endpoint_model_merge (ca_endpoint_model_t *model, uint64_t now_us,
                          double ratio, uint32_t samples)
 {
-  double weight = 1 - pow (1 - MODEL_SAMPLE_WEIGHT, samples);
-
   if (samples == 0)
     return;
-  model_move (model, now_us, model_log (ratio),
-              fmin (weight, MODEL_PEER_WEIGHT_MAX));
+  model_move (model, now_us, model_log (ratio), samples, MODEL_PEER_WEIGHT_MAX);
   if (model->known < MODEL_KNOWN_SAMPLES)
     model->known++;
 }
--- a/packages/gateway/endpoint_speed.c
+++ b/packages/gateway/endpoint_speed.c
@@ -35,6 +35,12 @@
              : 1;
 }
 
+double
+ca_endpoint_speed_mean_slowness (const ca_service_stats_t *stats)
+{
+  return stats->speeds_differ ? stats->mean_slowness : 1;
+}
+
 void
 ca_endpoint_speed_observe (ca_gateway_t *gateway, const ca_exchange_t *exchange,
                            uint64_t fixed_us)
@@ -81,6 +87,17 @@
     }
 }
 
+/* Slowness of an endpoint that reads as much as the mean of all. */
+static double
+speed_mean (const double *factors, uint32_t count)
+{
+  double sum = 0;
+
+  for (uint32_t i = 0; i < count; i++)
+    sum += 1 / factors[i];
+  return count == 0 ? 1 : count / sum;
+}
+
 /* Decides for one service. */
 static void
 speed_survey (ca_gateway_t *gateway, ca_service_stats_t *stats)
@@ -104,6 +121,7 @@
   spread = ca_endpoint_model_spread (factors, count);
   differ
       = spread > (stats->speeds_differ ? SPEED_SPREAD_LEAVE : SPEED_SPREAD_MIN);
+  stats->mean_slowness = speed_mean (factors, count);
   if (differ == stats->speeds_differ)
     return;
   stats->speeds_differ = differ;
--- a/packages/gateway/exchange.c
+++ b/packages/gateway/exchange.c
@@ -69,6 +69,11 @@
 /* Entries of all versions must pick the same service for a request. */
 #define SPLIT_KEY_SEED 2
 
+/* A request goes with more urgent ones if its objective is tighter than theirs
+ * by this factor, and its prompt takes this part of their objective at most. */
+#define TIGHTER_OBJECTIVE 1.2
+#define SHORT_PROMPT_SHARE 0.1
+
 /* Request priority sent to engines: a route's own priority is added to this,
  * up to the maximum. */
 #define PRIORITY_BASE 3
@@ -222,10 +227,34 @@
              && exchange->route->resumable);
 }
 
+/* Priority of the request's route among those of engines.  An engine reads the
+ * prompts of more urgent requests first.  One with a tighter objective than
+ * these, and so short a prompt that they hardly notice it, goes with them. */
+static uint32_t
+exchange_route_priority (ca_gateway_t *gateway, const ca_exchange_t *exchange)
+{
+  const ca_route_t *route = exchange->route;
+  double delay_ms = exchange->prefill_tokens
+                    / ca_service_stats (gateway, exchange->service->name)
+                          ->prefill_tokens_per_ms;
+
+  if (!exchange->service->is_engine || !ca_peer_loads_are_fresh (gateway))
+    return route->priority;
+  for (uint32_t i = 0; i < route->priority && i < CA_CATALOG_PRIORITIES; i++)
+    {
+      uint32_t target_ms = exchange->catalog->engine_targets_ms[i];
+
+      if (route->target_ms * TIGHTER_OBJECTIVE <= target_ms
+          && delay_ms <= target_ms * SHORT_PROMPT_SHARE)
+        return i;
+    }
+  return route->priority;
+}
+
 static uint32_t
-exchange_priority (const ca_exchange_t *exchange)
+exchange_priority (ca_gateway_t *gateway, const ca_exchange_t *exchange)
 {
-  uint32_t priority = exchange->route->priority;
+  uint32_t priority = exchange_route_priority (gateway, exchange);
 
   if (exchange->workspace != NULL && exchange->workspace->has_priority)
     priority += exchange->workspace->priority;
@@ -264,7 +293,7 @@
                         exchange->service->cache_tokens / 2);
   attempt.remaining_ms
       = (uint32_t)((exchange->deadline_us - gateway->now_us) / CA_US_PER_MS);
-  attempt.priority = exchange_priority (exchange);
+  attempt.priority = exchange_priority (gateway, exchange);
   attempt.resumes = exchange->has_event;
   attempt.last_event = exchange->last_event;
   attempt.source = selection->source;
--- a/packages/gateway/fleet_orders.c
+++ b/packages/gateway/fleet_orders.c
@@ -299,6 +299,7 @@
 {
   ca_fleet_state_t state;
   ca_fleet_target_t targets[CA_FLEET_MAX_ZONES];
+  ca_service_stats_t *stats = ca_service_stats (leader->gateway, service->name);
   ca_service_work_t work;
   uint32_t need;
   uint32_t running = 0;
@@ -309,7 +310,7 @@
   ca_peers_service_work (leader->gateway, service->name, &work);
   if (work.requests_per_s > 0 && leader->first_traffic_us == 0)
     leader->first_traffic_us = now_us;
-  state.busy = work.busy;
+  state.busy = work.busy * ca_endpoint_speed_mean_slowness (stats);
   state.held_tokens = work.held_tokens;
   state.requests_per_s = work.requests_per_s;
   state.slots = service->slots;
@@ -340,8 +341,7 @@
   if (state.zone_count == 0)
     return;
   fleet_adopt (leader, service, &state);
-  need = fleet_limit_need (ca_service_stats (leader->gateway, service->name),
-                           &state);
+  need = fleet_limit_need (stats, &state);
   ca_fleet_plan (&state, need, targets);
   for (uint32_t i = 0; i < state.zone_count; i++)
     {
--- a/packages/gateway/gateway.h
+++ b/packages/gateway/gateway.h
@@ -294,6 +294,7 @@
   double held_tokens;
   double baseline_need; /* endpoints, smoothed while none is reclaimed */
   bool speeds_differ;   /* of its endpoints, see endpoint_speed.c */
+  double mean_slowness; /* of these, by what they can read together */
   ca_reach_t reach;
   ca_brittle_t brittle;
   ca_software_version_t versions[CA_SOFTWARE_VERSIONS_MAX];
@@ -490,6 +491,7 @@
   uint64_t next_stream_expiry_us;
   uint64_t next_version_survey_us;
   uint64_t next_speed_survey_us;
+  uint64_t next_load_notice_us;
   uint64_t list_validated_us; /* all changes of the list up to then are known */
   bool list_wanted;           /* a decision needs a more recent list */
   uint64_t first_list_us;     /* the list has been known without a gap since */
--- a/packages/gateway/peers.c
+++ b/packages/gateway/peers.c
@@ -82,47 +82,10 @@
   return peer;
 }
 
-/* Adds the load that a peer reports to the endpoints, or subtracts it again. */
-static void
-peer_count_loads (ca_gateway_t *gateway, ca_peer_t *peer, bool add)
-{
-  const Camphor__Pulse *heartbeat = peer->heartbeat;
-
-  if (heartbeat == NULL || peer->loads_counted == add)
-    return;
-  peer->loads_counted = add;
-  for (size_t i = 0; i < heartbeat->n_loads; i++)
-    {
-      const Camphor__SeatLoad *load = heartbeat->loads[i];
-      ca_gateway_endpoint_t *endpoint
-          = ca_registry_find (&gateway->registry, load->seat);
-      ca_gateway_endpoint_load_t *sum;
-
-      if (endpoint == NULL)
-        continue;
-      sum = &endpoint->peer_load;
-      if (add)
-        {
-          sum->open += load->open;
-          sum->unread_tokens += load->unread_tokens;
-          sum->held_tokens += load->held_tokens;
-          continue;
-        }
-      /* The sums of an endpoint that has restarted may be smaller. */
-      sum->open -= sum->open < load->open ? sum->open : load->open;
-      sum->unread_tokens -= sum->unread_tokens < load->unread_tokens
-                                ? sum->unread_tokens
-                                : load->unread_tokens;
-      sum->held_tokens -= sum->held_tokens < load->held_tokens
-                              ? sum->held_tokens
-                              : load->held_tokens;
-    }
-}
-
 static void
 peer_free (ca_gateway_t *gateway, ca_peer_t *peer)
 {
-  peer_count_loads (gateway, peer, false);
+  ca_peer_loads_count (gateway, peer, false);
   HASH_DEL (gateway->peers, peer);
   if (peer->heartbeat != NULL)
     camphor__pulse__free_unpacked (peer->heartbeat, NULL);
@@ -398,11 +361,7 @@
 static void
 peer_fill_load (const ca_gateway_endpoint_t *endpoint, Camphor__SeatLoad *row)
 {
-  camphor__seat_load__init (row);
-  row->seat = endpoint->id;
-  row->open = endpoint->own_load.open;
-  row->unread_tokens = endpoint->own_load.unread_tokens;
-  row->held_tokens = endpoint->own_load.held_tokens;
+  ca_peer_loads_fill (endpoint, row);
   row->samples = endpoint->model.round_count;
   row->slowness_permille = (uint32_t)(endpoint->model.round_ratio * 1000 + 0.5);
 }
@@ -730,7 +689,7 @@
         = peer->received_us > 0 ? peer->received_us : peer->discovered_us;
 
     if (!peer_is_live (gateway, peer))
-      peer_count_loads (gateway, peer, false);
+      ca_peer_loads_count (gateway, peer, false);
     if (gateway->now_us - since_us > PEER_RETENTION_US)
       peer_free (gateway, peer);
   }
@@ -829,7 +788,7 @@
       || peer->incarnation != envelope->incarnation)
     ca_crash_tracker_report_again (gateway);
   ca_crash_tracker_merge (gateway, envelope->from, heartbeat);
-  peer_count_loads (gateway, peer, false);
+  ca_peer_loads_count (gateway, peer, false);
   ca_quota_take_heartbeat (gateway, peer, heartbeat, envelope->incarnation);
   if (heartbeat->omits_usage && peer->incarnation == envelope->incarnation)
     peer_carry_over_usage (peer, heartbeat);
@@ -863,7 +822,7 @@
                             heartbeat->n_lost_services);
   peer->wall_offset_us
       = (int64_t)(heartbeat->wall_ms * CA_US_PER_MS) - (int64_t)gateway->now_us;
-  peer_count_loads (gateway, peer, true);
+  ca_peer_loads_count (gateway, peer, true);
   ca_endpoint_speed_merge (gateway, heartbeat);
   ca_slot_permits_merge (gateway, peer);
   peer_apply_draining (gateway, heartbeat);
@@ -931,6 +890,9 @@
     case CAMPHOR__ENVELOPE__BODY_QUOTA_LOAN:
       ca_quota_loan_receive (gateway, envelope);
       return;
+    case CAMPHOR__ENVELOPE__BODY_LOAD_NOTICE:
+      ca_peer_loads_receive (gateway, envelope);
+      return;
     case CAMPHOR__ENVELOPE__BODY_REACH_NOTICE:
       peer_receive_reach_notice (gateway, envelope);
       return;
--- a/packages/gateway/private.h
+++ b/packages/gateway/private.h
@@ -51,6 +51,9 @@
                                    const ca_service_stats_t *stats,
                                    const ca_gateway_endpoint_t *endpoint);
 
+/* The same for the service's endpoints together. */
+double ca_endpoint_speed_mean_slowness (const ca_service_stats_t *stats);
+
 /* Takes a sample from the first event of an attempt; `fixed_us` of its time
  * does not depend on the endpoint. */
 void ca_endpoint_speed_observe (ca_gateway_t *gateway,
@@ -622,6 +625,26 @@
 void ca_peers_service_work (ca_gateway_t *gateway, const char *service,
                             ca_service_work_t *work);
 
+/* peer_loads.c */
+
+/* Fills in this entry's load at an endpoint. */
+void ca_peer_loads_fill (const ca_gateway_endpoint_t *endpoint,
+                         Camphor__SeatLoad *row);
+
+/* Adds the load that a peer reports to the endpoints, or subtracts it again. */
+void ca_peer_loads_count (ca_gateway_t *gateway, ca_peer_t *peer, bool add);
+
+/* Sends the entries of this zone what has changed, and takes what one sends. */
+void ca_peer_loads_tick (ca_gateway_t *gateway);
+void ca_peer_loads_receive (ca_gateway_t *gateway,
+                            const Camphor__Envelope *envelope);
+
+/* True while entries of a zone send each other changes between heartbeats. */
+bool ca_peer_loads_are_fresh (const ca_gateway_t *gateway);
+
+/* Mean age of what entries of this zone have reported. */
+uint64_t ca_peer_loads_near_age_us (const ca_gateway_t *gateway);
+
 /* contact.c */
 
 /* A peer that has sent no heartbeat for this long is not live, and the load
--- a/packages/gateway/registry.h
+++ b/packages/gateway/registry.h
@@ -93,6 +93,9 @@
   uint64_t hash;             /* of the id, for rendezvous hashing */
   ca_gateway_endpoint_load_t own_load;
   ca_gateway_endpoint_load_t peer_load;
+  uint32_t near_unread_tokens; /* of `peer_load`, of entries of this zone */
+  uint32_t noticed_open;       /* own load that they were last sent */
+  uint32_t noticed_unread_tokens;
   /* Health as seen by this entry. */
   uint32_t failures;  /* consecutive */
   double error_share; /* smoothed fraction of failed responses */
--- a/packages/gateway/select.c
+++ b/packages/gateway/select.c
@@ -329,17 +329,32 @@
   selection->prefill_tokens = missing - selection->fetched_tokens;
 }
 
-/* Prompt tokens of peers still to be prefilled there.  Heartbeats are half a
- * period old on average, so the work done in that time is subtracted. */
+/* Prompt tokens still to be prefilled of those reported `age_us` ago. */
+static double
+select_still_unread (double reported, uint64_t age_us, double us_per_token)
+{
+  double read = (double)age_us / us_per_token;
+
+  return reported > read ? reported - read : 0;
+}
+
+/* Prompt tokens of peers still to be prefilled there.  What peers of this zone
+ * report may be more recent than heartbeats, which are half a period old on
+ * average. */
 static double
 select_peers_unread (const ca_gateway_t *gateway,
                      const ca_gateway_endpoint_t *endpoint, double us_per_token)
 {
-  double read = (double)gateway->heartbeat_period_us / 2 / us_per_token;
-
-  return endpoint->peer_load.unread_tokens > read
-             ? endpoint->peer_load.unread_tokens - read
-             : 0;
+  double near = endpoint->near_unread_tokens;
+  double far = endpoint->peer_load.unread_tokens - near;
+
+  if (!ca_peer_loads_are_fresh (gateway))
+    return select_still_unread (near + far, gateway->heartbeat_period_us / 2,
+                                us_per_token);
+  return select_still_unread (near, ca_peer_loads_near_age_us (gateway),
+                              us_per_token)
+         + select_still_unread (far, gateway->heartbeat_period_us / 2,
+                                us_per_token);
 }
 
 /* Expected time to the first event, plus costs that do not delay it. */
--- a/packages/wire/peer.pb-c.c
+++ b/packages/wire/peer.pb-c.c
@@ -907,6 +907,51 @@
   assert(message->base.descriptor == &camphor__seat_load__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   camphor__load_notice__init
+                     (Camphor__LoadNotice         *message)
+{
+  static const Camphor__LoadNotice init_value = CAMPHOR__LOAD_NOTICE__INIT;
+  *message = init_value;
+}
+size_t camphor__load_notice__get_packed_size
+                     (const Camphor__LoadNotice *message)
+{
+  assert(message->base.descriptor == &camphor__load_notice__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t camphor__load_notice__pack
+                     (const Camphor__LoadNotice *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &camphor__load_notice__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t camphor__load_notice__pack_to_buffer
+                     (const Camphor__LoadNotice *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &camphor__load_notice__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Camphor__LoadNotice *
+       camphor__load_notice__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Camphor__LoadNotice *)
+     protobuf_c_message_unpack (&camphor__load_notice__descriptor,
+                                allocator, len, data);
+}
+void   camphor__load_notice__free_unpacked
+                     (Camphor__LoadNotice *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &camphor__load_notice__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   camphor__usage_count__init
                      (Camphor__UsageCount         *message)
 {
@@ -3891,6 +3936,44 @@
   (ProtobufCMessageInit) camphor__seat_load__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor camphor__load_notice__field_descriptors[1] =
+{
+  {
+    "loads",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Camphor__LoadNotice, n_loads),
+    offsetof(Camphor__LoadNotice, loads),
+    &camphor__seat_load__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned camphor__load_notice__field_indices_by_name[] = {
+  0,   /* field[0] = loads */
+};
+static const ProtobufCIntRange camphor__load_notice__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor camphor__load_notice__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "camphor.LoadNotice",
+  "LoadNotice",
+  "Camphor__LoadNotice",
+  "camphor",
+  sizeof(Camphor__LoadNotice),
+  1,
+  camphor__load_notice__field_descriptors,
+  camphor__load_notice__field_indices_by_name,
+  1,  camphor__load_notice__number_ranges,
+  (ProtobufCMessageInit) camphor__load_notice__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor camphor__usage_count__field_descriptors[3] =
 {
   {
@@ -6323,7 +6406,7 @@
   (ProtobufCMessageInit) camphor__catalog_text__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor camphor__envelope__field_descriptors[37] =
+static const ProtobufCFieldDescriptor camphor__envelope__field_descriptors[38] =
 {
   {
     "version",
@@ -6769,6 +6852,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "load_notice",
+    40,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Camphor__Envelope, body_case),
+    offsetof(Camphor__Envelope, load_notice),
+    &camphor__load_notice__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned camphor__envelope__field_indices_by_name[] = {
   8,   /* field[8] = ack */
@@ -6789,6 +6884,7 @@
   15,   /* field[15] = holds */
   2,   /* field[2] = incarnation */
   29,   /* field[29] = lease_notice */
+  37,   /* field[37] = load_notice */
   4,   /* field[4] = members */
   28,   /* field[28] = permit */
   27,   /* field[27] = permit_want */
@@ -6813,7 +6909,7 @@
 {
   { 1, 0 },
   { 10, 7 },
-  { 0, 37 }
+  { 0, 38 }
 };
 const ProtobufCMessageDescriptor camphor__envelope__descriptor =
 {
@@ -6823,7 +6919,7 @@
   "Camphor__Envelope",
   "camphor",
   sizeof(Camphor__Envelope),
-  37,
+  38,
   camphor__envelope__field_descriptors,
   camphor__envelope__field_indices_by_name,
   2,  camphor__envelope__number_ranges,
--- a/packages/wire/peer.pb-c.h
+++ b/packages/wire/peer.pb-c.h
@@ -35,6 +35,7 @@
 typedef struct Camphor__FindRequest Camphor__FindRequest;
 typedef struct Camphor__WorkspaceDemand Camphor__WorkspaceDemand;
 typedef struct Camphor__SeatLoad Camphor__SeatLoad;
+typedef struct Camphor__LoadNotice Camphor__LoadNotice;
 typedef struct Camphor__UsageCount Camphor__UsageCount;
 typedef struct Camphor__ServiceWork Camphor__ServiceWork;
 typedef struct Camphor__RolloutCount Camphor__RolloutCount;
@@ -400,6 +401,21 @@
     , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
+/*
+ * The sender's loads that have changed since it last reported them, to the
+ * entries of its zone, between heartbeats.
+ */
+struct  Camphor__LoadNotice
+{
+  ProtobufCMessage base;
+  size_t n_loads;
+  Camphor__SeatLoad **loads;
+};
+#define CAMPHOR__LOAD_NOTICE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&camphor__load_notice__descriptor) \
+    , 0,NULL }
+
+
 /*
  * Number of a workspace's requests that one entry started in a window.
  */
@@ -1084,7 +1100,8 @@
   CAMPHOR__ENVELOPE__BODY_SLOT_REPORT = 36,
   CAMPHOR__ENVELOPE__BODY_SLOT_PERMIT = 37,
   CAMPHOR__ENVELOPE__BODY_QUOTA_WANT = 38,
-  CAMPHOR__ENVELOPE__BODY_QUOTA_LOAN = 39
+  CAMPHOR__ENVELOPE__BODY_QUOTA_LOAN = 39,
+  CAMPHOR__ENVELOPE__BODY_LOAD_NOTICE = 40
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(CAMPHOR__ENVELOPE__BODY__CASE)
 } Camphor__Envelope__BodyCase;
 
@@ -1133,6 +1150,7 @@
     Camphor__SlotPermit *slot_permit;
     Camphor__QuotaWant *quota_want;
     Camphor__QuotaLoan *quota_loan;
+    Camphor__LoadNotice *load_notice;
   };
 };
 #define CAMPHOR__ENVELOPE__INIT \
@@ -1520,6 +1538,25 @@
 void   camphor__seat_load__free_unpacked
                      (Camphor__SeatLoad *message,
                       ProtobufCAllocator *allocator);
+/* Camphor__LoadNotice methods */
+void   camphor__load_notice__init
+                     (Camphor__LoadNotice         *message);
+size_t camphor__load_notice__get_packed_size
+                     (const Camphor__LoadNotice   *message);
+size_t camphor__load_notice__pack
+                     (const Camphor__LoadNotice   *message,
+                      uint8_t             *out);
+size_t camphor__load_notice__pack_to_buffer
+                     (const Camphor__LoadNotice   *message,
+                      ProtobufCBuffer     *buffer);
+Camphor__LoadNotice *
+       camphor__load_notice__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   camphor__load_notice__free_unpacked
+                     (Camphor__LoadNotice *message,
+                      ProtobufCAllocator *allocator);
 /* Camphor__UsageCount methods */
 void   camphor__usage_count__init
                      (Camphor__UsageCount         *message);
@@ -2076,6 +2113,9 @@
 typedef void (*Camphor__SeatLoad_Closure)
                  (const Camphor__SeatLoad *message,
                   void *closure_data);
+typedef void (*Camphor__LoadNotice_Closure)
+                 (const Camphor__LoadNotice *message,
+                  void *closure_data);
 typedef void (*Camphor__UsageCount_Closure)
                  (const Camphor__UsageCount *message,
                   void *closure_data);
@@ -2180,6 +2220,7 @@
 extern const ProtobufCMessageDescriptor camphor__find_request__descriptor;
 extern const ProtobufCMessageDescriptor camphor__workspace_demand__descriptor;
 extern const ProtobufCMessageDescriptor camphor__seat_load__descriptor;
+extern const ProtobufCMessageDescriptor camphor__load_notice__descriptor;
 extern const ProtobufCMessageDescriptor camphor__usage_count__descriptor;
 extern const ProtobufCMessageDescriptor camphor__service_work__descriptor;
 extern const ProtobufCMessageDescriptor camphor__rollout_count__descriptor;
