select: an empty sample of engines is drawn again

Cause: with many requests between two heartbeats, a request compares a random sample of two engines. Of 60 engines, the sample was empty for every eighth request, and these compared all engines: 84 entries sent some 50 requests in 0.84 s to the engine that looked cheapest in their common, old heartbeats, up to its 32 slots. The queue there also counted as slowness.

Change: up to four samples are drawn before all engines are compared.

--- a/packages/gateway/select.c
+++ b/packages/gateway/select.c
@@ -49,6 +49,11 @@
 #define SELECT_HERD_MAX 4.0
 #define SELECT_SAMPLES_MIN 2.0
 
+/* Random samples that are drawn before all engines are compared.  A sample of
+ * two of 60 is empty for every eighth request; if these compared all engines,
+ * 84 entries sent some 50 of them to the same one between two heartbeats. */
+#define SELECT_SAMPLE_TRIES 4
+
 /* Random part of the cost of a plain endpoint, so that equal endpoints share
  * the load. */
 #define SELECT_JITTER 0.05
@@ -467,7 +472,7 @@
   return best;
 }
 
-/* Tries a sample and the session's home first, then all endpoints. */
+/* Tries samples and the session's home first, then all endpoints. */
 static ca_selection_t
 select_best (ca_gateway_t *gateway, const ca_exchange_t *exchange,
              select_eligibility_t required)
@@ -478,6 +483,10 @@
   ca_selection_t best
       = select_best_of (gateway, exchange, required, &survey, sample_share);
 
+  for (uint32_t i = 1; i < SELECT_SAMPLE_TRIES && survey.count > 0
+                       && best.endpoint == NULL && sample_share < 1;
+       i++)
+    best = select_best_of (gateway, exchange, required, &survey, sample_share);
   if (best.endpoint == NULL && sample_share < 1)
     best = select_best_of (gateway, exchange, required, &survey, 1);
   return best;
