rollout: entries limit requests to a new version and count outcomes

An operator's order moves a service to another version, which may be bad. Until now an entry used all listed versions alike.

Each entry now decides before each selection whether the attempt goes to the old versions or to the target. At the canary stage the target gets half of exposure_share of the requests that this entry has sent, at a few endpoints that all entries choose alike; at the shift a growing part; after `completed` only the target, after `reverted` never. Outcomes are summed by route and side and shared in heartbeats; the latest sums of each incarnation of a peer are kept while the order is in force. An entry stops on its own once the known sums convict the target, and without a leader's stage for 2.5 s or three heartbeat intervals.

Near the deadline a version with at least 20 answers passes with bad answers that equal versions explain.

--- a/packages/base/events.c
+++ b/packages/base/events.c
@@ -215,6 +215,17 @@
     "the entry took over which versions of endpoints serve or have served "
     "since before it started",
     NO_ACTION },
+  { CA_EVENT_ROLLOUT_LEARNED, CA_LEVEL_INFO, "rollout_learned",
+    "the entry read the operator's order to move a service to another version",
+    NO_ACTION },
+  { CA_EVENT_ROLLOUT_STAGE, CA_LEVEL_INFO, "rollout_stage",
+    "the rollout entered another stage; the detail has the answers and bad "
+    "answers of all entries at both sides, and their age",
+    NO_ACTION },
+  { CA_EVENT_ROLLOUT_BRAKED, CA_LEVEL_WARNING, "rollout_braked",
+    "the entry sends no more requests to the new version on its own: the "
+    "answers convict it, the order was withdrawn, or no leader was heard",
+    "if no leader was heard, check the entries' links to each other" },
 };
 
 static const char *const level_names[]
--- a/packages/gateway/exchange.c
+++ b/packages/gateway/exchange.c
@@ -5,6 +5,7 @@
  * server error.  A non-idempotent request is resent only if no byte of it was
  * sent or the endpoint reports that it did not run it. */
 #include "gateway/private.h"
+#include "gateway/rollout_private.h"
 
 #include <inttypes.h>
 #include <stdlib.h>
@@ -272,6 +273,7 @@
   ca_counters_add (&gateway->counters, CA_COUNT_ATTEMPTS, 1);
   ca_endpoint_limit_take (gateway, endpoint);
   ca_slot_permits_take (gateway, endpoint);
+  ca_rollout_sent (gateway, exchange);
   ca_gateway_log (
       gateway, CA_EVENT_REQUEST_DISPATCHED, exchange->id, endpoint->id,
       "send %u: first event expected in %" PRIu64
@@ -485,7 +487,7 @@
       if (ca_delegation_start (gateway, exchange))
         return;
     }
-  selection = ca_select_endpoint (gateway, exchange);
+  selection = ca_rollout_select (gateway, exchange);
   if (exchange_is_better_delegated (exchange, &selection)
       && ca_delegation_start (gateway, exchange))
     return;
@@ -700,6 +702,7 @@
   exchange->sends++;
   exchange->runs++;
   exchange_begin_run (gateway, exchange, exchange->sent_us);
+  ca_rollout_outcome (gateway, exchange, CA_ROLLOUT_ANSWER);
   if (!failed)
     {
       ca_crash_tracker_completed (gateway, exchange);
@@ -718,7 +721,7 @@
       exchange_log_failure (gateway, exchange,
                             "endpoint returned a server error");
       exchange_avoid (exchange, exchange->endpoint);
-      selection = ca_select_endpoint (gateway, exchange);
+      selection = ca_rollout_select (gateway, exchange);
       if (selection.endpoint != NULL
           && ca_retry_budget_take (gateway, exchange->service->name))
         {
@@ -770,6 +773,7 @@
       return;
     }
   ca_select_update_throughput (gateway, exchange);
+  ca_rollout_outcome (gateway, exchange, CA_ROLLOUT_FIRST_EVENT);
   exchange->endpoint->own_load.unread_tokens -= exchange->unread_tokens;
   exchange->unread_tokens = 0;
   ca_gateway_endpoint_succeeded (exchange->endpoint, 0);
@@ -902,6 +906,8 @@
       exchange_retry (gateway, exchange, false);
       return;
     }
+  if (end == CA_END_MALFORMED)
+    ca_rollout_outcome (gateway, exchange, CA_ROLLOUT_MALFORMED);
   if (exchange->phase == CA_EXCHANGE_STREAMING
       || (end == CA_END_COMPLETE && exchange_is_stream (&exchange->facts)))
     {
--- a/packages/gateway/gateway.c
+++ b/packages/gateway/gateway.c
@@ -1,5 +1,6 @@
 /* Construction, ticks and helpers shared by all files of the gateway. */
 #include "gateway/private.h"
+#include "gateway/rollout_private.h"
 
 #include <stdarg.h>
 #include <stdlib.h>
@@ -51,6 +52,7 @@
   ca_stream_versions_finish (gateway);
   ca_quota_finish (gateway);
   ca_service_stats_finish (gateway);
+  ca_rollouts_finish (gateway);
   ca_usage_rows_finish (&gateway->usage);
   ca_registry_finish (&gateway->registry);
   ca_config_transfer_finish (gateway);
@@ -68,6 +70,7 @@
   ca_endpoint_limits_tick (gateway);
   ca_stream_versions_tick (gateway);
   ca_endpoint_speed_tick (gateway);
+  ca_rollouts_tick (gateway);
   ca_usage_expire (gateway);
   ca_reach_tick (gateway);
   ca_exchanges_tick (gateway);
--- a/packages/gateway/gateway.h
+++ b/packages/gateway/gateway.h
@@ -47,6 +47,10 @@
   uint32_t usage_delay_s;
   uint32_t lease_ms;
   uint32_t grace_ms; /* from SIGTERM to SIGKILL */
+  /* Of a rollout to a bad version; defaults apply where 0. */
+  double exposure_share;       /* of the requests may reach it, */
+  uint32_t exposure_allowance; /* plus this number */
+  uint32_t rollback_ms;        /* after its 50th bad answer, none may */
 } ca_bounds_t;
 
 typedef struct
@@ -145,6 +149,10 @@
                               endpoint of the service's speed */
   bool demand_counted;     /* included in the demand for the service */
   uint32_t prefill_tokens; /* prompt tokens that the endpoint must prefill */
+  uint32_t rollout_side;   /* ca_rollout_side_t, of the attempt */
+  uint64_t rollout_order;  /* for which the attempt counts; 0: none */
+  bool rollout_counted;    /* the attempt has an outcome already */
+  uint64_t predicted_us;   /* of its first event, for that; 0: unknown */
   ca_answer_facts_t facts; /* without `bad_limit` */
   bool run_begun;          /* a run has begun and counts as usage */
   bool head_sent;          /* part of the response was sent to the caller */
@@ -498,9 +506,10 @@
   uint32_t recorded_versions[CA_VERSION_HISTORY_MAX]; /* by the leader */
   size_t recorded_count;
   bool stopping;
-  uint64_t stop_us;       /* start of the stop */
-  uint64_t stop_grace_us; /* time until this entry is killed after it */
-  bool leads;             /* holds the leader lease */
+  uint64_t stop_us;            /* start of the stop */
+  uint64_t stop_grace_us;      /* time until this entry is killed after it */
+  bool leads;                  /* holds the leader lease */
+  struct ca_rollout *rollouts; /* one of each service at most */
   /* Peers. */
   ca_peer_t *peers;
   bool entries_listed; /* the store has listed all entries since the start */
--- a/packages/gateway/peers.c
+++ b/packages/gateway/peers.c
@@ -1,5 +1,6 @@
 /* Other entries: the heartbeats sent to and received from each of them. */
 #include "gateway/private.h"
+#include "gateway/rollout_private.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -57,6 +58,7 @@
   Camphor__BrittleService brittle[HEARTBEAT_MAX_BRITTLE];
   Camphor__BrittleService *brittle_rows[HEARTBEAT_MAX_BRITTLE];
   ca_version_history_message_t history;
+  ca_rollout_message_t rollouts;
 } peer_heartbeat_buffer_t;
 
 ca_peer_t *
@@ -603,6 +605,7 @@
   peer_fill_limits (gateway, buffer);
   peer_fill_brittle (gateway, buffer);
   peer_fill_history (gateway, buffer);
+  ca_rollout_fill (gateway, &buffer->rollouts, heartbeat);
 }
 
 /* True if the peer is still to be sent a heartbeat in this round. */
@@ -841,6 +844,7 @@
   ca_peers_update_clock_offset (gateway, peer, heartbeat->stamp_us);
   ca_endpoint_limits_merge (gateway, peer, heartbeat);
   ca_brittle_merge (gateway, peer, heartbeat);
+  ca_rollout_merge (gateway, peer->id, envelope->incarnation, heartbeat);
   if (peer->heartbeat != NULL)
     camphor__pulse__free_unpacked (peer->heartbeat, NULL);
   peer->heartbeat = heartbeat;
--- a/packages/gateway/select.c
+++ b/packages/gateway/select.c
@@ -6,6 +6,7 @@
  * open requests per slot.  The load of an endpoint is the exact count of this
  * entry plus the counts in the peers' latest heartbeats. */
 #include "gateway/private.h"
+#include "gateway/rollout_private.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -177,7 +178,8 @@
 
   if (!ca_gateway_endpoint_is_open (endpoint)
       || strcmp (endpoint->service, exchange->service->name) != 0
-      || !ca_stream_versions_allows (gateway, exchange, endpoint))
+      || !ca_stream_versions_allows (gateway, exchange, endpoint)
+      || !ca_rollout_permits (gateway, exchange, endpoint))
     return SELECT_INELIGIBLE;
   if (gateway->now_us < endpoint->paused_until_us)
     return SELECT_PAUSED;
