--- a/packages/gateway/rollout.c
+++ b/packages/gateway/rollout.c
@@ -284,8 +284,8 @@
     return;
   rollout->stage = stage;
   rollout->share_permille = share_permille;
-  rollout->stage_sent = 0;
-  rollout->stage_sent_target = 0;
+  if (stage != CA_ROLLOUT_CANARY)
+    rollout->credit = 0;
   if (rollout_is_decided (rollout) && rollout->decided_us == 0)
     rollout->decided_us = gateway->now_us;
   rollout_log_state (gateway, rollout, CA_EVENT_ROLLOUT_STAGE,
--- a/packages/gateway/rollout_private.h
+++ b/packages/gateway/rollout_private.h
@@ -63,12 +63,10 @@
   bool stage_is_own;       /* this entry leads and has set it */
   bool decided_by_row;     /* COMPLETED or REVERTED was read from the store */
   uint64_t decided_us;     /* 0: not decided */
-  /* Requests sent by this entry since it learned of the order, and since the
-   * stage or its share last changed. */
+  /* Requests sent by this entry since it learned of the order. */
   uint32_t sent;
   uint32_t sent_target;
-  uint32_t stage_sent;
-  uint32_t stage_sent_target;
+  double credit; /* requests that may go to the target by the share in force */
   /* Outcomes of this entry's requests, and of all entries'. */
   ca_rollout_sums_t own;
   ca_rollout_sums_t total;
--- a/packages/gateway/rollout_requests.c
+++ b/packages/gateway/rollout_requests.c
@@ -32,6 +32,11 @@
  * would be late: an old endpoint may be in time. */
 #define TRIAL_LATE_SHARE 0.85
 
+/* Requests that an entry may catch up on if it has sent fewer to the target
+ * than the share allows, as no stage was heard: a burst would overload the
+ * canary endpoints. */
+#define CREDIT_MAX 2.0
+
 /* Prediction's fixed part, as in the selection. */
 #define FIRST_EVENT_US (20 * CA_US_PER_MS)
 
@@ -115,10 +120,25 @@
                          const ca_rollout_t *rollout)
 {
   if (rollout->stage == CA_ROLLOUT_CANARY)
-    return rollout->sent_target + 1.0
-           <= request_canary_share (gateway, rollout) * rollout->sent;
-  return rollout->stage_sent_target + 1.0
-         <= rollout->share_permille / 1000.0 * (rollout->stage_sent + 1.0);
+    return rollout->credit >= 1
+           && rollout->sent_target + 1.0
+                  <= request_canary_share (gateway, rollout) * rollout->sent;
+  return rollout->credit + rollout->share_permille / 1000.0 >= 1;
+}
+
+/* Keeps the credit of the share in force, after a request was sent. */
+static void
+request_update_credit (const ca_gateway_t *gateway, ca_rollout_t *rollout,
+                       bool at_target)
+{
+  rollout->credit += rollout->stage <= CA_ROLLOUT_CANARY
+                         ? request_canary_share (gateway, rollout)
+                         : rollout->share_permille / 1000.0;
+  rollout->credit -= at_target ? 1 : 0;
+  if (rollout->credit > CREDIT_MAX)
+    rollout->credit = CREDIT_MAX;
+  if (rollout->credit < -CREDIT_MAX)
+    rollout->credit = -CREDIT_MAX;
 }
 
 /* The side for a request that is free to go to any version, while the target is
@@ -250,6 +270,7 @@
 ca_rollout_sent (ca_gateway_t *gateway, ca_exchange_t *exchange)
 {
   ca_rollout_t *rollout = ca_rollout_find (gateway, exchange->service->name);
+  bool at_target;
 
   exchange->rollout_order = 0;
   if (rollout == NULL)
@@ -259,12 +280,10 @@
   exchange->predicted_us = exchange->service->is_engine
                                ? exchange->expected_us + FIRST_EVENT_US
                                : 0;
+  at_target = ca_rollout_is_target (rollout, exchange->endpoint);
   rollout->sent++;
-  rollout->stage_sent++;
-  if (!ca_rollout_is_target (rollout, exchange->endpoint))
-    return;
-  rollout->sent_target++;
-  rollout->stage_sent_target++;
+  rollout->sent_target += at_target ? 1 : 0;
+  request_update_credit (gateway, rollout, at_target);
 }
 
 /* True if runs of the request, or of its copies, may have crashed endpoints. */
