rollout: the leader decides on stages and writes the status row

Cause: an operator's order for a new version needs one entry that decides when the target gets more traffic, and one lasting answer that survives the loss of that entry.

The driver reads the status row before it acts, under each lease anew, and writes it only if it still has the version that was read; a conflict or a missing answer leads to another read. The fleet planner sends no order that reduces a kind while a rollout runs, counts the endpoints that carry the traffic, and adopts the running ones afresh afterwards.

--- a/packages/base/counters.c
+++ b/packages/base/counters.c
@@ -43,6 +43,8 @@
   "configs_requested",
   "configs_sent",
   "quota_loans",
+  "rollout_status_writes",
+  "rollout_bad_rows",
 };
 
 static const char *const latency_names[CA_LATENCY_KINDS]
--- a/packages/base/counters.h
+++ b/packages/base/counters.h
@@ -44,6 +44,8 @@
   CA_COUNT_CONFIGS_REQUESTED, /* by this entry from its peers */
   CA_COUNT_CONFIGS_SENT,      /* to peers that requested them */
   CA_COUNT_QUOTA_LOANS,       /* parts of peers' quota that were borrowed */
+  CA_COUNT_ROLLOUT_WRITES,    /* status rows of rollouts, accepted */
+  CA_COUNT_ROLLOUT_BAD_ROWS,  /* rows that cannot be carried out */
   CA_COUNT_KINDS
 } ca_count_t;
 
--- a/packages/base/events.c
+++ b/packages/base/events.c
@@ -215,6 +215,16 @@
     "the entry took over which versions of endpoints serve or have served "
     "since before it started",
     NO_ACTION },
+  { CA_EVENT_ROLLOUT_ORDER_BAD, CA_LEVEL_WARNING, "rollout_order_bad",
+    "a row that asks for a rollout cannot be carried out and changes nothing",
+    "correct what the message names and write the row again" },
+  { CA_EVENT_ROLLOUT_DECIDED, CA_LEVEL_INFO, "rollout_decided",
+    "the leader decided on a rollout's next stage or its outcome, for the "
+    "reason given",
+    "if it was reverted, the reason says whether the version was bad or had "
+    "too few answers or endpoints" },
+  { CA_EVENT_ROLLOUT_STATUS_WRITTEN, CA_LEVEL_INFO, "rollout_status_written",
+    "the store accepted the status row of a rollout", NO_ACTION },
 };
 
 static const char *const level_names[]
--- a/packages/gateway/fleet_orders.c
+++ b/packages/gateway/fleet_orders.c
@@ -1,6 +1,7 @@
 /* Orders that scale services to their planned number of endpoints. */
 #include "gateway/fleet_plan.h"
 #include "gateway/leader_private.h"
+#include "gateway/rollout_order.h"
 
 #include <inttypes.h>
 #include <stdlib.h>
@@ -63,7 +64,8 @@
   ca_scale_order_t order
       = { row->service, row->zone, row->reclaimable, count, leader->fence };
 
-  if (row->busy || !ca_lease_is_valid (leader))
+  if (row->busy || !ca_lease_is_valid (leader)
+      || ca_rollout_blocks_order (leader, row, count))
     return;
   if (row->sent && row->ordered == count
       && (row->unconfirmed_until_us < now_us || now_us < row->retry_us))
@@ -182,12 +184,12 @@
   return target;
 }
 
-/* Counts the open endpoints of a zone, and adds up their open requests and
- * limits. */
+/* Counts the open endpoints of a zone that carry the traffic, and adds up their
+ * open requests and limits. */
 static void
 fleet_count_endpoints (const ca_leader_t *leader, const ca_service_t *service,
-                       const char *zone, ca_fleet_zone_t *counts,
-                       ca_fleet_state_t *state)
+                       const char *zone, const ca_rollout_traffic_t *traffic,
+                       ca_fleet_zone_t *counts, ca_fleet_state_t *state)
 {
   const ca_gateway_endpoint_t *endpoint;
   uint32_t requests;
@@ -197,7 +199,8 @@
     {
       if (!ca_gateway_endpoint_is_open (endpoint)
           || strcmp (endpoint->service, service->name) != 0
-          || strcmp (endpoint->zone, zone) != 0)
+          || strcmp (endpoint->zone, zone) != 0
+          || !ca_rollout_carries (traffic, endpoint))
         continue;
       /* Queued requests show that endpoints are missing, not how many. */
       requests = endpoint->own_load.open + endpoint->peer_load.open;
@@ -216,16 +219,18 @@
     }
 }
 
-/* Adopts running endpoints as orders, since a former leader ordered them. */
+/* Adopts running endpoints as orders, since a former leader ordered them, or
+ * the platform started them for a rollout. */
 static void
 fleet_adopt (ca_leader_t *leader, const ca_service_t *service,
-             const ca_fleet_state_t *state)
+             const ca_fleet_state_t *state, bool had_rollout)
 {
   uint32_t reclaimable = 0;
 
   for (uint32_t i = 0; i < state->zone_count; i++)
     reclaimable += state->zones[i].reclaimable;
-  for (uint32_t i = 0; reclaimable > 0 && i < state->zone_count; i++)
+  for (uint32_t i = 0;
+       (reclaimable > 0 || had_rollout) && i < state->zone_count; i++)
     {
       const char *zone = service->prices[i].zone;
       ca_order_row_t *reclaimable_order
@@ -303,7 +308,10 @@
   uint32_t need;
   uint32_t running = 0;
   uint64_t now_us = leader->gateway->now_us;
+  ca_rollout_traffic_t traffic;
 
+  ca_rollout_traffic (leader->gateway, service->name, &traffic);
+  ca_rollout_renew_orders (leader, service->name, &traffic);
   memset (&state, 0, sizeof state);
   memset (targets, 0, sizeof targets);
   ca_peers_service_work (leader->gateway, service->name, &work);
@@ -328,8 +336,8 @@
                                               service->prices[i].zone, true);
 
       zone->price = service->prices[i].price;
-      fleet_count_endpoints (leader, service, service->prices[i].zone, zone,
-                             &state);
+      fleet_count_endpoints (leader, service, service->prices[i].zone, &traffic,
+                             zone, &state);
       running += zone->reclaimable
                  + fleet_count_retained (
                      fleet_find_order (leader, service->name,
@@ -339,7 +347,7 @@
     }
   if (state.zone_count == 0)
     return;
-  fleet_adopt (leader, service, &state);
+  fleet_adopt (leader, service, &state, traffic.target != NULL);
   need = fleet_limit_need (ca_service_stats (leader->gateway, service->name),
                            &state);
   ca_fleet_plan (&state, need, targets);
--- a/packages/gateway/gateway.h
+++ b/packages/gateway/gateway.h
@@ -46,7 +46,10 @@
   uint32_t usage_window_s;
   uint32_t usage_delay_s;
   uint32_t lease_ms;
-  uint32_t grace_ms; /* from SIGTERM to SIGKILL */
+  uint32_t grace_ms;           /* from SIGTERM to SIGKILL */
+  double exposure_share;       /* of requests that a bad version may get */
+  uint32_t exposure_allowance; /* additional requests */
+  uint32_t rollback_ms;        /* after bad answers, until it gets none */
 } ca_bounds_t;
 
 typedef struct
--- a/packages/gateway/leader.c
+++ b/packages/gateway/leader.c
@@ -1,5 +1,6 @@
 /* The lease under which one entry leads: reports usage and orders endpoints. */
 #include "gateway/leader_private.h"
+#include "gateway/rollout_order.h"
 
 #include <inttypes.h>
 #include <jansson.h>
@@ -53,6 +54,7 @@
   TAILQ_INIT (&leader->counts);
   TAILQ_INIT (&leader->min_counts);
   TAILQ_INIT (&leader->orders);
+  ca_rollout_orders_init (leader);
 }
 
 void
@@ -60,6 +62,7 @@
 {
   ca_usage_rows_finish (&leader->counts);
   ca_usage_rows_finish (&leader->min_counts);
+  ca_rollout_orders_finish (leader);
   while (!TAILQ_EMPTY (&leader->orders))
     {
       ca_order_row_t *row = TAILQ_FIRST (&leader->orders);
@@ -652,5 +655,6 @@
   leader->gateway->now_us = now_us;
   lease_tick (leader);
   ca_usage_report_tick (leader);
+  ca_rollout_orders_tick (leader);
   ca_fleet_orders_tick (leader);
 }
--- a/packages/gateway/leader.h
+++ b/packages/gateway/leader.h
@@ -9,6 +9,7 @@
 #define CA_GATEWAY_LEADER_H
 
 #include "gateway/gateway.h"
+#include "gateway/rollout.h"
 
 /* Maximum length of the lease row, in bytes. */
 #define CA_LEASE_BYTES 8192
@@ -45,6 +46,13 @@
                         const struct ca_usage_rows *counts);
   /* Sends an order; answered by ca_leader_order_done. */
   void (*order_scale) (void *context, const ca_scale_order_t *order);
+  /* Reads the status row of a service's rollout; answered by
+   * ca_rollout_status_read.  NULL: rollouts are not led. */
+  void (*read_rollout) (void *context, const char *service);
+  /* Writes that row if it still has `version` (0: if there is none); answered
+   * by ca_rollout_status_written. */
+  void (*write_rollout) (void *context, const char *service, uint64_t version,
+                         const ca_rollout_status_t *row);
 } ca_leader_ports_t;
 
 /* State of the order for one kind of a service's endpoints in a zone. */
@@ -67,6 +75,7 @@
   uint64_t unavailable_until_us; /* the platform has none before this */
   uint64_t surplus_since_us;     /* since when fewer suffice; 0 if not */
   uint32_t last_count;           /* endpoints of that kind at the last check */
+  bool rollout_ran;              /* of the service, at the last plan */
   TAILQ_ENTRY (ca_order_row) entries;
 } ca_order_row_t;
 
@@ -108,6 +117,8 @@
   TAILQ_HEAD (, ca_order_row) orders;
   uint64_t next_plan_us;
   uint64_t first_traffic_us; /* time of the first request */
+  /* Rollouts (rollout_order.c). */
+  TAILQ_HEAD (, ca_rollout_task) rollouts;
 } ca_leader_t;
 
 /* Initialises caller-owned memory. */
--- a/tests/gateway/lease_world.c
+++ b/tests/gateway/lease_world.c
@@ -246,8 +246,11 @@
                                .send_peer = on_send,
                                .store_restored = on_restored,
                                .log = on_log };
-  ca_leader_ports_t leader_ports
-      = { entry, read_lease, write_lease, report_usage, order_scale };
+  ca_leader_ports_t leader_ports = { .context = entry,
+                                     .read_lease = read_lease,
+                                     .write_lease = write_lease,
+                                     .report_usage = report_usage,
+                                     .order_scale = order_scale };
   ca_gateway_options_t options;
 
   cluster_options (&options, index, "z1");
