--- a/packages/gateway/gateway.h
+++ b/packages/gateway/gateway.h
@@ -599,6 +599,13 @@
                     struct ca_watch *watch, uint64_t after,
                     Camphor__TableRow **rows, size_t count);
 
+/* Sends followers one row under a table number of its own, apart from the
+ * watch's position: with its version, and also if the watch's updates leave
+ * rows out. */
+void ca_relay_row (ca_gateway_t *gateway, uint64_t now_us,
+                   const struct ca_watch *watch, uint32_t table,
+                   Camphor__TableRow *row, uint64_t version);
+
 /* Fingerprint of a request, by which its copies are recognised: of its content
  * and of its workspace, NULL if it has none.  A workspace's keys may change. */
 uint64_t ca_request_fingerprint (uint64_t content, const char *workspace);
--- a/packages/gateway/relay.c
+++ b/packages/gateway/relay.c
@@ -150,6 +150,24 @@
   relay_send (gateway, &update);
 }
 
+void
+ca_relay_row (ca_gateway_t *gateway, uint64_t now_us, const ca_watch_t *watch,
+              uint32_t table, Camphor__TableRow *row, uint64_t version)
+{
+  Camphor__TableWord update = CAMPHOR__TABLE_WORD__INIT;
+
+  gateway->now_us = now_us;
+  if (watch->role != CA_WATCH_READER)
+    return;
+  update.table = table;
+  update.era = gateway->store_era;
+  update.until = version;
+  update.stamp_us = now_us;
+  update.rows = &row;
+  update.n_rows = 1;
+  relay_send (gateway, &update);
+}
+
 void
 ca_relay_receive (ca_gateway_t *gateway, const Camphor__Envelope *envelope)
 {
--- a/tests/gateway/test_relay.c
+++ b/tests/gateway/test_relay.c
@@ -21,6 +21,7 @@
 #define STEP_US CA_GATEWAY_TICK_US
 #define WALL_US UINT64_C (1700000000000000)
 #define QUEUE 64
+#define ROW_TABLE 2
 
 typedef struct
 {
@@ -43,6 +44,7 @@
   uint32_t calls;
   uint32_t cancelled;       /* calls that were ended */
   uint64_t applied_version; /* latest version that it has */
+  uint64_t row_version;     /* of the latest row sent on its own */
   uint8_t *queue[QUEUE];
   size_t queue_bytes[QUEUE];
   size_t queued;
@@ -141,6 +143,12 @@
 {
   entry_t *entry = context;
 
+  if (update->table == ROW_TABLE)
+    {
+      assert_int_equal (update->n_rows, 1);
+      entry->row_version = update->until;
+      return;
+    }
   if (ca_watch_apply_update (&entry->watch, update->after, update->until,
                              validated_us, update->n_rows > 0))
     entry->applied_version = update->until;
@@ -489,6 +497,33 @@
   world_end ();
 }
 
+/* A row that is sent on its own reaches all followers with its version, without
+ * a change of what they have of the table; only the reader sends it. */
+static void
+test_single_row (void **state)
+{
+  Camphor__TableRow row = CAMPHOR__TABLE_ROW__INIT;
+  uint64_t version;
+  size_t first;
+
+  (void)state;
+  world_start (ENTRIES);
+  row.key = "k";
+  first = reader ();
+  version = world.entries[(first + 1) % ENTRIES].watch.after + 1000;
+  for (size_t i = 0; i < ENTRIES; i++)
+    ca_relay_row (&world.entries[i].gateway, world.now_us,
+                  &world.entries[i].watch, ROW_TABLE, &row,
+                  i == first ? version : 1);
+  world_run (100);
+  for (size_t i = 0; i < ENTRIES; i++)
+    {
+      assert_int_equal (world.entries[i].row_version, i == first ? 0 : version);
+      assert_true (world.entries[i].watch.after < version);
+    }
+  world_end ();
+}
+
 int
 main (void)
 {
@@ -501,6 +536,7 @@
     cmocka_unit_test (test_updates_are_lost),
     cmocka_unit_test (test_update_ends_own_calls),
     cmocka_unit_test (test_follower_freezes),
+    cmocka_unit_test (test_single_row),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
