--- a/tests/site/replica.c
+++ b/tests/site/replica.c
@@ -15,14 +15,14 @@
  * responses that it bears N rejections in a second, and ends if there are more.
  * On SIGTERM it reports draining, serves for another second, and exits.  POST
  * /control takes
- * {"fault": NAME, "next": N} for the next N requests: reject, error, reset,
- * cut, lost, encoded, unsigned, endless (a body, or an event, that never ends),
- * flood (events without end), swell (a body of 16 MB that does not end then),
- * drip (the same, a byte at a time), repeat (a request is rejected; if it comes
- * again on its connection it runs, and the rejection is written once more),
- * bare (it runs, and a rejection that names no request is written), copy (it
- * runs, and the latest whole answer is written in place of its own, without
- * the id of a request); or
+ * {"fault": NAME, "next": N} for the next N requests: reject, error, fail (as
+ * error, but for streams too), reset, cut, lost, encoded, unsigned, endless (a
+ * body, or an event, that never ends), flood (events without end), swell (a
+ * body of 16 MB that does not end then), drip (the same, a byte at a time),
+ * repeat (a request is rejected; if it comes again on its connection it runs,
+ * and the rejection is written once more), bare (it runs, and a rejection that
+ * names no request is written), copy (it runs, and the latest whole answer is
+ * written in place of its own, without the id of a request); or
  * {"leaving": true}, which all responses then say, {"brittle": N}, as
  * --brittle, except that it does not end in the first 3 s, {"pause": TEXT},
  * with which requests are turned away, "" for none, or {"limit": TEXT}, which
@@ -467,6 +467,11 @@
   if (ca_headers_find (&request->head->headers, "Camphorarch-Token-Usage")
       != NULL)
     run->count = REPLICA_EVENTS;
+  if (strcmp (fault, "fail") == 0)
+    {
+      strlcpy (run->fault, "error", sizeof run->fault);
+      run->count = 0;
+    }
   run->ends = has_part (request, replica.ends_on_part);
   run->timer = evtimer_new (replica.site.base, run_step, run);
   event_add (run->timer, &wait);
