rollout: a take-over near the deadline, and rows from an older copy

Found by review. An entry that takes the lease between 0.92 of the duration and the deadline waited for a whole step before the outcome; it now waits for a quarter of the time left. After a drill a row in progress of a former order with the same target was taken for that of a new order, whose time would have been over at once; it no longer is when that order's time is over or the row's era is unknown.

--- a/packages/gateway/rollout_order.c
+++ b/packages/gateway/rollout_order.c
@@ -18,6 +18,10 @@
  * needed to take all steps before the end. */
 #define ROLLOUT_STEP_PARTS 16
 
+/* A leader that takes over between the end and the deadline waits for this part
+ * of the time left. */
+#define ROLLOUT_LAST_PARTS 4
+
 /* The target may take all traffic with this percentage of the endpoints that
  * the old versions have. */
 #define ROLLOUT_CAPACITY_PERCENT 80
@@ -123,9 +127,12 @@
   uint64_t step_us = duration_us / ROLLOUT_STEP_PARTS;
   uint64_t left_us;
 
-  if (elapsed_us >= end_us)
+  if (elapsed_us >= duration_us)
     return step_us;
-  left_us = (end_us - elapsed_us) / rollout_steps_left (progress);
+  if (elapsed_us >= end_us)
+    left_us = (duration_us - elapsed_us) / ROLLOUT_LAST_PARTS;
+  else
+    left_us = (end_us - elapsed_us) / rollout_steps_left (progress);
   return left_us < step_us ? left_us : step_us;
 }
 
@@ -585,9 +592,23 @@
     }
 }
 
-/* True if the row was written for the task's order.  A row in progress that was
- * written before the store came back from an older copy is taken for it if it
- * has the same target. */
+/* True if the row may be that of the task's order under the version that this
+ * had before the store came back from an older copy: it has the same target, is
+ * in progress, and the order's time is not over. */
+static bool
+rollout_row_is_former (const ca_leader_t *leader, const ca_rollout_task_t *task,
+                       const ca_rollout_status_t *row)
+{
+  uint64_t store_us = rollout_store_us (leader, leader->gateway->now_us);
+
+  return row->stage == CA_ROLLOUT_CANARY && row->era != 0
+         && row->era < leader->gateway->store_era
+         && row->began_ms < UINT64_MAX / CA_US_PER_MS / 2
+         && store_us
+                < row->began_ms * CA_US_PER_MS + task->duration_s * CA_US_PER_S;
+}
+
+/* True if the row was written for the task's order. */
 static bool
 rollout_row_answers (const ca_leader_t *leader, const ca_rollout_task_t *task,
                      const ca_rollout_status_t *row)
@@ -599,8 +620,7 @@
     return true;
   if (row->order != 0 && row->order == task->former_order)
     return true;
-  return row->era < leader->gateway->store_era
-         && row->stage == CA_ROLLOUT_CANARY;
+  return rollout_row_is_former (leader, task, row);
 }
 
 /* Notes the row that was read, or the latest write that was accepted. */
--- a/tests/gateway/test_rollout_order.c
+++ b/tests/gateway/test_rollout_order.c
@@ -547,6 +547,8 @@
     false, REVERTED, 0 },
   { "just taken over at the end", CANARY, 50, GOOD, GOOD, 11100, 100, 6, 6, 0,
     9, 3, false, CANARY, 50 },
+  { "taken over at the last moment", CANARY, 50, GOOD, GOOD, 11800, 50, 6, 6, 0,
+    9, 3, false, COMPLETED, 1000 },
   { "long after the end", CANARY, 50, GOOD, GOOD, 90000, 800, 6, 6, 0, 9, 3,
     false, COMPLETED, 1000 },
   /* Outcomes stay. */
@@ -1053,6 +1055,44 @@
     }
 }
 
+/* After the store came back from an older copy, a row in progress with the same
+ * target is that of the order, unless its time is over: a new order must not
+ * end with it. */
+static void
+test_era_unknown_order (void **state)
+{
+  static const struct
+  {
+    uint32_t age_s;
+    uint64_t era;
+    bool same;
+  } rows[]
+      = { { 5, 1, true }, { 13, 1, false }, { 5, 2, false }, { 5, 0, false } };
+
+  (void)state;
+  for (size_t i = 0; i < sizeof rows / sizeof rows[0]; i++)
+    {
+      uint64_t began_ms;
+
+      world_start ();
+      set_era (2);
+      began_ms = world.now_us / CA_US_PER_MS - rows[i].age_s * UINT64_C (1000);
+      world.row = (row_t){ .exists = true,
+                           .version = ++world.version,
+                           .status = { .stage = CANARY,
+                                       .order = 3,
+                                       .began_ms = began_ms,
+                                       .era = rows[i].era },
+                           .target = "v2" };
+      world.row.status.target = world.row.target;
+      lead (0, 1);
+      world_run (500);
+      assert_int_equal (progress_of (0)->stage, CANARY);
+      assert_int_equal (world.row.status.began_ms == began_ms, rows[i].same);
+      world_end ();
+    }
+}
+
 /* Entries that hear no leader read the row once a second while the rollout
  * runs, and an outcome is handed over. */
 static void
@@ -1101,6 +1141,7 @@
     cmocka_unit_test (test_ordered_again),
     cmocka_unit_test (test_era_lost_outcome),
     cmocka_unit_test (test_era_same_order),
+    cmocka_unit_test (test_era_unknown_order),
     cmocka_unit_test (test_odd_rows),
     cmocka_unit_test (test_no_leader),
   };
