--- a/packages/base/counters.c
+++ b/packages/base/counters.c
@@ -45,6 +45,8 @@
   "quota_loans",
   "rollout_answers",
   "rollout_bad_answers",
+  "rollout_status_writes",
+  "rollout_bad_rows",
 };
 
 static const char *const latency_names[CA_LATENCY_KINDS]
