--- a/packages/base/counters.c
+++ b/packages/base/counters.c
@@ -45,6 +45,8 @@
   "quota_loans",
   "rollout_status_writes",
   "rollout_bad_rows",
+  "rollout_answers",
+  "rollout_bad_answers",
 };
 
 static const char *const latency_names[CA_LATENCY_KINDS]
--- a/packages/base/counters.h
+++ b/packages/base/counters.h
@@ -46,6 +46,8 @@
   CA_COUNT_QUOTA_LOANS,       /* parts of peers' quota that were borrowed */
   CA_COUNT_ROLLOUT_WRITES,    /* status rows of rollouts, accepted */
   CA_COUNT_ROLLOUT_BAD_ROWS,  /* rows that cannot be carried out */
+  CA_COUNT_ROLLOUT_ANSWERS,   /* of versions that are rolled out */
+  CA_COUNT_ROLLOUT_BAD_ANSWERS,
   CA_COUNT_KINDS
 } ca_count_t;
 
--- a/packages/gateway/rollout_order.c
+++ b/packages/gateway/rollout_order.c
@@ -72,6 +72,8 @@
   uint64_t sent_fence; /* lease under which the open call was sent; 0: none */
   uint64_t sent_order; /* order for which it was sent */
   uint64_t read_fence;
+  uint64_t stage_fence;         /* lease under which the stage was set */
+  uint64_t learned_us;          /* when this entry learned of the order */
   uint64_t version;             /* of the row; 0: there is none */
   ca_rollout_stage_t row_stage; /* UNKNOWN if the row is not of this order */
   uint64_t began_ms;            /* store's clock; 0 if unknown */
@@ -81,6 +83,7 @@
   const char *reason;
   uint64_t step_since_us; /* since when the stage and the share apply */
   uint64_t next_call_us;
+  uint64_t next_poll_us; /* while it does not lead */
   TAILQ_ENTRY (ca_rollout_task) entries;
 } ca_rollout_task_t;
 
@@ -219,6 +222,9 @@
     verdict = progress->late_verdict;
   if (verdict == CA_ROLLOUT_BAD)
     return rollout_revert ("the target is bad");
+  /* What a leader sets between its decision to revert and the row. */
+  if (progress->stage == CA_ROLLOUT_SHIFT && progress->share_permille == 0)
+    return rollout_revert ("a former leader has decided to revert");
   if (progress->stage == CA_ROLLOUT_STAGE_UNKNOWN)
     return (ca_rollout_decision_t){ CA_ROLLOUT_CANARY,
                                     conditions->canary_permille,
@@ -291,6 +297,7 @@
   task->order = progress->order;
   task->former_order = 0;
   task->duration_s = progress->duration_s;
+  task->learned_us = progress->learned_us;
   task->era = leader->gateway->store_era;
   task->is_current = false;
   task->was_read = false;
@@ -301,11 +308,12 @@
   task->reason = "";
   task->step_since_us = leader->gateway->now_us;
   task->next_call_us = 0;
+  task->next_poll_us = 0;
 }
 
 /* Compares the task with the order in force.  After the store came back from
- * an older copy, an order with the same target and duration is the same under
- * another version. */
+ * an older copy the entries' part takes an order with the same target and
+ * duration for the same under another version: it was learned before. */
 static void
 rollout_task_update (ca_leader_t *leader, ca_rollout_task_t *task,
                      const ca_rollout_progress_t *progress)
@@ -315,7 +323,8 @@
   if (task->order != progress->order
       || strcmp (task->target, progress->target) != 0)
     {
-      if (era <= task->era || task->duration_s != progress->duration_s
+      if (task->learned_us != progress->learned_us
+          || task->duration_s != progress->duration_s
           || strcmp (task->target, progress->target) != 0)
         {
           rollout_task_begin (leader, task, progress);
@@ -427,6 +436,7 @@
                    uint32_t share_permille)
 {
   task->step_since_us = leader->gateway->now_us;
+  task->stage_fence = leader->fence;
   ca_rollout_set_stage (leader->gateway, rollout, stage, share_permille);
 }
 
@@ -486,8 +496,8 @@
   task->reason = decision->reason;
   if (decision->stage == CA_ROLLOUT_REVERTED
       && progress->stage != CA_ROLLOUT_REVERTED
-      && progress->share_permille != 0)
-    rollout_set_stage (leader, task, rollout, CA_ROLLOUT_CANARY, 0);
+      && (progress->stage != CA_ROLLOUT_SHIFT || progress->share_permille != 0))
+    rollout_set_stage (leader, task, rollout, CA_ROLLOUT_SHIFT, 0);
 }
 
 /* Leads one rollout. */
@@ -512,6 +522,11 @@
                            task->row_stage == CA_ROLLOUT_COMPLETED ? 1000 : 0);
       return;
     }
+  /* A stage that was heard of a former leader is this one's from now on. */
+  if (task->stage_fence != leader->fence
+      && progress->stage != CA_ROLLOUT_STAGE_UNKNOWN)
+    rollout_set_stage (leader, task, rollout, progress->stage,
+                       progress->share_permille);
   elapsed_us = rollout_elapsed_us (leader, task, progress);
   if (!rollout_decision_stands (task, progress))
     {
@@ -539,12 +554,13 @@
       = !task->was_polled
         && progress->learned_us < gateway->started_us + ROLLOUT_STARTUP_US;
 
+  task->stage_fence = 0;
   if (rollout_is_terminal (progress->stage) || task->busy
-      || gateway->now_us < task->next_call_us
+      || gateway->now_us < task->next_poll_us
       || (!is_starting && ca_peers_have_leader (gateway)))
     return;
   rollout_send_read (leader, task);
-  task->next_call_us = gateway->now_us + ROLLOUT_POLL_US;
+  task->next_poll_us = gateway->now_us + ROLLOUT_POLL_US;
 }
 
 /* Handles a rollout in a tick. */
@@ -637,6 +653,17 @@
   task->is_current = true;
 }
 
+/* Sets the stage that the row names. */
+static void
+rollout_set_outcome (ca_leader_t *leader, ca_rollout_task_t *task)
+{
+  ca_rollout_t *rollout = ca_rollout_find (leader->gateway, task->service);
+
+  if (rollout != NULL)
+    rollout_set_stage (leader, task, rollout, task->row_stage,
+                       task->row_stage == CA_ROLLOUT_COMPLETED ? 1000 : 0);
+}
+
 void
 ca_rollout_status_read (ca_leader_t *leader, uint64_t now_us,
                         const char *service, ca_call_status_t status,
@@ -661,6 +688,9 @@
       task->was_read = true;
       task->read_fence = task->sent_fence;
       task->next_call_us = now_us;
+      /* Before the row, so that heartbeats carry the outcome. */
+      if (rollout_is_terminal (task->row_stage))
+        rollout_set_outcome (leader, task);
     }
   ca_gateway_rollout_status (
       leader->gateway, now_us, service,
@@ -690,7 +720,6 @@
                            uint64_t version)
 {
   ca_rollout_task_t *task = rollout_task_find (leader, service);
-  ca_rollout_t *rollout;
 
   leader->gateway->now_us = now_us;
   if (task == NULL)
@@ -705,8 +734,6 @@
   task->next_call_us = now_us;
   rollout_note_row (task, version, task->attempt, task->attempt_began_ms);
   rollout_log_written (leader, task);
-  rollout = ca_rollout_find (leader->gateway, service);
-  if (rollout != NULL && rollout_is_terminal (task->attempt))
-    rollout_set_stage (leader, task, rollout, task->attempt,
-                       task->attempt == CA_ROLLOUT_COMPLETED ? 1000 : 0);
+  if (rollout_is_terminal (task->row_stage))
+    rollout_set_outcome (leader, task);
 }
