--- a/packages/gateway/rollout.c
+++ b/packages/gateway/rollout.c
@@ -173,11 +173,11 @@
 rollout_is_same (const ca_gateway_t *gateway, const ca_rollout_t *rollout,
                  const ca_rollout_order_t *order)
 {
-  if (rollout->order == order->order)
-    return true;
-  return gateway->store_era > rollout->era
-         && strcmp (rollout->target, order->target) == 0
-         && rollout->duration_s == order->duration_s;
+  if (strcmp (rollout->target, order->target) != 0)
+    return false;
+  return rollout->order == order->order
+         || (gateway->store_era > rollout->era
+             && rollout->duration_s == order->duration_s);
 }
 
 /* True if the order was replaced by that of the rollout: an entry that lags
--- a/packages/gateway/rollout_evidence.c
+++ b/packages/gateway/rollout_evidence.c
@@ -11,6 +11,10 @@
 #define VERDICT_BAD_MIN 10
 #define VERDICT_BAD_MIN_ROUTE 6
 
+/* With more bad answers than this at the old versions, some endpoints fail, and
+ * one route needs as many bad answers as all together. */
+#define VERDICT_CALM_SHARE 0.01
+
 /* The target is bad if its share of bad answers is above this multiple of the
  * old one plus a margin, and above the old one by this many standard errors.
  * The margin lets a version pass that is as good as the old ones on days on
@@ -19,6 +23,12 @@
 #define VERDICT_MARGIN 0.04
 #define VERDICT_ERRORS 3.0
 
+/* Bad answers come in clusters if some endpoints fail two of five requests: the
+ * variance of their number is larger by 1 + (m - 1) * r, with m = 5 answers of
+ * a canary endpoint in a second and r = 0.375, the part of the variance that is
+ * between endpoints if a tenth of them fails. */
+#define VERDICT_CLUSTERING 2.5
+
 /* With many bad answers, a smaller difference convicts. */
 #define VERDICT_BAD_MANY 40
 #define VERDICT_FACTOR_MANY 1.5
@@ -160,21 +170,47 @@
       = (ca_rollout_tally_bad (&row->old) + ca_rollout_tally_bad (&row->target))
         / (old + target);
 
-  return sqrt (share * (1 - share) * (1 / target + (old > 0 ? 1 / old : 0)));
+  return sqrt (VERDICT_CLUSTERING * share * (1 - share)
+               * (1 / target + (old > 0 ? 1 / old : 0)));
+}
+
+/* The same row with failures as its only bad answers. */
+static ca_rollout_row_t
+evidence_failures (const ca_rollout_row_t *row)
+{
+  ca_rollout_row_t failures = *row;
+
+  failures.old.slow = 0;
+  failures.target.slow = 0;
+  return failures;
 }
 
 static bool
-evidence_convicts (const ca_rollout_row_t *row, uint32_t bad_min)
+evidence_bad_convict (const ca_rollout_row_t *row, uint32_t bad_min)
 {
   uint32_t bad = ca_rollout_tally_bad (&row->target);
   double old_share = evidence_bad_share (&row->old);
   double share = evidence_bad_share (&row->target);
 
-  if (bad >= VERDICT_BAD_MANY
-      && share > VERDICT_FACTOR_MANY * old_share + VERDICT_MARGIN_MANY)
-    return true;
-  return bad >= bad_min && share > VERDICT_FACTOR * old_share + VERDICT_MARGIN
-         && share - old_share > VERDICT_ERRORS * evidence_standard_error (row);
+  if (old_share > VERDICT_CALM_SHARE)
+    bad_min = VERDICT_BAD_MIN;
+  if (bad < bad_min
+      || share - old_share <= VERDICT_ERRORS * evidence_standard_error (row))
+    return false;
+  return share > VERDICT_FACTOR * old_share + VERDICT_MARGIN
+         || (bad >= VERDICT_BAD_MANY
+             && share > VERDICT_FACTOR_MANY * old_share + VERDICT_MARGIN_MANY);
+}
+
+/* True if the bad answers convict the target, or its failures alone: under load
+ * a fifth of the old versions' answers are slow, which would hide them. */
+static bool
+evidence_convicts (const ca_rollout_row_t *row, uint32_t bad_min)
+{
+  ca_rollout_row_t failures = evidence_failures (row);
+
+  return evidence_bad_convict (row, bad_min)
+         || evidence_bad_convict (&failures, bad_min);
 }
 
 /* True if there are enough answers on each route. */
@@ -190,15 +226,27 @@
   return true;
 }
 
-/* True if the target's bad answers are so few that equal versions explain them:
- * a single one, or a share below that which convicts. */
+/* True if the bad answers are at most three standard deviations, and one, more
+ * than expected of an equal version. */
+static bool
+evidence_bad_plausible (const ca_rollout_row_t *row)
+{
+  double share = evidence_bad_share (&row->old);
+  double expected = share * row->target.answers;
+  double deviation = sqrt (VERDICT_CLUSTERING * expected * (1 - share));
+
+  return ca_rollout_tally_bad (&row->target)
+         <= expected + VERDICT_ERRORS * deviation + 1;
+}
+
+/* True if the target's bad answers, and its failures, are so few that equal
+ * versions explain them. */
 static bool
 evidence_is_plausible (const ca_rollout_row_t *row)
 {
-  return ca_rollout_tally_bad (&row->target) <= 1
-         || evidence_bad_share (&row->target)
-                <= VERDICT_FACTOR * evidence_bad_share (&row->old)
-                       + VERDICT_MARGIN;
+  ca_rollout_row_t failures = evidence_failures (row);
+
+  return evidence_bad_plausible (row) && evidence_bad_plausible (&failures);
 }
 
 /* True if the answers suffice near the deadline. */
--- a/packages/gateway/rollout_evidence.h
+++ b/packages/gateway/rollout_evidence.h
@@ -7,7 +7,7 @@
 
 /* Routes that are distinguished; further ones share a row.  Limits the length
  * of heartbeats. */
-#define CA_ROLLOUT_ROUTES_MAX 16
+#define CA_ROLLOUT_ROUTES_MAX 12
 
 /* Number of the row that the further routes share. */
 #define CA_ROLLOUT_OTHER_ROUTES 0
--- a/packages/gateway/rollout_reports.c
+++ b/packages/gateway/rollout_reports.c
@@ -86,7 +86,8 @@
               && row->order != rollout->former_order))
         continue;
       report_take_sums (gateway, rollout, peer, incarnation, row);
-      if (heartbeat->leads)
+      /* A leader whose lease was taken over may not know it yet. */
+      if (heartbeat->leads && heartbeat->lease_fence >= gateway->lease_fence)
         ca_rollout_hear_stage (gateway, rollout, (ca_rollout_stage_t)row->stage,
                                row->share_permille);
     }
--- a/packages/gateway/rollout_requests.c
+++ b/packages/gateway/rollout_requests.c
@@ -184,6 +184,23 @@
   return request_choose_exposed (gateway, rollout, exchange);
 }
 
+/* True if an old endpoint is open. */
+static bool
+request_lists_old (const ca_gateway_t *gateway, const ca_rollout_t *rollout)
+{
+  const ca_gateway_endpoint_t *endpoint;
+
+  for (endpoint = gateway->registry.endpoints; endpoint != NULL;
+       endpoint = endpoint->hh.next)
+    {
+      if (ca_rollout_is_old (rollout, endpoint)
+          && ca_gateway_endpoint_is_open (endpoint)
+          && strcmp (endpoint->service, rollout->service) == 0)
+        return true;
+    }
+  return false;
+}
+
 /* True if a selection at the target is worse than one at an old version may
  * be. */
 static bool
@@ -202,20 +219,28 @@
 {
   ca_rollout_t *rollout = ca_rollout_find (gateway, exchange->service->name);
   ca_selection_t selection;
+  ca_selection_t at_old;
+  ca_rollout_side_t side;
   bool old_listed;
 
   if (rollout == NULL)
     return ca_select_endpoint (gateway, exchange);
-  old_listed = ca_rollout_count_open (gateway, rollout, false) > 0;
-  exchange->rollout_side
-      = request_choose_side (gateway, rollout, exchange, old_listed);
+  old_listed = request_lists_old (gateway, rollout);
+  side = request_choose_side (gateway, rollout, exchange, old_listed);
+  exchange->rollout_side = side;
   selection = ca_select_endpoint (gateway, exchange);
-  if (exchange->rollout_side == CA_ROLLOUT_SIDE_OLD || !old_listed
-      || exchange->version != 0 || rollout->stage == CA_ROLLOUT_COMPLETED
+  if (side == CA_ROLLOUT_SIDE_OLD || !old_listed || exchange->version != 0
+      || rollout->stage == CA_ROLLOUT_COMPLETED
       || !request_is_better_old (exchange, &selection))
     return selection;
   exchange->rollout_side = CA_ROLLOUT_SIDE_OLD;
-  return ca_select_endpoint (gateway, exchange);
+  at_old = ca_select_endpoint (gateway, exchange);
+  if (selection.endpoint == NULL
+      || (at_old.endpoint != NULL
+          && at_old.predicted_us < selection.predicted_us))
+    return at_old;
+  exchange->rollout_side = side;
+  return selection;
 }
 
 static bool
