rollout: the need of a fleet plan from before the lease does not count

Found by review: the target may take all traffic with fewer endpoints than the old versions have if the planner needs no more, but the planner's need was that of the entry's latest plan, which may be of an earlier lease and of less traffic.

Measured: test_gateway_rollout_order passes, 22 tests, one of them new.

--- a/packages/gateway/rollout_order.c
+++ b/packages/gateway/rollout_order.c
@@ -453,17 +453,28 @@
   return task->decided == CA_ROLLOUT_REVERTED;
 }
 
+/* Endpoints that the service needs by the fleet plan; 0 if there was no plan
+ * under this lease: the need of an earlier one may be out of date. */
+static uint32_t
+rollout_needed (ca_leader_t *leader, const char *service)
+{
+  double need;
+
+  if (!leader->scales || leader->next_plan_us == 0)
+    return 0;
+  need = ca_service_stats (leader->gateway, service)->baseline_need;
+  return (uint32_t)need + (need > (uint32_t)need);
+}
+
 static ca_rollout_decision_t
 rollout_decide_now (ca_leader_t *leader, ca_rollout_task_t *task,
                     const ca_rollout_progress_t *progress, uint64_t elapsed_us)
 {
   const ca_gateway_t *gateway = leader->gateway;
-  double need
-      = ca_service_stats (leader->gateway, progress->service)->baseline_need;
   ca_rollout_conditions_t conditions
       = { .elapsed_us = elapsed_us,
           .step_us = gateway->now_us - task->step_since_us,
-          .needed = (uint32_t)need + (need > (uint32_t)need),
+          .needed = rollout_needed (leader, progress->service),
           .canary_permille
           = (uint32_t)(1000 * ROLLOUT_CANARY_PART
                        * gateway->options.bounds.exposure_share) };
--- a/tests/gateway/rollout_leaders.h
+++ b/tests/gateway/rollout_leaders.h
@@ -99,7 +99,7 @@
 /* An order for 6 target endpoints beside 6 old ones. */
 void order_put (uint64_t order, const char *target);
 
-/* Starts the world; the first entry leads, and an order is given. */
+/* Starts all entries, of which none leads, and gives an order. */
 void world_start (void);
 
 /* Gives an entry the lease under a fencing token, and takes it away. */
--- a/tests/gateway/test_rollout_order.c
+++ b/tests/gateway/test_rollout_order.c
@@ -170,6 +170,30 @@
   world_end ();
 }
 
+/* Fewer endpoints than the old versions have suffice if the fleet plan needs no
+ * more, but not by a plan from before this lease. */
+static void
+test_needed (void **state)
+{
+  (void)state;
+  world_start ();
+  for (size_t i = 0; i < ENTRIES; i++)
+    world.entries[i].rollout.progress.target_endpoints = 4;
+  world.entries[0].leader.scales = true;
+  ca_service_stats (&world.entries[0].gateway, SERVICE)->baseline_need = 3.5;
+  lead (0, 1);
+  set_verdict (GOOD);
+  world_run (7000);
+  assert_int_equal (progress_of (0)->stage, CANARY);
+  world.entries[0].leader.next_plan_us = world.now_us;
+  world_run (100);
+  assert_int_equal (progress_of (0)->stage, SHIFT);
+  ca_service_stats (&world.entries[0].gateway, SERVICE)->baseline_need = 4.5;
+  world_run (5000);
+  assert_int_equal (world.row.status.stage, REVERTED);
+  world_end ();
+}
+
 /* An entry that takes the lease reads the row first, keeps its time base, and
  * begins with the canary stage if it has heard no other. */
 static void
@@ -590,6 +614,7 @@
     cmocka_unit_test (test_no_endpoints),
     cmocka_unit_test (test_store_troubles),
     cmocka_unit_test (test_store_down_long),
+    cmocka_unit_test (test_needed),
     cmocka_unit_test (test_take_over),
     cmocka_unit_test (test_take_over_stage),
     cmocka_unit_test (test_take_over_decision),
