peer_transport: incoming links are bounded in number and memory

Beyond the number of links, the new connection was closed, so that silent ones kept peers away.

The link that has been unused for longest is closed instead, when there are too many, or when incomplete frames exceed a limit; one link alone may always have a whole frame.

--- a/packages/adapters/peer_transport.c
+++ b/packages/adapters/peer_transport.c
@@ -17,6 +17,9 @@
 #define LINK_QUEUE_MAX_BYTES (4 * 1024 * 1024)
 #define LINK_IDLE_TIMEOUT_US (30 * CA_US_PER_S)
 #define LINKS_MAX 1024
+
+/* Of incomplete frames of all incoming links together, unless it is set. */
+#define LINKS_MAX_INPUT_BYTES (64 * 1024 * 1024)
 #define SWEEP_PERIOD_S 2
 
 /* The receiver acknowledges each frame with one byte.  A link with a frame
@@ -30,6 +33,7 @@
   ca_peer_transport_t *transport;
   struct bufferevent *stream;
   bool incoming;
+  size_t input_bytes; /* in the transport's sum */
   ca_address_t address;
   uint64_t last_used_us;
   uint64_t unacked_frames;
@@ -42,6 +46,9 @@
 transport_link_free (ca_peer_link_t *link)
 {
   TAILQ_REMOVE (&link->transport->links, link, entries);
+  if (link->incoming)
+    link->transport->incoming--;
+  link->transport->input_bytes -= link->input_bytes;
   bufferevent_free (link->stream);
   free (link);
 }
@@ -107,6 +114,51 @@
   link->unacked_since_us = link->last_used_us;
 }
 
+/* Brings the sum of input up to date. */
+static void
+transport_link_count_input (ca_peer_link_t *link)
+{
+  size_t bytes = evbuffer_get_length (bufferevent_get_input (link->stream));
+
+  link->transport->input_bytes += bytes - link->input_bytes;
+  link->input_bytes = bytes;
+}
+
+/* Closes the incoming link that has been unused for longest, of those with
+ * input if `for_memory` is set.  False if there is none. */
+static bool
+transport_cut_link (ca_peer_transport_t *transport, bool for_memory)
+{
+  ca_peer_link_t *oldest = NULL;
+  ca_peer_link_t *link;
+
+  TAILQ_FOREACH (link, &transport->links, entries)
+  {
+    if (link->incoming && (!for_memory || link->input_bytes > 0)
+        && (oldest == NULL || link->last_used_us < oldest->last_used_us))
+      oldest = link;
+  }
+  if (oldest == NULL)
+    return false;
+  if (transport->limits.on_cut != NULL)
+    transport->limits.on_cut (transport->limits.context, for_memory);
+  transport_link_free (oldest);
+  return true;
+}
+
+/* Closes links until the frames that are being received are within the limit.
+ */
+static void
+transport_keep_input_limit (ca_peer_link_t *latest)
+{
+  ca_peer_transport_t *transport = latest->transport;
+
+  while (transport->input_bytes > transport->limits.max_input_bytes
+         && transport->input_bytes > latest->input_bytes
+         && transport_cut_link (transport, true))
+    ;
+}
+
 static void
 transport_link_on_readable (struct bufferevent *stream, void *context)
 {
@@ -124,8 +176,12 @@
   while (
       transport_read_frame (transport, bufferevent_get_input (stream), &error))
     bufferevent_write (stream, LINK_ACK_BYTE, 1);
+  transport_link_count_input (link);
   if (error.kind == CA_ERROR_NONE)
-    return;
+    {
+      transport_keep_input_limit (link);
+      return;
+    }
   transport->handler.on_bad_frame (transport->handler.context, error.message);
   transport_link_free (link);
 }
@@ -140,6 +196,8 @@
 
   link->transport = transport;
   link->incoming = incoming;
+  if (incoming)
+    transport->incoming++;
   link->last_used_us = ca_clock_now_us ();
   link->stream = bufferevent_socket_new (
       transport->base, fd, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
@@ -154,25 +212,19 @@
   return link;
 }
 
-/* Accepts a peer's connection, or closes it if there are too many links. */
+/* Accepts a peer's connection; closes the link that has been unused for longest
+ * if there are too many. */
 static void
 transport_on_accept (struct evconnlistener *listener, evutil_socket_t fd,
                      struct sockaddr *from, int length, void *context)
 {
   ca_peer_transport_t *transport = context;
-  ca_peer_link_t *link;
-  uint32_t count = 0;
 
   (void)listener;
   (void)from;
   (void)length;
-  TAILQ_FOREACH (link, &transport->links, entries)
-  count++;
-  if (count >= LINKS_MAX * 2)
-    {
-      evutil_closesocket (fd);
-      return;
-    }
+  if (transport->incoming >= transport->limits.max_links)
+    transport_cut_link (transport, false);
   transport_link_new (transport, fd, true);
 }
 
@@ -309,6 +361,8 @@
 
   memset (transport, 0, sizeof *transport);
   transport->handler = *handler;
+  transport->limits.max_links = LINKS_MAX;
+  transport->limits.max_input_bytes = LINKS_MAX_INPUT_BYTES;
   transport->base = base;
   TAILQ_INIT (&transport->links);
   transport_fill_sockaddr (listen, &at);
--- a/packages/adapters/peer_transport.h
+++ b/packages/adapters/peer_transport.h
@@ -27,11 +27,24 @@
   void *context;
 } ca_peer_transport_handler_t;
 
+/* Bounds of what incoming links occupy; changeable at any time. */
+typedef struct
+{
+  uint32_t max_links;     /* beyond, the one unused for longest is closed */
+  size_t max_input_bytes; /* of incomplete frames of all links together; one
+                             link alone may always have a whole frame */
+  void (*on_cut) (void *context, bool for_memory); /* may be NULL */
+  void *context;
+} ca_peer_transport_limits_t;
+
 typedef struct
 {
   ca_peer_transport_handler_t handler;
+  ca_peer_transport_limits_t limits;
   struct event_base *base; /* not owned */
   struct evconnlistener *listener;
+  uint32_t incoming;  /* links */
+  size_t input_bytes; /* of incoming links */
   TAILQ_HEAD (, ca_peer_link) links;
   struct event *sweep;
 } ca_peer_transport_t;
