--- a/packages/base/counters.c
+++ b/packages/base/counters.c
@@ -43,6 +43,12 @@
   "configs_requested",
   "configs_sent",
   "quota_loans",
+  "clients_cut_memory",
+  "clients_cut_unread",
+  "clients_cut_idle",
+  "clients_cut_busy",
+  "clients_cut_no_room",
+  "clients_cut_after_end",
 };
 
 static const char *const latency_names[CA_LATENCY_KINDS]
--- a/packages/base/counters.h
+++ b/packages/base/counters.h
@@ -44,6 +44,13 @@
   CA_COUNT_CONFIGS_REQUESTED, /* by this entry from its peers */
   CA_COUNT_CONFIGS_SENT,      /* to peers that requested them */
   CA_COUNT_QUOTA_LOANS,       /* parts of peers' quota that were borrowed */
+  /* Connections cut, by reason; in the order of client_cut_reasons. */
+  CA_COUNT_CLIENTS_CUT_MEMORY,
+  CA_COUNT_CLIENTS_CUT_UNREAD,
+  CA_COUNT_CLIENTS_CUT_IDLE,
+  CA_COUNT_CLIENTS_CUT_BUSY,
+  CA_COUNT_CLIENTS_CUT_NO_ROOM,
+  CA_COUNT_CLIENTS_CUT_AFTER_END,
   CA_COUNT_KINDS
 } ca_count_t;
 
--- a/packages/base/events.c
+++ b/packages/base/events.c
@@ -24,6 +24,12 @@
     "lines were dropped because the log exceeded its rate limit or its reader "
     "was slow",
     "use the counters for this period" },
+  { CA_EVENT_CLIENT_CUT, CA_LEVEL_WARNING, "client_cut",
+    "connections were closed or their requests refused to stay within the "
+    "limits on memory and descriptors; the detail counts them by reason since "
+    "the last line, at most one line a second",
+    "find the clients if this goes on; raise limits.memory_mb or "
+    "limits.file_descriptors if the machine has more" },
   { CA_EVENT_REQUEST_ACCEPTED, CA_LEVEL_DEBUG, "request_accepted",
     "a caller's request passed validation", NO_ACTION },
   { CA_EVENT_REQUEST_CLAIMED, CA_LEVEL_DEBUG, "request_claimed",
--- a/packages/daemon/main.c
+++ b/packages/daemon/main.c
@@ -105,6 +105,7 @@
       return true;
     case MAIN_PRINT_SETTINGS_PAGE:
       ca_settings_print_page (stdout);
+      ca_platform_settings_print_limits (stdout);
       return true;
     case MAIN_PRINT_EVENTS:
       ca_events_print (stdout);
--- a/packages/gateway/gateway.h
+++ b/packages/gateway/gateway.h
@@ -600,6 +600,11 @@
  * and of its workspace, NULL if it has none.  A workspace's keys may change. */
 uint64_t ca_request_fingerprint (uint64_t content, const char *workspace);
 
+/* True if a request with this head is refused whatever else it contains, as
+ * long as the configuration stays the same.  `key` may be NULL. */
+bool ca_gateway_refuses_head (const ca_gateway_t *gateway, const char *host,
+                              const char *path, const char *key);
+
 /* Admits a request.  The gateway owns the exchange and frees it after the
  * port call that ends it.  Returns NULL if it has ended already. */
 ca_exchange_t *ca_gateway_request (ca_gateway_t *gateway, uint64_t now_us,
--- a/packages/http/client.c
+++ b/packages/http/client.c
@@ -210,7 +210,7 @@
 }
 
 /* Skips interim responses and those that the call's on_head rejects. */
-static void
+static bool
 call_on_head (void *context)
 {
   ca_http_pool_call_t *call = context;
@@ -218,9 +218,10 @@
 
   call->skipping = head->status < 200;
   if (call->skipping || call->cancelled)
-    return;
+    return true;
   call->skipping = call->options.on_head (call->options.context, head)
                    == CA_HTTP_HEAD_SKIP;
+  return true;
 }
 
 static bool
--- a/packages/http/reader.c
+++ b/packages/http/reader.c
@@ -76,7 +76,8 @@
   return 0;
 }
 
-/* Makes the parser expect no body in a response to HEAD. */
+/* Makes the parser expect no body in a response to HEAD, or ends it if the
+ * message is not to be read. */
 static int
 reader_on_head (http_parser *parser)
 {
@@ -90,8 +91,11 @@
   head->has_framing = (parser->flags & F_CHUNKED) != 0
                       || (parser->flags & F_CONTENTLENGTH) != 0;
   reader->head_complete = true;
-  if (reader->on_head != NULL)
-    reader->on_head (reader->context);
+  if (reader->on_head != NULL && !reader->on_head (reader->context))
+    {
+      reader->stopped = true;
+      return -1;
+    }
   return reader->response_to_head ? 1 : 0;
 }
 
@@ -141,6 +145,7 @@
   reader->head_complete = false;
   reader->message_complete = false;
   reader->head_too_large = false;
+  reader->stopped = false;
 }
 
 void
@@ -183,6 +188,8 @@
       evbuffer_drain (input, used);
       if (reader->message_complete && !reader->parser.upgrade)
         return CA_HTTP_READ_COMPLETE;
+      if (reader->stopped && !reader->parser.upgrade)
+        return CA_HTTP_READ_STOPPED;
       if (used < bytes || HTTP_PARSER_ERRNO (&reader->parser) != HPE_OK
           || reader->parser.upgrade)
         return CA_HTTP_READ_MALFORMED;
@@ -190,6 +197,14 @@
   return CA_HTTP_READ_INCOMPLETE;
 }
 
+uint64_t
+ca_http_reader_announced_bytes (const ca_http_reader_t *reader)
+{
+  return (reader->parser.flags & F_CONTENTLENGTH) != 0
+             ? reader->parser.content_length
+             : 0;
+}
+
 bool
 ca_http_reader_eof (ca_http_reader_t *reader)
 {
--- a/packages/http/reader.h
+++ b/packages/http/reader.h
@@ -24,6 +24,7 @@
 {
   CA_HTTP_READ_INCOMPLETE, /* all input was consumed; the message continues */
   CA_HTTP_READ_COMPLETE,   /* the message is complete; input after it is left */
+  CA_HTTP_READ_STOPPED,    /* on_head stopped the reader after the head */
   CA_HTTP_READ_MALFORMED   /* not HTTP, or the head is too large */
 } ca_http_read_t;
 
@@ -37,6 +38,7 @@
   bool head_complete;
   bool message_complete;
   bool head_too_large; /* its head is why the message is malformed */
+  bool stopped;        /* by on_head */
   uint32_t head_bytes;
   uint32_t max_head_bytes;
   char *name; /* field being parsed */
@@ -47,8 +49,9 @@
   /* Called for each part of the body; must not use the reader.  If it returns
    * false, the message counts as malformed. */
   bool (*on_body) (void *context, const char *bytes, size_t count);
-  /* Called when the head is complete. */
-  void (*on_head) (void *context);
+  /* Called when the head is complete.  If it returns false, the rest of the
+   * message is not read. */
+  bool (*on_head) (void *context);
   void *context;
 } ca_http_reader_t;
 
@@ -64,6 +67,9 @@
 ca_http_read_t ca_http_reader_feed (ca_http_reader_t *reader,
                                     struct evbuffer *input);
 
+/* Length of the body that the head announces; 0 if it announces none. */
+uint64_t ca_http_reader_announced_bytes (const ca_http_reader_t *reader);
+
 /* Handles the orderly end of the stream; true if it completes the message. */
 bool ca_http_reader_eof (ca_http_reader_t *reader);
 
