camphorctl check: findings about a configuration before it is written

An operator saw what is wrong with a configuration only once the entries had refused it, and never which rows cannot match.

--- a/packages/ctl/commands.c
+++ b/packages/ctl/commands.c
@@ -1,6 +1,7 @@
 /* Commands of camphorctl: each queries the entries and prints the result. */
 #include "ctl/commands.h"
 
+#include "ctl/check.h"
 #include "ctl/client.h"
 
 #include <stdlib.h>
@@ -174,13 +175,19 @@
 
 const ca_ctl_command_t ca_ctl_commands[] = {
   { "plan", "FILE", "make a plan from an intent file and show its effects",
-    commands_plan },
-  { "confirm", "PLAN", "apply a plan", commands_confirm },
+    commands_plan, false },
+  { "confirm", "PLAN", "apply a plan", commands_confirm, false },
   { "status", NULL, "show applied revisions, entries and endpoints",
-    commands_status },
+    commands_status, false },
   { "timeline", NULL, "show the merged events of all entries",
-    commands_timeline },
-  { "explain", "REQUEST", "show all events of one request", commands_explain },
-  { "drain", NULL, "start a planned stop of the first entry", commands_drain },
-  { NULL, NULL, NULL, NULL },
+    commands_timeline, false },
+  { "explain", "REQUEST", "show all events of one request", commands_explain,
+    false },
+  { "drain", NULL, "start a planned stop of the first entry", commands_drain,
+    false },
+  { "check", "FILE",
+    "check a configuration before it is written to the store; exit status 1 "
+    "with warnings, 2 with errors",
+    ca_ctl_check, true },
+  { NULL, NULL, NULL, NULL, false },
 };
--- a/packages/ctl/commands.h
+++ b/packages/ctl/commands.h
@@ -13,6 +13,8 @@
   size_t entry_count;
   uint32_t timeout_ms;
   ca_timeline_filter_t filter;
+  const char *against; /* former configuration; NULL if none is given */
+  bool json;
 } ca_ctl_t;
 
 typedef int (*ca_ctl_run_t) (const ca_ctl_t *ctl, const char *argument);
@@ -23,6 +25,7 @@
   const char *argument; /* NULL: takes none */
   const char *doc;
   ca_ctl_run_t run; /* returns the exit status */
+  bool is_local;    /* calls no entry */
 } ca_ctl_command_t;
 
 /* Terminated by a row whose name is NULL. */
--- a/packages/ctl/main.c
+++ b/packages/ctl/main.c
@@ -10,6 +10,13 @@
 #define TIMEOUT_DEFAULT_MS 10000
 #define TIMEOUT_MAX_MS 600000
 
+/* Options without a short form. */
+enum
+{
+  CTL_AGAINST = 0x100,
+  CTL_JSON
+};
+
 typedef struct
 {
   ca_ctl_t ctl;
@@ -24,6 +31,9 @@
   { "request", 'r', "ID", 0, "timeline: show only this request", 0 },
   { "endpoint", 'p', "ID", 0, "timeline: show only this endpoint", 0 },
   { "workspace", 'w', "NAME", 0, "timeline: show only this workspace", 0 },
+  { "against", CTL_AGAINST, "FILE", 0,
+    "check: show what differs from this configuration", 0 },
+  { "json", CTL_JSON, NULL, 0, "check: print one JSON object", 0 },
   { NULL, 0, NULL, 0, NULL, 0 },
 };
 
@@ -86,7 +96,7 @@
   else if (program->command->argument != NULL && program->argument == NULL)
     argp_error (state, "%s requires %s", program->command->name,
                 program->command->argument);
-  else if (program->ctl.entry_count == 0)
+  else if (!program->command->is_local && program->ctl.entry_count == 0)
     argp_error (state, "no entries given: use --entries or " ENTRIES_VARIABLE);
 }
 
@@ -119,6 +129,12 @@
     case 'w':
       program->ctl.filter.workspace = value;
       return 0;
+    case CTL_AGAINST:
+      program->ctl.against = value;
+      return 0;
+    case CTL_JSON:
+      program->ctl.json = true;
+      return 0;
     case ARGP_KEY_ARG:
       ctl_parse_argument (program, state, value);
       return 0;
