--- a/packages/ctl/check.c
+++ b/packages/ctl/check.c
@@ -12,42 +12,57 @@
 
 #define CHECK_READ_BYTES 65536
 
-/* Content of a file, which the caller frees; NULL with a message if it cannot
- * be read. */
+/* Reads to the end, or a little beyond the maximum size.  The caller frees the
+ * text; NULL if reading failed. */
 static char *
-check_read_file (const char *path, size_t *bytes)
+check_read (FILE *in, size_t *bytes)
 {
-  FILE *in = fopen (path, "r");
   char *text = NULL;
+  char *larger;
   size_t room = 0;
   size_t count = 1;
 
   *bytes = 0;
-  while (in != NULL && count > 0 && *bytes <= CHECK_MAX_FILE_BYTES)
+  while (count > 0 && *bytes <= CHECK_MAX_FILE_BYTES)
     {
       if (room - *bytes < CHECK_READ_BYTES)
         {
           room = 2 * room + CHECK_READ_BYTES;
-          text = realloc (text, room);
+          larger = realloc (text, room);
+          if (larger == NULL)
+            break;
+          text = larger;
         }
       count = fread (text + *bytes, 1, CHECK_READ_BYTES, in);
       *bytes += count;
     }
-  if (in != NULL && !ferror (in) && *bytes <= CHECK_MAX_FILE_BYTES)
-    {
-      fclose (in);
-      return text;
-    }
-  fprintf (stderr, "%s: %s\n", path,
-           *bytes > CHECK_MAX_FILE_BYTES
-               ? "larger than 256 MB; give a configuration"
-               : strerror (errno));
-  if (in != NULL)
-    fclose (in);
+  if (count == 0 && !ferror (in))
+    return text;
   free (text);
   return NULL;
 }
 
+/* Content of a file, which the caller frees; NULL with a message if it cannot
+ * be read. */
+static char *
+check_read_file (const char *path, size_t *bytes)
+{
+  FILE *in = fopen (path, "r");
+  char *text = NULL;
+
+  *bytes = 0;
+  if (in != NULL)
+    text = check_read (in, bytes);
+  if (text == NULL)
+    fprintf (stderr, "%s: %s\n", path,
+             *bytes > CHECK_MAX_FILE_BYTES
+                 ? "larger than 256 MB; give a configuration"
+                 : strerror (errno));
+  if (in != NULL)
+    fclose (in);
+  return text;
+}
+
 int
 ca_ctl_check (const ca_ctl_t *ctl, const char *path)
 {
--- a/tests/gateway/test_http_limits.c
+++ b/tests/gateway/test_http_limits.c
@@ -75,13 +75,14 @@
 static void
 fixture_start (fixture_t *fixture, size_t received_bytes, size_t unsent_bytes)
 {
-  const ca_http_handler_t handler
-      = { fixture_on_request, fixture_on_disconnect, fixture };
+  ca_http_handler_t handler
+      = { fixture_on_request, fixture_on_disconnect, NULL };
   const ca_http_limits_t limits = { 1024, 200000, 2000, 4000 };
   ca_address_t address = { .ip = LOOPBACK };
   ca_error_t error;
 
   memset (fixture, 0, sizeof *fixture);
+  handler.context = fixture;
   fixture->base = event_base_new ();
   ca_http_memory_init (&fixture->memory, received_bytes, unsent_bytes);
   fixture->memory.on_cut = fixture_on_cut;
