http: responses are queued in pieces that are freed as they are sent

20 connections that each ask for ten answers of 2 MB at once and read none bring an entry to 451 MB at (regress/test_unread_answers, 32 MB allowed), and to 40 to 48 MB with the budgets: the part of an answer that is left counts 70 KB, but the answer is one piece of memory until its last byte is sent. The stand-in endpoint has the fault big.

--- a/packages/http/server.c
+++ b/packages/http/server.c
@@ -32,6 +32,11 @@
 /* Maximum time for which the rest of a refused request is awaited. */
 #define SERVER_DISCARD_MS 1000
 
+/* Responses are queued in pieces of this size, with the buffer's own header a
+ * power of two.  A piece is freed once it was sent; a response in one piece
+ * would keep its memory until its last byte was. */
+#define SERVER_PIECE_BYTES (16 * 1024 - 64)
+
 /* Retry-After of a request that is refused for memory. */
 #define SERVER_RETRY_AFTER "1"
 
@@ -135,6 +140,23 @@
   return false;
 }
 
+/* Queues a part of a response. */
+static void
+connection_queue (ca_http_connection_t *connection, const char *bytes,
+                  size_t count)
+{
+  struct evbuffer *out = bufferevent_get_output (connection->stream);
+
+  while (count > 0)
+    {
+      size_t piece = count < SERVER_PIECE_BYTES ? count : SERVER_PIECE_BYTES;
+
+      evbuffer_add (out, bytes, piece);
+      bytes += piece;
+      count -= piece;
+    }
+}
+
 /* Writes the status line and header fields, except framing. */
 static void
 connection_write_head (ca_http_connection_t *connection, uint32_t status,
@@ -198,7 +220,7 @@
   connection_write_head (connection, status, headers);
   evbuffer_add_printf (out, "Content-Length: %zu\r\n\r\n", bytes);
   if (!connection->no_body)
-    evbuffer_add (out, body, bytes);
+    connection_queue (connection, body, bytes);
   connection_next_request (connection);
 }
 
@@ -233,7 +255,7 @@
   if (count == 0 || connection->no_body)
     return;
   evbuffer_add_printf (out, "%zx\r\n", count);
-  evbuffer_add (out, bytes, count);
+  connection_queue (connection, bytes, count);
   evbuffer_add (out, "\r\n", 2);
 }
 
--- a/tests/site/hostile.c
+++ b/tests/site/hostile.c
@@ -101,6 +101,10 @@
   { "pipelined", NULL, "", ANNOUNCES_NONE, PIECE_TEXT,
     "GET /metrics HTTP/1.1\r\nHost: host.example\r\n\r\n", COUNT_FIXED, 4000,
     false },
+  { "unread", NULL, "", ANNOUNCES_NONE, PIECE_TEXT,
+    "POST /again/x HTTP/1.1\r\nHost: host.example\r\n" ID_FIELD KEY_FIELD
+    "Content-Length: 1\r\n\r\nx",
+    COUNT_FIXED, 10, false },
   /* A frame between entries of 7 MB, which its sender does not end. */
   { "open-frame", NULL, "", ANNOUNCES_FRAME, PIECE_PLAIN, NULL, COUNT_FIXED, 69,
     false },
--- a/tests/site/replica.c
+++ b/tests/site/replica.c
@@ -17,12 +17,12 @@
  * /control takes
  * {"fault": NAME, "next": N} for the next N requests: reject, error, reset,
  * cut, lost, encoded, unsigned, endless (a body, or an event, that never ends),
- * flood (events without end), swell (a body of 16 MB that does not end then),
- * drip (the same, a byte at a time), repeat (a request is rejected; if it comes
- * again on its connection it runs, and the rejection is written once more),
- * bare (it runs, and a rejection that names no request is written), copy (it
- * runs, and the latest whole answer is written in place of its own, without
- * the id of a request); or
+ * flood (events without end), big (a whole body of 2 MB), swell (a body of 16
+ * MB that does not end then), drip (the same, a byte at a time), repeat (a
+ * request is rejected; if it comes again on its connection it runs, and the
+ * rejection is written once more), bare (it runs, and a rejection that names no
+ * request is written), copy (it runs, and the latest whole answer is written in
+ * place of its own, without the id of a request); or
  * {"leaving": true}, which all responses then say, {"brittle": N}, as
  * --brittle, except that it does not end in the first 3 s, {"pause": TEXT},
  * with which requests are turned away, "" for none, or {"limit": TEXT}, which
@@ -54,6 +54,7 @@
 #define REPLICA_FLOOD_EVENTS 16
 #define REPLICA_FLOOD_EVENT_BYTES 4096
 #define REPLICA_SWELL_BYTES (16 * 1024 * 1024)
+#define REPLICA_BIG_BYTES (2 * 1024 * 1024)
 
 /* Spans over which limited requests are counted, and the time that the entries
  * have to learn of the limit. */
@@ -286,13 +287,16 @@
 run_answer_plain (run_t *run)
 {
   ca_headers_t headers;
+  static char big[REPLICA_BIG_BYTES];
   char body[256];
   int bytes = snprintf (body, sizeof body, "answer to %s", run->id);
+  bool is_big = strcmp (run->fault, "big") == 0;
   uint32_t status = strcmp (run->fault, "error") == 0 ? 500 : 200;
 
   strlcpy (replica.answered_id, run->id, sizeof replica.answered_id);
   run_headers (run, &headers);
-  ca_http_respond (run->request, status, &headers, body, (size_t)bytes);
+  ca_http_respond (run->request, status, &headers, is_big ? big : body,
+                   is_big ? sizeof big : (size_t)bytes);
   ca_headers_finish (&headers);
 }
 
