--- a/packages/base/counters.h
+++ b/packages/base/counters.h
@@ -46,8 +46,15 @@
   CA_COUNT_QUOTA_LOANS,       /* parts of peers' quota that were borrowed */
   CA_COUNT_ROLLOUT_ANSWERS,   /* of versions that are rolled out */
   CA_COUNT_ROLLOUT_BAD_ANSWERS,
-  CA_COUNT_ROLLOUT_WRITES,    /* status rows of rollouts, accepted */
-  CA_COUNT_ROLLOUT_BAD_ROWS,  /* rows that cannot be carried out */
+  CA_COUNT_ROLLOUT_WRITES,   /* status rows of rollouts, accepted */
+  CA_COUNT_ROLLOUT_BAD_ROWS, /* rows that cannot be carried out */
+  /* Connections cut, by reason; in the order of client_cut_reasons. */
+  CA_COUNT_CLIENTS_CUT_MEMORY,
+  CA_COUNT_CLIENTS_CUT_UNREAD,
+  CA_COUNT_CLIENTS_CUT_IDLE,
+  CA_COUNT_CLIENTS_CUT_BUSY,
+  CA_COUNT_CLIENTS_CUT_NO_ROOM,
+  CA_COUNT_CLIENTS_CUT_AFTER_END,
   CA_COUNT_KINDS
 } ca_count_t;
 
