start_pace: endpoints that start get few requests until they answer like others

Cause: an engine that has just started, or returns from an ejection or a pause, has no load and looks cheapest. At once it is the home of its part of the sessions, whose prompts count as cached there although it has read none of them.

Change: all entries together keep at most a window of requests open there; the entries divide it by rendezvous hashing and report it in heartbeats. The window grows with answers in time and halves with slow or failed ones. In force where the engines of a service are distinguished by speed or the record names a cold start (cold_remaining_ms). Requests that no other endpoint can take, or that would be refused as overload, are not limited.

Switched off, test_cold_start fails.

Tried and dropped: entries with a part compare the engine every time.

--- a/packages/base/events.c
+++ b/packages/base/events.c
@@ -88,6 +88,13 @@
     "none; replace endpoints that stay slow" },
   { CA_EVENT_ENDPOINTS_EVEN, CA_LEVEL_INFO, "endpoints_even",
     "a service's engines are about equally fast again", "none" },
+  { CA_EVENT_ENDPOINT_STARTING, CA_LEVEL_INFO, "endpoint_starting",
+    "an engine starts or returns; it gets few requests until it has answered "
+    "like the others of its service",
+    NO_ACTION },
+  { CA_EVENT_ENDPOINT_STARTED, CA_LEVEL_INFO, "endpoint_started",
+    "the requests to an engine that had started are no longer limited",
+    NO_ACTION },
   { CA_EVENT_ENDPOINTS_NOT_BRITTLE, CA_LEVEL_INFO, "endpoints_not_brittle",
     "a service's endpoints no longer say that they bear few rejections",
     NO_ACTION },
--- a/packages/gateway/endpoint_notice.c
+++ b/packages/gateway/endpoint_notice.c
@@ -30,6 +30,7 @@
   if (until_us <= endpoint->paused_until_us)
     return;
   endpoint->paused_until_us = until_us;
+  ca_endpoint_start_paused (gateway, endpoint);
   ca_gateway_log (gateway, CA_EVENT_ENDPOINT_PAUSED, request, endpoint->id,
                   "for %" PRIu64 " ms", pause_us / CA_US_PER_MS);
 }
--- a/packages/gateway/exchange.c
+++ b/packages/gateway/exchange.c
@@ -497,6 +497,9 @@
                 - ca_prompt_shared_tokens (&exchange->prompt));
   if (selection.endpoint != NULL)
     {
+      if (selection.any_paced
+          && exchange_is_overloaded (exchange, &selection, gateway->now_us))
+        selection = ca_select_endpoint_unpaced (gateway, exchange);
       if (exchange_is_overloaded (exchange, &selection, gateway->now_us))
         {
           exchange_refuse (gateway, exchange, CA_REFUSE_OVERLOADED,
@@ -605,6 +608,7 @@
   exchange_begin_run (gateway, exchange, exchange->sent_us);
   ca_crash_tracker_suspect (gateway, exchange, false);
   ca_gateway_endpoint_failed (exchange->endpoint, gateway->now_us, false);
+  ca_endpoint_start_failed (gateway, exchange->endpoint);
   ca_slot_permits_ended (gateway, exchange->endpoint, false, true);
   exchange_avoid (exchange, exchange->endpoint);
   exchange_retry (gateway, exchange, true);
@@ -642,6 +646,7 @@
   else
     {
       endpoint->full_until_us = gateway->now_us + FULL_BACKOFF_US;
+      ca_endpoint_start_failed (gateway, endpoint);
       ca_brittle_rejected (gateway, exchange);
       ca_slot_permits_ended (gateway, endpoint, true, false);
     }
@@ -707,7 +712,10 @@
                                      gateway->now_us - exchange->sent_us);
     }
   else
-    ca_gateway_endpoint_failed (exchange->endpoint, gateway->now_us, false);
+    {
+      ca_gateway_endpoint_failed (exchange->endpoint, gateway->now_us, false);
+      ca_endpoint_start_failed (gateway, exchange->endpoint);
+    }
   if (failed && exchange_is_repeatable (exchange)
       && exchange->runs + exchange->prior_runs < exchange->route->max_attempts
       && exchange_has_time (gateway, exchange)
@@ -895,6 +903,7 @@
       exchange_log_failure (gateway, exchange, "unreachable");
       exchange->connect_failures++;
       ca_gateway_endpoint_failed (exchange->endpoint, gateway->now_us, true);
+      ca_endpoint_start_failed (gateway, exchange->endpoint);
       ca_slot_permits_ended (gateway, exchange->endpoint, false, true);
       ca_crash_tracker_unreachable (gateway, exchange->endpoint);
       ca_reach_failed (gateway, exchange->endpoint);
--- a/packages/gateway/peers.c
+++ b/packages/gateway/peers.c
@@ -396,7 +396,8 @@
 
 /* Fills in this entry's load at one endpoint, and its measured speed. */
 static void
-peer_fill_load (const ca_gateway_endpoint_t *endpoint, Camphor__SeatLoad *row)
+peer_fill_load (const ca_gateway_t *gateway,
+                const ca_gateway_endpoint_t *endpoint, Camphor__SeatLoad *row)
 {
   camphor__seat_load__init (row);
   row->seat = endpoint->id;
@@ -405,6 +406,7 @@
   row->held_tokens = endpoint->own_load.held_tokens;
   row->samples = endpoint->model.round_count;
   row->slowness_permille = (uint32_t)(endpoint->model.round_ratio * 1000 + 0.5);
+  row->window = ca_endpoint_start_window (gateway, endpoint);
 }
 
 /* Fills in this entry's load per endpoint, and the draining endpoints. */
@@ -426,7 +428,7 @@
       if ((endpoint->own_load.open == 0 && endpoint->model.round_count == 0)
           || heartbeat->n_loads == HEARTBEAT_MAX_LOADS)
         continue;
-      peer_fill_load (endpoint, &buffer->loads[heartbeat->n_loads]);
+      peer_fill_load (gateway, endpoint, &buffer->loads[heartbeat->n_loads]);
       buffer->load_rows[heartbeat->n_loads]
           = &buffer->loads[heartbeat->n_loads];
       heartbeat->n_loads++;
@@ -724,6 +726,7 @@
   gateway->round_started_us = gateway->now_us;
   gateway->rounds++;
   ca_endpoint_speed_begin_round (gateway);
+  ca_endpoint_start_begin_round (gateway);
   HASH_ITER (hh, gateway->peers, peer, next)
   {
     uint64_t since_us
@@ -865,6 +868,7 @@
       = (int64_t)(heartbeat->wall_ms * CA_US_PER_MS) - (int64_t)gateway->now_us;
   peer_count_loads (gateway, peer, true);
   ca_endpoint_speed_merge (gateway, heartbeat);
+  ca_endpoint_start_merge (gateway, heartbeat);
   ca_slot_permits_merge (gateway, peer);
   peer_apply_draining (gateway, heartbeat);
   ca_state_sync_peer_era (gateway, heartbeat->store_era);
--- a/packages/gateway/private.h
+++ b/packages/gateway/private.h
@@ -65,6 +65,45 @@
 void ca_endpoint_speed_merge (ca_gateway_t *gateway,
                               const Camphor__Pulse *heartbeat);
 
+/* endpoint_start.c */
+
+/* True if this entry may send the endpoint one more request.  One that starts
+ * gets few until it has answered like the others of its service. */
+bool ca_endpoint_start_allows (ca_gateway_t *gateway,
+                               ca_gateway_endpoint_t *endpoint);
+
+/* Factor by which this entry, if it may use the endpoint, compares it more
+ * often than others: without that, an endpoint that starts would get requests
+ * of a window's part of the entries only, and no more from each of them. */
+double ca_endpoint_start_sample_factor (const ca_gateway_endpoint_t *endpoint);
+
+/* Note that a record was read, that the endpoint asked for a pause, and that an
+ * attempt there failed or was rejected: it starts, starts again after the pause
+ * or the ejection, or gets fewer requests. */
+void ca_endpoint_start_listed (ca_gateway_t *gateway,
+                               const ca_endpoint_record_t *record);
+void ca_endpoint_start_paused (ca_gateway_t *gateway,
+                               ca_gateway_endpoint_t *endpoint);
+void ca_endpoint_start_failed (ca_gateway_t *gateway,
+                               ca_gateway_endpoint_t *endpoint);
+
+/* Notes the first event of an attempt; `fixed_us` is the part
+ * of its time that does not depend on the endpoint. */
+void ca_endpoint_start_answered (ca_gateway_t *gateway,
+                                 const ca_exchange_t *exchange,
+                                 uint64_t fixed_us);
+
+/* The window to report to peers; 0 if the endpoint does not start. */
+uint32_t ca_endpoint_start_window (const ca_gateway_t *gateway,
+                                   const ca_gateway_endpoint_t *endpoint);
+
+/* Begins a round of heartbeats, and merges what a peer's says of endpoints that
+ * start. */
+void ca_endpoint_start_begin_round (ca_gateway_t *gateway);
+void ca_endpoint_start_merge (ca_gateway_t *gateway,
+                              const Camphor__Pulse *heartbeat);
+void ca_endpoint_start_tick (ca_gateway_t *gateway);
+
 /* state_sync.c */
 
 void ca_state_sync_tick (ca_gateway_t *gateway);
@@ -93,6 +132,7 @@
   ca_gateway_endpoint_t *endpoint; /* NULL if none can take it now */
   bool any_open;    /* the service has an open endpoint that is not limited */
   bool any_limited; /* it has one that gets no more now due to its limit */
+  bool any_paced;   /* it has one that gets no more now since it starts */
   uint64_t resumes_us;   /* when the first one that paused takes requests; 0 if
                             none has */
   uint64_t predicted_us; /* time to the first event or response */
@@ -111,6 +151,10 @@
 ca_selection_t ca_select_endpoint (ca_gateway_t *gateway,
                                    const ca_exchange_t *exchange);
 
+/* The same without the limits of endpoints that start. */
+ca_selection_t ca_select_endpoint_unpaced (ca_gateway_t *gateway,
+                                           const ca_exchange_t *exchange);
+
 /* Returns the statistics of a service, created on first use. */
 ca_service_stats_t *ca_service_stats (ca_gateway_t *gateway, const char *name);
 
--- a/packages/gateway/registry.h
+++ b/packages/gateway/registry.h
@@ -5,6 +5,7 @@
 
 #include "base/settings.h"
 #include "gateway/endpoint_model.h"
+#include "gateway/start_pace.h"
 
 #include <stdbool.h>
 #include <stdint.h>
@@ -31,6 +32,7 @@
   uint32_t slots;
   uint64_t started_ms; /* start of this instance, Unix time; 0 if unknown */
   uint64_t leaves_ms;  /* time until the VM is reclaimed; 0 if unknown */
+  uint64_t cold_remaining_ms; /* it is slower for so long; 0 if unknown */
 } ca_endpoint_record_t;
 
 /* Load that entries have put on an endpoint. */
@@ -107,6 +109,11 @@
   uint64_t probed_us;         /* last connection that was tried */
   double latency_us;          /* smoothed, of plain responses */
   ca_endpoint_model_t model;  /* speed, of an engine */
+  ca_start_pace_t start;
+  bool start_announced;   /* the limit of its start has applied */
+  uint32_t start_entries; /* that share its window */
+  uint32_t start_rank;    /* of this entry among them */
+  uint64_t start_ranked_us;
   ca_endpoint_limit_t limit;
   ca_slot_permits_t *slot_permits; /* NULL unless it is a brittle engine */
   /* Prompt parts that this entry has sent there. */
--- a/packages/gateway/select.c
+++ b/packages/gateway/select.c
@@ -130,6 +130,7 @@
   double weight;
 
   ca_endpoint_speed_observe (gateway, exchange, SELECT_FIRST_EVENT_US);
+  ca_endpoint_start_answered (gateway, exchange, SELECT_FIRST_EVENT_US);
   if (!exchange->endpoint_idle
       || exchange->prefill_tokens < SELECT_LEARN_TOKENS_MIN)
     return;
@@ -170,6 +171,7 @@
   SELECT_FULL,        /* reported no capacity a moment ago */
   SELECT_FALLBACK,    /* failed for this request, ejected, or of a version that
                          some entries may not know */
+  SELECT_PACED,       /* starting, and gets no more from this entry now */
   SELECT_ELIGIBLE
 } select_eligibility_t;
 
@@ -198,7 +200,10 @@
   if (permission != CA_SLOT_PERMITTED)
     return permission == CA_SLOT_DENIED || is_fallback ? SELECT_LIMITED
                                                        : SELECT_UNPERMITTED;
-  return is_fallback ? SELECT_FALLBACK : SELECT_ELIGIBLE;
+  if (is_fallback)
+    return SELECT_FALLBACK;
+  return ca_endpoint_start_allows (gateway, endpoint) ? SELECT_ELIGIBLE
+                                                      : SELECT_PACED;
 }
 
 /* True if the endpoint may be selected; one that needs a permit is of use only
@@ -448,9 +453,13 @@
         best.resumes_us = endpoint->paused_until_us;
       if (eligibility > SELECT_UNPERMITTED)
         best.any_open = true;
+      if (eligibility == SELECT_PACED)
+        best.any_paced = true;
       if (!select_suffices (eligibility, required)
           || (endpoint != survey->home && sample_share < 1
-              && ca_gateway_random (gateway) >= sample_share)
+              && ca_gateway_random (gateway)
+                     >= sample_share
+                            * ca_endpoint_start_sample_factor (endpoint))
           || (required == SELECT_FALLBACK
               && select_is_unreachable (gateway, endpoint)))
         continue;
@@ -549,11 +558,15 @@
   return source != NULL ? source : next_home;
 }
 
-ca_selection_t
-ca_select_endpoint (ca_gateway_t *gateway, const ca_exchange_t *exchange)
+/* The best endpoint of at least this eligibility, or any that is open. */
+static ca_selection_t
+select_endpoint (ca_gateway_t *gateway, const ca_exchange_t *exchange,
+                 select_eligibility_t preferred)
 {
-  ca_selection_t selection = select_best (gateway, exchange, SELECT_ELIGIBLE);
+  ca_selection_t selection = select_best (gateway, exchange, preferred);
 
+  if (selection.endpoint == NULL && selection.any_paced)
+    selection = select_best (gateway, exchange, SELECT_PACED);
   if (selection.endpoint == NULL && selection.any_open)
     selection = select_best (gateway, exchange, SELECT_FALLBACK);
   if (selection.endpoint != NULL && exchange->service->is_engine)
@@ -561,6 +574,24 @@
   return selection;
 }
 
+ca_selection_t
+ca_select_endpoint (ca_gateway_t *gateway, const ca_exchange_t *exchange)
+{
+  ca_selection_t selection
+      = select_endpoint (gateway, exchange, SELECT_ELIGIBLE);
+
+  if (selection.any_paced)
+    ca_counters_add (&gateway->counters, CA_COUNT_ENDPOINTS_PACED, 1);
+  return selection;
+}
+
+ca_selection_t
+ca_select_endpoint_unpaced (ca_gateway_t *gateway,
+                            const ca_exchange_t *exchange)
+{
+  return select_endpoint (gateway, exchange, SELECT_PACED);
+}
+
 ca_gateway_endpoint_t *
 ca_select_to_request (ca_gateway_t *gateway, const ca_exchange_t *exchange)
 {
--- a/packages/gateway/state_sync.c
+++ b/packages/gateway/state_sync.c
@@ -190,6 +190,7 @@
   const ca_gateway_endpoint_t *replaced
       = ca_registry_replaced (&gateway->registry, record);
   ca_gateway_endpoint_t *endpoint;
+  bool is_changed;
 
   gateway->now_us = now_us;
   if (replaced != NULL)
@@ -200,7 +201,9 @@
           != replaced->version_number)
         ca_stream_versions_replaced (gateway, replaced, record->started_ms);
     }
-  if (!ca_registry_put (&gateway->registry, now_us, record))
+  is_changed = ca_registry_put (&gateway->registry, now_us, record);
+  ca_endpoint_start_listed (gateway, record);
+  if (!is_changed)
     return;
   endpoint = ca_registry_find (&gateway->registry, record->id);
   ca_stream_versions_listed (gateway, endpoint);
--- a/tests/gateway/engine_fleet.c
+++ b/tests/gateway/engine_fleet.c
@@ -147,6 +147,21 @@
   engine_read (engine);
 }
 
+/* Tokens of the prompt that the engine does not have cached. */
+static uint32_t
+engine_unread_tokens (fleet_engine_t *engine, const ca_exchange_t *exchange)
+{
+  uint64_t session = exchange->prompt.parts[0].prefix_hash % FLEET_SESSIONS_MAX;
+  uint32_t tokens = exchange->prompt.tokens;
+
+  if (fleet.options.sessions == 0)
+    return tokens;
+  if (engine->cached[session])
+    return tokens - ca_prompt_shared_tokens (&exchange->prompt);
+  engine->cached[session] = true;
+  return tokens;
+}
+
 static void
 on_attempt (void *context, ca_exchange_t *exchange, const ca_attempt_t *attempt)
 {
@@ -157,7 +172,8 @@
   run->exchange = exchange;
   run->entry = (size_t)(uintptr_t)context;
   run->arrived_us = fleet.now_us;
-  run->work_us = exchange->prompt.tokens * CA_US_PER_MS / FLEET_TOKENS_PER_MS
+  run->work_us = engine_unread_tokens (engine, exchange) * CA_US_PER_MS
+                     / FLEET_TOKENS_PER_MS
                  + FLEET_STEP_EVENT_US;
   if (engine->open >= fleet.options.slots)
     {
@@ -242,8 +258,8 @@
 on_log (void *context, const ca_log_event_t *event)
 {
   (void)context;
-  fleet.started_events += (int)event->event == 323;
-  fleet.ended_events += (int)event->event == 324;
+  fleet.started_events += event->event == CA_EVENT_ENDPOINT_STARTING;
+  fleet.ended_events += event->event == CA_EVENT_ENDPOINT_STARTED;
   fleet.uneven_events += event->event == CA_EVENT_ENDPOINTS_UNEVEN;
   fleet.even_events += event->event == CA_EVENT_ENDPOINTS_EVEN;
 }
@@ -264,6 +280,7 @@
   record.zone = zone;
   record.slots = fleet.options.slots;
   record.started_ms = engine->started_ms;
+  record.cold_remaining_ms = engine->cold_ms;
   ca_gateway_endpoint_listed (&fleet.gateways[entry], fleet.now_us, &record);
 }
 
@@ -282,6 +299,7 @@
 void
 fleet_prepare (const fleet_options_t *options)
 {
+  fleet_deliver (true); /* left over by a test that failed */
   memset (&fleet, 0, sizeof fleet);
   fleet.options = *options;
   fleet.seed = 7;
@@ -359,11 +377,28 @@
   facts.prompt.tokens
       = (uint32_t)(FLEET_TOKENS_MEAN * (0.5 + fleet_uniform ()));
   facts.prompt.output_tokens = 50;
-  ca_prompt_add (&facts.prompt, fleet.seed, facts.prompt.tokens);
+  if (fleet.options.sessions > 0)
+    {
+      uint32_t shared = facts.prompt.tokens * 4 / 5;
+
+      ca_prompt_add (&facts.prompt,
+                     (uint64_t)(fleet_uniform () * fleet.options.sessions),
+                     shared);
+      ca_prompt_add (&facts.prompt, fleet.seed, facts.prompt.tokens - shared);
+    }
+  else
+    ca_prompt_add (&facts.prompt, fleet.seed, facts.prompt.tokens);
   fleet.requested++;
   ca_gateway_request (&fleet.gateways[entry], fleet.now_us, &facts);
 }
 
+void
+fleet_set_load (double load)
+{
+  fleet.options.load = load;
+  fleet.next_request_us = (double)fleet.now_us;
+}
+
 static void
 fleet_step (void)
 {
@@ -380,7 +415,7 @@
         ca_gateway_tick (&fleet.gateways[i], fleet.now_us,
                          FLEET_WALL_US + fleet.now_us);
     }
-  while (fleet.next_request_us < (double)fleet.now_us)
+  while (rate_per_us > 0 && fleet.next_request_us < (double)fleet.now_us)
     {
       fleet.next_request_us += -log (1 - fleet_uniform ()) / rate_per_us;
       fleet_request ();
--- a/tests/gateway/engine_fleet.h
+++ b/tests/gateway/engine_fleet.h
@@ -7,6 +7,7 @@
 
 #define FLEET_ENTRIES_MAX 300
 #define FLEET_ENGINES_MAX 60
+#define FLEET_SESSIONS_MAX 600
 #define FLEET_STEP_US (1 * CA_US_PER_MS)
 #define FLEET_TOKENS_PER_MS 30
 #define FLEET_TOKENS_MEAN 1800
@@ -28,7 +29,8 @@
   uint32_t open_max; /* since fleet_reset_counts */
   uint64_t answered; /* first events */
   uint64_t late;
-  uint64_t tokens; /* of prompts that it was sent */
+  uint64_t tokens;                 /* of prompts that it was sent */
+  bool cached[FLEET_SESSIONS_MAX]; /* it has read a prompt of the session */
 } fleet_engine_t;
 
 typedef struct
@@ -36,9 +38,10 @@
   size_t entries;
   size_t engines;
   uint32_t slots;
-  double load;     /* of the capacity of engines of speed 1 */
-  double loss;     /* of heartbeats */
-  uint64_t lag_us; /* greatest delay of heartbeats */
+  double load;       /* of the capacity of engines of speed 1 */
+  uint32_t sessions; /* whose prompts share four fifths; 0 if none do */
+  double loss;       /* of heartbeats */
+  uint64_t lag_us;   /* greatest delay of heartbeats */
 } fleet_options_t;
 
 typedef struct
@@ -74,6 +77,9 @@
 /* Lets `duration_us` pass, with requests. */
 void fleet_run_for (uint64_t duration_us);
 void fleet_reset_counts (void);
+
+/* Changes the load from now on; 0 for none. */
+void fleet_set_load (double load);
 void fleet_finish (void);
 
 /* Lists an engine at all entries, as a process that has just started. */
