interference: a choice includes what a prompt does to streams, and streams suffer

Cause: a prompt of 9,190 tokens takes 240 ms to read, 400 ms at a slow engine, and each stream beside it is late if one pause exceeds 400 ms; the cost of an engine did not count that.

Change: interference.c is a pure function from the streams at the engine, the part of its time that it reads, the prompt's time there, the expected events and the tightest gap to a cost in microseconds. Each stream that is stopped for more than half of the gap costs up to one gap; a stream pays for the reading share, up to one gap. Loads in heartbeats carry streams and read_tokens, only where it is in force: where the longest prompt of late takes more than half of the tightest gap of the service's routes that were used.

Not measured: its effect on streams; the engines of the tests in virtual time do not pause streams. test_endpoint_model gives the same shares as before, as it is not in force there.

--- a/packages/gateway/exchange.c
+++ b/packages/gateway/exchange.c
@@ -101,6 +101,7 @@
   endpoint->own_load.open--;
   endpoint->own_load.unread_tokens -= exchange->unread_tokens;
   endpoint->own_load.held_tokens -= exchange->held_tokens;
+  ca_interference_ended (exchange);
   exchange->unread_tokens = 0;
   exchange->held_tokens = 0;
   exchange->endpoint = NULL;
@@ -778,6 +779,7 @@
       return;
     }
   ca_select_update_throughput (gateway, exchange);
+  ca_interference_began (gateway, exchange);
   exchange->endpoint->own_load.unread_tokens -= exchange->unread_tokens;
   exchange->unread_tokens = 0;
   ca_gateway_endpoint_succeeded (exchange->endpoint, 0);
--- a/packages/gateway/gateway.h
+++ b/packages/gateway/gateway.h
@@ -146,6 +146,7 @@
   bool demand_counted;     /* included in the demand for the service */
   uint32_t prefill_tokens; /* prompt tokens that the endpoint must prefill */
   ca_answer_facts_t facts; /* without `bad_limit` */
+  bool counts_as_stream;   /* at its endpoint */
   bool run_begun;          /* a run has begun and counts as usage */
   bool head_sent;          /* part of the response was sent to the caller */
   bool has_event;
@@ -292,8 +293,13 @@
   ca_window_t busy;             /* endpoint time used, in us */
   ca_window_t arrivals;
   double held_tokens;
-  double baseline_need; /* endpoints, smoothed while none is reclaimed */
-  bool speeds_differ;   /* of its endpoints, see endpoint_speed.c */
+  double baseline_need;     /* endpoints, smoothed while none is reclaimed */
+  bool speeds_differ;       /* of its endpoints, see endpoint_speed.c */
+  bool interferes;          /* reading its prompts stops streams for long */
+  double long_read_us;      /* to read the longest prompt of late, */
+  uint64_t long_read_at_us; /* which came then; 0 if none has */
+  uint64_t gap_us;     /* tightest of the routes that were used; 0 if none is */
+  uint64_t gap_config; /* version of the configuration that has these routes */
   ca_reach_t reach;
   ca_brittle_t brittle;
   ca_software_version_t versions[CA_SOFTWARE_VERSIONS_MAX];
--- a/packages/gateway/peers.c
+++ b/packages/gateway/peers.c
@@ -106,6 +106,8 @@
           sum->open += load->open;
           sum->unread_tokens += load->unread_tokens;
           sum->held_tokens += load->held_tokens;
+          sum->streams += load->streams;
+          sum->read_tokens += load->read_tokens;
           continue;
         }
       /* The sums of an endpoint that has restarted may be smaller. */
@@ -116,6 +118,11 @@
       sum->held_tokens -= sum->held_tokens < load->held_tokens
                               ? sum->held_tokens
                               : load->held_tokens;
+      sum->streams
+          -= sum->streams < load->streams ? sum->streams : load->streams;
+      sum->read_tokens -= sum->read_tokens < load->read_tokens
+                              ? sum->read_tokens
+                              : load->read_tokens;
     }
 }
 
@@ -396,8 +403,8 @@
 
 /* Fills in this entry's load at one endpoint, and its measured speed. */
 static void
-peer_fill_load (const ca_gateway_t *gateway,
-                const ca_gateway_endpoint_t *endpoint, Camphor__SeatLoad *row)
+peer_fill_load (ca_gateway_t *gateway, const ca_gateway_endpoint_t *endpoint,
+                Camphor__SeatLoad *row)
 {
   camphor__seat_load__init (row);
   row->seat = endpoint->id;
@@ -407,11 +414,12 @@
   row->samples = endpoint->model.round_count;
   row->slowness_permille = (uint32_t)(endpoint->model.round_ratio * 1000 + 0.5);
   row->window = ca_endpoint_start_window (gateway, endpoint);
+  ca_interference_fill (gateway, endpoint, row);
 }
 
 /* Fills in this entry's load per endpoint, and the draining endpoints. */
 static void
-peer_fill_loads (const ca_gateway_t *gateway, peer_heartbeat_buffer_t *buffer)
+peer_fill_loads (ca_gateway_t *gateway, peer_heartbeat_buffer_t *buffer)
 {
   const ca_gateway_endpoint_t *endpoint;
   Camphor__Pulse *heartbeat = &buffer->heartbeat;
--- a/packages/gateway/private.h
+++ b/packages/gateway/private.h
@@ -104,6 +104,25 @@
                               const Camphor__Pulse *heartbeat);
 void ca_endpoint_start_tick (ca_gateway_t *gateway);
 
+/* endpoint_interference.c */
+
+/* Count the exchange's first event, and the end of its use of the endpoint. */
+void ca_interference_began (ca_gateway_t *gateway, ca_exchange_t *exchange);
+void ca_interference_ended (ca_exchange_t *exchange);
+
+/* Cost in microseconds of the exchange to the others at the engine, where its
+ * prompt takes `read_us`; 0 where the prompts of the service are short. */
+double ca_interference_at (const ca_gateway_t *gateway,
+                           const ca_exchange_t *exchange,
+                           const ca_service_stats_t *stats,
+                           const ca_gateway_endpoint_t *endpoint,
+                           double read_us, double us_per_token);
+
+/* Fills in this entry's streams and reading at the endpoint. */
+void ca_interference_fill (ca_gateway_t *gateway,
+                           const ca_gateway_endpoint_t *endpoint,
+                           Camphor__SeatLoad *row);
+
 /* state_sync.c */
 
 void ca_state_sync_tick (ca_gateway_t *gateway);
--- a/packages/gateway/registry.h
+++ b/packages/gateway/registry.h
@@ -5,6 +5,7 @@
 
 #include "base/settings.h"
 #include "gateway/endpoint_model.h"
+#include "gateway/interference.h"
 #include "gateway/start_pace.h"
 
 #include <stdbool.h>
@@ -41,6 +42,8 @@
   uint32_t open;
   uint32_t unread_tokens; /* of prompts still waiting for their first event */
   uint32_t held_tokens;   /* prompt and output tokens of open requests */
+  uint32_t streams;       /* of the open requests, past their first event */
+  uint32_t read_tokens;   /* per second, of peers */
 } ca_gateway_endpoint_load_t;
 
 /* What responses of an endpoint say of a limit on the requests per second that
@@ -109,6 +112,7 @@
   uint64_t probed_us;         /* last connection that was tried */
   double latency_us;          /* smoothed, of plain responses */
   ca_endpoint_model_t model;  /* speed, of an engine */
+  ca_interference_rate_t own_reading; /* prompt tokens of this entry */
   ca_start_pace_t start;
   bool start_announced;   /* the limit of its start has applied */
   uint32_t start_entries; /* that share its window */
--- a/packages/gateway/select.c
+++ b/packages/gateway/select.c
@@ -388,6 +388,8 @@
   selection->predicted_us = (uint64_t)cost + SELECT_FIRST_EVENT_US;
   cost += read_us * (SELECT_PREFILL_WEIGHT - 1)
           + fetch_us * (SELECT_FETCH_WEIGHT - 1);
+  cost += ca_interference_at (gateway, exchange, survey->stats, endpoint,
+                              read_us, us_per_token);
   cost += select_zone_cost (gateway, endpoint, SELECT_ZONE_ENGINE_US);
   return cost * (1 + 3 * endpoint->error_share);
 }
