endpoint_start: the service of a starting engine is looked up once

Cause: with all of 60 engines starting, each selection looked up the service of each by name, twice.

Change: the endpoint keeps it from the start on.

--- a/packages/gateway/endpoint_start.c
+++ b/packages/gateway/endpoint_start.c
@@ -40,15 +40,22 @@
   return service >= 0 && gateway->catalog->services[service].is_engine;
 }
 
+/* Looks up the service of an engine that starts; selections need it often. */
+static void
+start_find_service (ca_gateway_t *gateway, ca_gateway_endpoint_t *endpoint)
+{
+  if (endpoint->start_service == NULL && start_is_engine (gateway, endpoint))
+    endpoint->start_service = ca_service_stats (gateway, endpoint->service);
+}
+
 /* True if the endpoint starts and the limit applies: its service's engines are
  * distinguished by their speed, or its record named a cold start. */
 static bool
-start_is_in_force (ca_gateway_t *gateway, const ca_gateway_endpoint_t *endpoint)
+start_is_in_force (const ca_gateway_endpoint_t *endpoint)
 {
-  return endpoint->start.starting
+  return endpoint->start.starting && endpoint->start_service != NULL
          && (endpoint->start.earliest_us != 0
-             || ca_service_stats (gateway, endpoint->service)->speeds_differ)
-         && start_is_engine (gateway, endpoint);
+             || endpoint->start_service->speeds_differ);
 }
 
 /* Prepares the limit when it first applies. */
@@ -122,7 +129,7 @@
 ca_endpoint_start_allows (ca_gateway_t *gateway,
                           ca_gateway_endpoint_t *endpoint)
 {
-  if (!endpoint->start.starting || !start_is_in_force (gateway, endpoint))
+  if (!start_is_in_force (endpoint))
     return true;
   start_announce (gateway, endpoint);
   if (endpoint->start.slots == 0)
@@ -148,6 +155,7 @@
 start_begin (ca_gateway_t *gateway, ca_gateway_endpoint_t *endpoint,
              uint64_t at_us)
 {
+  start_find_service (gateway, endpoint);
   ca_start_pace_begin (&endpoint->start, at_us);
   ca_start_pace_set_slots (&endpoint->start, start_slots (gateway, endpoint));
 }
@@ -264,8 +272,10 @@
   for (endpoint = gateway->registry.endpoints; endpoint != NULL;
        endpoint = endpoint->hh.next)
     {
-      if (endpoint->start.starting
-          && ca_start_pace_is_over (&endpoint->start, gateway->now_us))
+      if (!endpoint->start.starting)
+        continue;
+      start_find_service (gateway, endpoint);
+      if (ca_start_pace_is_over (&endpoint->start, gateway->now_us))
         start_end (gateway, endpoint);
     }
 }
--- a/packages/gateway/registry.h
+++ b/packages/gateway/registry.h
@@ -80,6 +80,8 @@
 /* Slots of a brittle engine, see slot_permits.c. */
 typedef struct ca_slot_permits ca_slot_permits_t;
 
+struct ca_service_stats;
+
 /* One instance of an endpoint: its process from start to end. */
 typedef struct ca_gateway_endpoint
 {
@@ -114,6 +116,7 @@
   ca_endpoint_model_t model;  /* speed, of an engine */
   ca_interference_rate_t own_reading; /* prompt tokens of this entry */
   ca_start_pace_t start;
+  const struct ca_service_stats *start_service; /* of an engine that starts */
   bool start_announced;   /* the limit of its start has applied */
   uint32_t start_entries; /* that share its window */
   uint32_t start_rank;    /* of this entry among them */
