test_endpoint_model: a wrong peer that reports last is bounded by its weight

Cause: test_wrong_peer passed with the bound on one peer's weight taken out, as the peers after it corrected the value.

Change: the wrong peer reports last, with 100 samples.

Measured: fails with MODEL_PEER_WEIGHT_MAX and MODEL_RATIO_MAX out of reach, passes with them.

--- a/tests/gateway/test_endpoint_model.c
+++ b/tests/gateway/test_endpoint_model.c
@@ -67,7 +67,7 @@
     {
       now_us += 300 * CA_US_PER_MS;
       for (int peer = 0; peer < 7; peer++)
-        ca_endpoint_model_merge (&model, now_us, peer == 3 ? 10 : 1, 3);
+        ca_endpoint_model_merge (&model, now_us, peer == 6 ? 10 : 1, 100);
       ca_endpoint_model_add (&model, now_us, 1);
     }
   assert_true (ca_endpoint_model_slowness (&model, now_us) < 1.5);
