--- a/packages/base/counters.c
+++ b/packages/base/counters.c
@@ -53,6 +53,8 @@
   "clients_cut_busy",
   "clients_cut_no_room",
   "clients_cut_after_end",
+  "endpoint_starts",
+  "endpoints_paced",
 };
 
 static const char *const latency_names[CA_LATENCY_KINDS]
--- a/packages/base/counters.h
+++ b/packages/base/counters.h
@@ -55,6 +55,8 @@
   CA_COUNT_CLIENTS_CUT_BUSY,
   CA_COUNT_CLIENTS_CUT_NO_ROOM,
   CA_COUNT_CLIENTS_CUT_AFTER_END,
+  CA_COUNT_ENDPOINT_STARTS, /* whose requests were limited */
+  CA_COUNT_ENDPOINTS_PACED, /* selections that left out such an endpoint */
   CA_COUNT_KINDS
 } ca_count_t;
 
--- a/packages/gateway/gateway.h
+++ b/packages/gateway/gateway.h
@@ -154,6 +154,7 @@
   bool rollout_counted;    /* the attempt has an outcome already */
   uint64_t predicted_us;   /* of its first event, for that; 0: unknown */
   ca_answer_facts_t facts; /* without `bad_limit` */
+  bool counts_as_stream;   /* at its endpoint */
   bool run_begun;          /* a run has begun and counts as usage */
   bool head_sent;          /* part of the response was sent to the caller */
   bool has_event;
@@ -300,9 +301,14 @@
   ca_window_t busy;             /* endpoint time used, in us */
   ca_window_t arrivals;
   double held_tokens;
-  double baseline_need; /* endpoints, smoothed while none is reclaimed */
-  bool speeds_differ;   /* of its endpoints, see endpoint_speed.c */
-  double mean_slowness; /* of these, by what they can read together */
+  double baseline_need;     /* endpoints, smoothed while none is reclaimed */
+  bool speeds_differ;       /* of its endpoints, see endpoint_speed.c */
+  double mean_slowness;     /* of these, by what they can read together */
+  bool interferes;          /* reading its prompts stops streams for long */
+  double long_read_us;      /* to read the longest prompt of late, */
+  uint64_t long_read_at_us; /* which came then; 0 if none has */
+  uint64_t gap_us;     /* tightest of the routes that were used; 0 if none is */
+  uint64_t gap_config; /* version of the configuration that has these routes */
   ca_reach_t reach;
   ca_brittle_t brittle;
   ca_software_version_t versions[CA_SOFTWARE_VERSIONS_MAX];
--- a/packages/gateway/peer_loads.c
+++ b/packages/gateway/peer_loads.c
@@ -45,6 +45,8 @@
   endpoint->peer_load.open += row->open;
   endpoint->peer_load.unread_tokens += row->unread_tokens;
   endpoint->peer_load.held_tokens += row->held_tokens;
+  endpoint->peer_load.streams += row->streams;
+  endpoint->peer_load.read_tokens += row->read_tokens;
   if (is_near)
     endpoint->near_unread_tokens += row->unread_tokens;
 }
@@ -56,6 +58,8 @@
   loads_subtract (&endpoint->peer_load.open, row->open);
   loads_subtract (&endpoint->peer_load.unread_tokens, row->unread_tokens);
   loads_subtract (&endpoint->peer_load.held_tokens, row->held_tokens);
+  loads_subtract (&endpoint->peer_load.streams, row->streams);
+  loads_subtract (&endpoint->peer_load.read_tokens, row->read_tokens);
   if (is_near)
     loads_subtract (&endpoint->near_unread_tokens, row->unread_tokens);
 }
--- a/packages/gateway/registry.h
+++ b/packages/gateway/registry.h
@@ -5,6 +5,8 @@
 
 #include "base/settings.h"
 #include "gateway/endpoint_model.h"
+#include "gateway/interference.h"
+#include "gateway/start_pace.h"
 
 #include <stdbool.h>
 #include <stdint.h>
@@ -31,6 +33,7 @@
   uint32_t slots;
   uint64_t started_ms; /* start of this instance, Unix time; 0 if unknown */
   uint64_t leaves_ms;  /* time until the VM is reclaimed; 0 if unknown */
+  uint64_t cold_remaining_ms; /* it is slower for so long; 0 if unknown */
 } ca_endpoint_record_t;
 
 /* Load that entries have put on an endpoint. */
@@ -39,6 +42,8 @@
   uint32_t open;
   uint32_t unread_tokens; /* of prompts still waiting for their first event */
   uint32_t held_tokens;   /* prompt and output tokens of open requests */
+  uint32_t streams;       /* of the open requests, past their first event */
+  uint32_t read_tokens;   /* per second, of peers */
 } ca_gateway_endpoint_load_t;
 
 /* What responses of an endpoint say of a limit on the requests per second that
@@ -75,6 +80,8 @@
 /* Slots of a brittle engine, see slot_permits.c. */
 typedef struct ca_slot_permits ca_slot_permits_t;
 
+struct ca_service_stats;
+
 /* One instance of an endpoint: its process from start to end. */
 typedef struct ca_gateway_endpoint
 {
@@ -110,6 +117,13 @@
   uint64_t probed_us;         /* last connection that was tried */
   double latency_us;          /* smoothed, of plain responses */
   ca_endpoint_model_t model;  /* speed, of an engine */
+  ca_interference_rate_t own_reading; /* prompt tokens of this entry */
+  ca_start_pace_t start;
+  const struct ca_service_stats *start_service; /* of an engine that starts */
+  bool start_announced;   /* the limit of its start has applied */
+  uint32_t start_entries; /* that share its window */
+  uint32_t start_rank;    /* of this entry among them */
+  uint64_t start_ranked_us;
   ca_endpoint_limit_t limit;
   ca_slot_permits_t *slot_permits; /* NULL unless it is a brittle engine */
   /* Prompt parts that this entry has sent there. */
