admission: less urgent requests are shed before more urgent ones

An entry refuses what it predicts to be late by the request's own objective. The most urgent kind has the tightest objective and the longest prompts, so it was refused first.

Each entry measures the pressure of a service, takes the median with its peers' values, and sheds by level: the least urgent priorities first, in quarters, and of all priorities first what workspaces ask for beyond an equal share.

--- a/packages/base/counters.c
+++ b/packages/base/counters.c
@@ -43,6 +43,8 @@
   "configs_requested",
   "configs_sent",
   "quota_loans",
+  "shed_priority",
+  "shed_share",
 };
 
 static const char *const latency_names[CA_LATENCY_KINDS]
--- a/packages/base/counters.h
+++ b/packages/base/counters.h
@@ -44,6 +44,8 @@
   CA_COUNT_CONFIGS_REQUESTED, /* by this entry from its peers */
   CA_COUNT_CONFIGS_SENT,      /* to peers that requested them */
   CA_COUNT_QUOTA_LOANS,       /* parts of peers' quota that were borrowed */
+  CA_COUNT_SHED_PRIORITY,     /* requests shed for more urgent ones */
+  CA_COUNT_SHED_SHARE,        /* requests shed beyond their workspace's share */
   CA_COUNT_KINDS
 } ca_count_t;
 
--- a/packages/base/events.c
+++ b/packages/base/events.c
@@ -63,6 +63,11 @@
     "look at `endpoints_lost`" },
   { CA_EVENT_DELEGATION_FAILED, CA_LEVEL_WARNING, "delegation_failed",
     "the entry to which a request was delegated did not serve it", NO_ACTION },
+  { CA_EVENT_SHEDDING_LEVEL, CA_LEVEL_INFO, "shedding_level",
+    "the number of priorities of a service whose requests are shed has "
+    "changed; "
+    "the detail has what that followed from, and its age",
+    "add endpoints if it stays above 0" },
   { CA_EVENT_ENDPOINT_ADDED, CA_LEVEL_INFO, "endpoint_added",
     "an endpoint was discovered in the VM list", NO_ACTION },
   { CA_EVENT_ENDPOINT_LEAVING, CA_LEVEL_INFO, "endpoint_leaving",
--- a/packages/gateway/exchange.c
+++ b/packages/gateway/exchange.c
@@ -135,6 +135,8 @@
   [CA_REFUSE_NO_ENDPOINT]
   = { CA_EVENT_REQUEST_REFUSED, "no endpoint available" },
   [CA_REFUSE_OVERLOADED] = { CA_EVENT_REQUEST_REFUSED, "endpoints overloaded" },
+  [CA_REFUSE_SHED]
+  = { CA_EVENT_REQUEST_REFUSED, "shed, as endpoints lack capacity" },
   [CA_REFUSE_UNKNOWN_VERSION]
   = { CA_EVENT_REQUEST_REFUSED, "unknown which version began the stream" },
   [CA_REFUSE_DELEGATE]
@@ -165,6 +167,7 @@
       && exchange->cost > 0)
     ca_quota_return (gateway, exchange->workspace, exchange->cost);
   ca_counters_add (&gateway->counters, CA_COUNT_REFUSED, 1);
+  ca_admission_note_refusal (gateway, exchange);
   ca_prompt_print_shared (&exchange->prompt, parts);
   ca_gateway_log (
       gateway, exchange_refusals[reason].event, exchange->id,
@@ -454,6 +457,8 @@
   ca_gateway_refusal_t blocked = ca_crash_tracker_check (gateway, exchange);
   ca_stream_lookup_t lookup;
   ca_selection_t selection;
+  ca_gateway_refusal_t shed;
+  uint64_t wait_us;
   bool is_brittle;
 
   if (blocked != CA_REFUSE_COUNT)
@@ -495,9 +500,16 @@
           ? selection.prefill_tokens
           : exchange->prompt.tokens
                 - ca_prompt_shared_tokens (&exchange->prompt));
+  shed = ca_admission_check (gateway, exchange, &selection, &wait_us);
+  if (shed != CA_REFUSE_COUNT)
+    {
+      exchange_refuse (gateway, exchange, shed, wait_us);
+      return;
+    }
   if (selection.endpoint != NULL)
     {
-      if (exchange_is_overloaded (exchange, &selection, gateway->now_us))
+      if (!ca_admission_is_most_urgent (gateway, exchange)
+          && exchange_is_overloaded (exchange, &selection, gateway->now_us))
         {
           exchange_refuse (gateway, exchange, CA_REFUSE_OVERLOADED,
                            exchange_retry_after_us (exchange, &selection));
@@ -642,6 +654,7 @@
   else
     {
       endpoint->full_until_us = gateway->now_us + FULL_BACKOFF_US;
+      ca_admission_note_rejection (gateway, exchange);
       ca_brittle_rejected (gateway, exchange);
       ca_slot_permits_ended (gateway, endpoint, true, false);
     }
--- a/packages/gateway/gateway.c
+++ b/packages/gateway/gateway.c
@@ -68,6 +68,7 @@
   ca_endpoint_limits_tick (gateway);
   ca_stream_versions_tick (gateway);
   ca_endpoint_speed_tick (gateway);
+  ca_admissions_tick (gateway);
   ca_usage_expire (gateway);
   ca_reach_tick (gateway);
   ca_exchanges_tick (gateway);
--- a/packages/gateway/gateway.h
+++ b/packages/gateway/gateway.h
@@ -144,6 +144,7 @@
   uint64_t expected_us;    /* of the first event, without the fixed part, at an
                               endpoint of the service's speed */
   bool demand_counted;     /* included in the demand for the service */
+  bool admission_counted;  /* decided by the service's admission control */
   uint32_t prefill_tokens; /* prompt tokens that the endpoint must prefill */
   ca_answer_facts_t facts; /* without `bad_limit` */
   bool run_begun;          /* a run has begun and counts as usage */
@@ -203,6 +204,7 @@
   CA_REFUSE_OVERLOADED,
   CA_REFUSE_UNKNOWN_VERSION, /* which began the stream that is taken up */
   CA_REFUSE_LIMITED,  /* all endpoints are at the limits that they name */
+  CA_REFUSE_SHED,     /* for more urgent ones, or for fair shares */
   CA_REFUSE_DELEGATE, /* by the entry that it was delegated to */
   CA_REFUSE_EXPIRED,  /* deadline passed before it ran */
   CA_REFUSE_LOST,     /* may have run and must not run again */
@@ -298,6 +300,9 @@
   ca_brittle_t brittle;
   ca_software_version_t versions[CA_SOFTWARE_VERSIONS_MAX];
   bool names_versions; /* an endpoint of the service has one */
+  const ca_catalog_t *admission_catalog; /* that `admission` follows from */
+  uint64_t admission_version;            /* its version */
+  struct ca_admission_gate *admission;   /* NULL where it is not in force */
   UT_hash_handle hh;
 } ca_service_stats_t;
 
--- a/packages/gateway/peers.c
+++ b/packages/gateway/peers.c
@@ -503,6 +503,7 @@
       row->busy_share = ca_service_busy_share (gateway, stats);
       row->held_tokens = stats->held_tokens;
       row->requests_per_s = ca_service_requests_per_s (gateway, stats);
+      ca_admission_fill (gateway, stats, row);
     }
 }
 
--- a/packages/gateway/private.h
+++ b/packages/gateway/private.h
@@ -441,6 +441,33 @@
 void ca_brittle_merge (ca_gateway_t *gateway, const ca_peer_t *peer,
                        const Camphor__Pulse *heartbeat);
 
+/* admission_gate.c */
+
+/* Decides on the request's first dispatch whether it is shed; returns
+ * CA_REFUSE_COUNT if it is not, else the reason, and sets `wait_us` to the
+ * Retry-After time.  May replace the selection by a better one. */
+ca_gateway_refusal_t ca_admission_check (ca_gateway_t *gateway,
+                                         ca_exchange_t *exchange,
+                                         ca_selection_t *selection,
+                                         uint64_t *wait_us);
+
+/* True if the request is of the most urgent kind of a service with admission
+ * control, which alone decides whether it is refused for overload. */
+bool ca_admission_is_most_urgent (ca_gateway_t *gateway,
+                                  const ca_exchange_t *exchange);
+
+/* Record that an endpoint had no room for the request, and that the request is
+ * refused. */
+void ca_admission_note_rejection (ca_gateway_t *gateway,
+                                  const ca_exchange_t *exchange);
+void ca_admission_note_refusal (ca_gateway_t *gateway, ca_exchange_t *exchange);
+
+/* Fills in the service's row of a heartbeat. */
+void ca_admission_fill (ca_gateway_t *gateway, ca_service_stats_t *stats,
+                        Camphor__ServiceWork *row);
+void ca_admissions_tick (ca_gateway_t *gateway);
+void ca_admission_free (ca_service_stats_t *stats);
+
 /* slot_permits.c */
 
 typedef enum
--- a/packages/gateway/select.c
+++ b/packages/gateway/select.c
@@ -109,6 +109,7 @@
   HASH_ITER (hh, gateway->services, stats, next)
   {
     HASH_DEL (gateway->services, stats);
+    ca_admission_free (stats);
     free (stats->name);
     free (stats);
   }
