admission: rejections count for the pressure as a share of the requests

With many entries the loads that an entry knows are a heartbeat old (0.84 s with 84, 3 s with 300), so it predicts short queues where endpoints are full and reject requests.

The share of requests that endpoints rejected lately is now added to the pressure, 1.0 for a fifth.

--- a/packages/gateway/admission.c
+++ b/packages/gateway/admission.c
@@ -31,6 +31,13 @@
  * endpoints already need most of it. */
 #define ADMISSION_ROOM_MIN 0.25
 
+/* Pressure if endpoints reject as many requests as arrive: it is 1 if they
+ * reject a fifth.  With many entries the loads that they know are old, so that
+ * endpoints are full although short queues are predicted.  One rejection says
+ * little, so at least some requests are assumed. */
+#define ADMISSION_REJECTION_PRESSURE 5.0
+#define ADMISSION_REJECTION_MIN_REQUESTS 4.0
+
 /* Pressure of a request that finds no endpoint. */
 #define ADMISSION_NO_ENDPOINT CA_ADMISSION_PRESSURE_MAX
 
@@ -60,7 +67,7 @@
 
 /* Less urgent requests are refused at this part of that time in a queue, so
  * that chance does not serve more of them. */
-#define ADMISSION_LESS_URGENT_SHARE 0.95
+#define ADMISSION_LESS_URGENT_SHARE 0.92
 
 /* If some ask for more than their share, these are cut first.  All are shed
  * once the pressure has been above 1 for this long at the same level. */
@@ -215,6 +222,7 @@
       = exp (-(double)(now_us - admission->counted_us) / ADMISSION_COUNT_US);
 
   admission->counted_us = now_us;
+  admission->rejections *= factor;
   for (uint32_t i = 0; i < admission->rule.count; i++)
     {
       admission->ranks[i].asked *= factor;
@@ -222,6 +230,25 @@
     }
 }
 
+void
+ca_admission_rejected (ca_admission_t *admission, uint64_t now_us)
+{
+  admission_decay_counts (admission, now_us);
+  admission->rejections += 1;
+}
+
+/* Part of the pressure that follows from rejections. */
+static double
+admission_rejection_pressure (const ca_admission_t *admission)
+{
+  double asked = 0;
+
+  for (uint32_t i = 0; i < admission->rule.count; i++)
+    asked += admission->ranks[i].asked;
+  return ADMISSION_REJECTION_PRESSURE * admission->rejections
+         / fmax (asked, ADMISSION_REJECTION_MIN_REQUESTS);
+}
+
 void
 ca_admission_refused (ca_admission_t *admission, uint64_t now_us, uint32_t rank)
 {
@@ -347,6 +374,8 @@
 admission_observe (ca_admission_t *admission, uint64_t now_us,
                    const ca_admission_request_t *request)
 {
+  double pressure;
+
   if (!request->has_endpoint)
     {
       ca_admission_sample (admission, now_us, ADMISSION_NO_ENDPOINT);
@@ -356,12 +385,11 @@
     admission->read_us
         += ((double)request->read_us - admission->read_us)
            * (admission->read_us > 0 ? ADMISSION_READ_WEIGHT : 1);
-  ca_admission_sample (
-      admission, now_us,
-      request->idle
-          ? 0
-          : (double)request->queue_us
-                / admission_room_us (admission, ADMISSION_LATE_SHARE));
+  pressure = admission_rejection_pressure (admission);
+  if (!request->idle)
+    pressure += (double)request->queue_us
+                / admission_room_us (admission, ADMISSION_LATE_SHARE);
+  ca_admission_sample (admission, now_us, pressure);
 }
 
 /* True if this request is to be shed for a share of its rank to be: adds up the
--- a/packages/gateway/admission.h
+++ b/packages/gateway/admission.h
@@ -102,7 +102,8 @@
   uint64_t below_us;
   uint64_t changed_us; /* latest change of the level */
   uint64_t ticked_us;
-  uint64_t counted_us; /* latest decay of the ranks' counts */
+  uint64_t counted_us; /* latest decay of the counts */
+  double rejections;   /* by endpoints, decaying */
   ca_admission_rank_t ranks[CA_ADMISSION_RANKS_MAX];
   ca_admission_row_t rows[CA_ADMISSION_WORKSPACES_MAX];
   uint32_t row_count;
@@ -147,6 +148,9 @@
 bool ca_admission_is_late (const ca_admission_t *admission,
                            const ca_admission_request_t *request);
 
+/* Counts a request that an endpoint had no room for. */
+void ca_admission_rejected (ca_admission_t *admission, uint64_t now_us);
+
 /* Counts a request that `ca_admission_decide` has let pass and that was refused
  * later. */
 void ca_admission_refused (ca_admission_t *admission, uint64_t now_us,
--- a/packages/gateway/admission_gate.c
+++ b/packages/gateway/admission_gate.c
@@ -10,10 +10,6 @@
 /* Period at which the shares of workspaces are computed. */
 #define GATE_SHARES_PERIOD_US (200 * CA_US_PER_MS)
 
-/* Pressure of a request that an endpoint had no room for: it was sent where the
- * load looked bearable. */
-#define GATE_REJECTION_PRESSURE 1.5
-
 #define GATE_PEERS_MAX 1024
 
 /* Times that an endpoint is selected before a request counts as late: the
@@ -231,8 +227,7 @@
   ca_admission_gate_t *gate = gate_of_exchange (gateway, exchange);
 
   if (gate != NULL)
-    ca_admission_sample (&gate->admission, gateway->now_us,
-                         GATE_REJECTION_PRESSURE);
+    ca_admission_rejected (&gate->admission, gateway->now_us);
 }
 
 void
