--- a/packages/base/events.c
+++ b/packages/base/events.c
@@ -68,6 +68,11 @@
     "changed; "
     "the detail has what that followed from, and its age",
     "add endpoints if it stays above 0" },
+  { CA_EVENT_REQUEST_SHED, CA_LEVEL_INFO, "request_shed",
+    "a request is refused by admission control, as the next line of its id "
+    "says; "
+    "the detail has the rule and its inputs",
+    "look at `shedding_level`" },
   { CA_EVENT_ENDPOINT_ADDED, CA_LEVEL_INFO, "endpoint_added",
     "an endpoint was discovered in the VM list", NO_ACTION },
   { CA_EVENT_ENDPOINT_LEAVING, CA_LEVEL_INFO, "endpoint_leaving",
--- a/packages/gateway/admission_gate.c
+++ b/packages/gateway/admission_gate.c
@@ -3,6 +3,7 @@
 #include "gateway/admission.h"
 #include "gateway/private.h"
 
+#include <inttypes.h>
 #include <stdlib.h>
 #include <string.h>
 #include <xxhash.h>
@@ -191,6 +192,30 @@
   return request;
 }
 
+static void
+gate_log_decision (ca_gateway_t *gateway, const ca_admission_t *admission,
+                   const ca_exchange_t *exchange,
+                   const ca_admission_request_t *request,
+                   ca_admission_decision_t decision)
+{
+  static const char *const rules[]
+      = { [CA_ADMISSION_SERVE] = "served",
+          [CA_ADMISSION_LATE] = "most urgent, but late",
+          [CA_ADMISSION_SHED_PRIORITY] = "less urgent",
+          [CA_ADMISSION_SHED_SHARE] = "workspace beyond its equal share" };
+
+  ca_gateway_log (
+      gateway, CA_EVENT_REQUEST_SHED, exchange->id,
+      exchange->workspace == NULL ? NULL : exchange->workspace->name,
+      "%s: service %s, rank %u of %u, level %u, pressure %.2f, %u of 4 "
+      "quarters of the rank shed, %s, %" PRIu64 " ms in a queue predicted",
+      rules[decision], exchange->service->name, request->rank,
+      admission->rule.count, admission->level, admission->pressure,
+      ca_admission_quarters (admission, request->rank),
+      request->has_endpoint ? "endpoint found" : "no endpoint",
+      request->queue_us / CA_US_PER_MS);
+}
+
 ca_gateway_refusal_t
 ca_admission_check (ca_gateway_t *gateway, ca_exchange_t *exchange,
                     ca_selection_t *selection, uint64_t *wait_us)
@@ -208,6 +233,7 @@
       exchange->admission_counted = true;
       return CA_REFUSE_COUNT;
     }
+  gate_log_decision (gateway, &gate->admission, exchange, &request, decision);
   *wait_us = ca_admission_retry_after_us (&gate->admission, request.rank,
                                           exchange->route->timeout_ms,
                                           ca_gateway_random (gateway));
