admission: waiting for a permit is no pressure

Engines whose slots are permitted one by one have no endpoint for a request until its permit has come, so each request counted as one that finds no endpoint and the level rose at idle engines. Such requests give no sample now; one that is refused after it has waited in vain counts like a rejection. The new checks in gateway/test_admission_rules cover both kinds of samples.

--- a/packages/gateway/admission.c
+++ b/packages/gateway/admission.c
@@ -376,6 +376,8 @@
 {
   double pressure;
 
+  if (request->waits)
+    return;
   if (!request->has_endpoint)
     {
       ca_admission_sample (admission, now_us, ADMISSION_NO_ENDPOINT);
--- a/packages/gateway/admission.h
+++ b/packages/gateway/admission.h
@@ -117,6 +117,7 @@
   uint32_t workspace;
   uint32_t tokens;   /* of prompt and output */
   bool has_endpoint; /* one can take it now */
+  bool waits;        /* for a permit, which says nothing of the load */
   bool idle;         /* and has no prompt queued */
   uint64_t queue_us; /* time to the first event, without that to read the
                         prompt */
@@ -148,7 +149,8 @@
 bool ca_admission_is_late (const ca_admission_t *admission,
                            const ca_admission_request_t *request);
 
-/* Counts a request that an endpoint had no room for. */
+/* Counts a request that an endpoint had no room for, or that has waited for one
+ * in vain. */
 void ca_admission_rejected (ca_admission_t *admission, uint64_t now_us);
 
 /* Counts a request that `ca_admission_decide` has let pass and that was refused
--- a/packages/gateway/admission_gate.c
+++ b/packages/gateway/admission_gate.c
@@ -160,6 +160,7 @@
   request.workspace = gate_workspace (exchange);
   request.tokens = exchange->prompt.tokens + exchange->prompt.output_tokens;
   request.has_endpoint = selection->endpoint != NULL;
+  request.waits = !request.has_endpoint && selection->any_limited;
   request.idle = selection->endpoint_idle;
   request.read_us = (uint64_t)(selection->prefill_tokens
                                / stats->prefill_tokens_per_ms * CA_US_PER_MS);
@@ -265,9 +266,12 @@
     return;
   exchange->admission_counted = false;
   gate = gate_of_exchange (gateway, exchange);
-  if (gate != NULL)
-    ca_admission_refused (&gate->admission, gateway->now_us,
-                          gate_rank (gate, exchange));
+  if (gate == NULL)
+    return;
+  ca_admission_refused (&gate->admission, gateway->now_us,
+                        gate_rank (gate, exchange));
+  if (exchange->sends == 0)
+    ca_admission_rejected (&gate->admission, gateway->now_us);
 }
 
 static uint32_t
--- a/tests/gateway/test_admission_rules.c
+++ b/tests/gateway/test_admission_rules.c
@@ -185,6 +185,53 @@
   assert_true (admission.own < 0.2);
 }
 
+/* Engines whose slots are permitted one by one looked overloaded while idle, as
+ * each request first waits for its permit. */
+static void
+test_waits_for_permit (void **state)
+{
+  ca_admission_t admission;
+  ca_admission_request_t request = { .rank = 0, .tokens = 9000, .waits = true };
+  uint64_t now_us = START_US;
+
+  (void)state;
+  init (&admission);
+  for (size_t i = 0; i < 100; i++, now_us += 20 * CA_US_PER_MS)
+    ca_admission_decide (&admission, now_us, &request);
+  assert_true (admission.own < 0.01);
+  request.waits = false;
+  for (size_t i = 0; i < 100; i++, now_us += 20 * CA_US_PER_MS)
+    ca_admission_decide (&admission, now_us, &request);
+  assert_true (admission.own > 1);
+}
+
+/* Endpoints were full while short queues were predicted. */
+static void
+test_rejections (void **state)
+{
+  ca_admission_t admission;
+  ca_admission_request_t request
+      = { .rank = 0, .tokens = 9000, .has_endpoint = true, .idle = true };
+  uint64_t now_us = START_US;
+
+  (void)state;
+  init (&admission);
+  for (size_t i = 0; i < 200; i++, now_us += 20 * CA_US_PER_MS)
+    {
+      ca_admission_decide (&admission, now_us, &request);
+      if (i % 10 == 0)
+        ca_admission_rejected (&admission, now_us);
+    }
+  assert_true (admission.own > 0.4 && admission.own < 0.6);
+  for (size_t i = 0; i < 200; i++, now_us += 20 * CA_US_PER_MS)
+    {
+      ca_admission_decide (&admission, now_us, &request);
+      if (i % 4 == 0)
+        ca_admission_rejected (&admission, now_us);
+    }
+  assert_true (admission.own > 1);
+}
+
 /* Callers that are refused together returned together. */
 static void
 test_returns (void **state)
@@ -248,6 +295,8 @@
     cmocka_unit_test (test_one_wrong_peer),
     cmocka_unit_test (test_silent_peers),
     cmocka_unit_test (test_pressure_decays),
+    cmocka_unit_test (test_waits_for_permit),
+    cmocka_unit_test (test_rejections),
     cmocka_unit_test (test_returns),
     cmocka_unit_test (test_many_workspaces),
   };
