admission: fourth quarter, and levels that follow most peers

In gateway/test_admission_value, at a load of 1.5, priority 1 had 0.46 of what it asked for in time and priority 0 only 0.30: 0.16 more, where 0.15 are allowed.

With this alone 300 entries were at different levels for up to 11.61 s, since an entry keeps its level while the pressure is between 0.7 and 1.0, and zones came there on different ways.

test_never_all_in_time expects the new quarters at a pressure of 1.2, and now those of both priorities at 0.99. gateway/test_admission (7), test_admission_rules (13), test_admission_value (2) and 30 scripts pass.

--- a/packages/gateway/admission.c
+++ b/packages/gateway/admission.c
@@ -51,7 +51,8 @@
 
 /* Pressures from which on one quarter more is shed at the same level. */
 #define ADMISSION_SECOND_QUARTER 0.85
-#define ADMISSION_THIRD_QUARTER 1.15
+#define ADMISSION_THIRD_QUARTER 1.0
+#define ADMISSION_FOURTH_QUARTER 1.15
 
 /* A less urgent rank may be served more than a more urgent one by this share;
  * checked once so many requests were counted. */
@@ -307,7 +308,8 @@
   if (!admission_cuts_first (admission))
     quarters = rank - first + 1
                + (admission->pressure >= ADMISSION_SECOND_QUARTER)
-               + (admission->pressure >= ADMISSION_THIRD_QUARTER);
+               + (admission->pressure >= ADMISSION_THIRD_QUARTER)
+               + (admission->pressure >= ADMISSION_FOURTH_QUARTER);
   /* Nothing is shed completely while the more urgent are in time. */
   if (quarters > 3)
     quarters = admission->pressure >= ADMISSION_RISE_PRESSURE ? 4 : 3;
@@ -334,7 +336,7 @@
 admission_cut (const ca_admission_t *admission)
 {
   return (2.0 + (admission->pressure >= ADMISSION_SECOND_QUARTER)
-          + (admission->pressure >= ADMISSION_THIRD_QUARTER))
+          + (admission->pressure >= ADMISSION_FOURTH_QUARTER))
          / 4;
 }
 
@@ -497,9 +499,11 @@
 }
 
 bool
-ca_admission_tick (ca_admission_t *admission, uint64_t now_us, double pressure)
+ca_admission_tick (ca_admission_t *admission, uint64_t now_us, double pressure,
+                   uint32_t peers_level)
 {
   uint32_t level = admission->level;
+  bool rises;
 
   admission_decay (admission, now_us);
   admission_decay_counts (admission, now_us);
@@ -512,9 +516,12 @@
   if (admission->changed_us != 0
       && now_us - admission->changed_us < ADMISSION_STEP_US)
     return false;
-  if (admission->above_us != 0
-      && now_us - admission->above_us >= ADMISSION_RISE_US
-      && level < admission_level_max (admission))
+  rises = admission->above_us != 0
+          && now_us - admission->above_us >= ADMISSION_RISE_US;
+  /* Between the two pressures, entries would stay at different levels. */
+  if (pressure >= ADMISSION_FALL_PRESSURE && peers_level > level)
+    rises = true;
+  if (rises && level < admission_level_max (admission))
     admission->level++;
   else if (admission->below_us != 0
            && now_us - admission->below_us >= ADMISSION_FALL_US && level > 0)
--- a/packages/gateway/admission.h
+++ b/packages/gateway/admission.h
@@ -164,9 +164,11 @@
 double ca_admission_combine (double own, const ca_admission_peer_t *peers,
                              size_t count, uint64_t heartbeat_period_us);
 
-/* Changes the level by the pressure in force.  True if it has changed. */
+/* Changes the level by the pressure in force.  True if it has changed.  While
+ * the pressure calls for no change, the level follows that of most peers if it
+ * is higher. */
 bool ca_admission_tick (ca_admission_t *admission, uint64_t now_us,
-                        double pressure);
+                        double pressure, uint32_t peers_level);
 
 /* Replaces the work that peers report; ends with the shares that follow. */
 void ca_admission_begin_peers (ca_admission_t *admission);
--- a/packages/gateway/admission_gate.c
+++ b/packages/gateway/admission_gate.c
@@ -13,6 +13,11 @@
 
 #define GATE_PEERS_MAX 1024
 
+/* Peers' levels count for so many heartbeat periods, of this many peers at
+ * least. */
+#define GATE_LEVEL_PERIODS 2
+#define GATE_LEVEL_PEERS_MIN 3
+
 /* Times that an endpoint is selected before a request counts as late: the
  * selection looks at a sample of many endpoints. */
 #define GATE_SELECTIONS_MAX 6
@@ -358,6 +363,34 @@
     }
 }
 
+/* Highest level that more than half of the peers report, of all zones; 0 if
+ * there are too few for one wrong report not to matter. */
+static uint32_t
+gate_peers_level (const ca_gateway_t *gateway, const char *service)
+{
+  uint32_t counts[CA_ADMISSION_RANKS_MAX + 1] = { 0 };
+  uint32_t level = CA_ADMISSION_RANKS_MAX;
+  uint32_t total = 0;
+  uint32_t above;
+  const ca_peer_t *peer;
+
+  for (peer = gateway->peers; peer != NULL; peer = peer->hh.next)
+    {
+      const Camphor__ServiceWork *row = gate_peer_row (gateway, peer, service);
+
+      if (row == NULL
+          || gate_peer_age_us (gateway, peer)
+                 > GATE_LEVEL_PERIODS * gateway->heartbeat_period_us)
+        continue;
+      counts[row->shed_level < level ? row->shed_level : level]++;
+      total++;
+    }
+  above = counts[level];
+  while (level > 0 && above * 2 <= total)
+    above += counts[--level];
+  return total < GATE_LEVEL_PEERS_MIN ? 0 : level;
+}
+
 /* Computes the shares of workspaces from the work at all entries. */
 static void
 gate_update_shares (const ca_gateway_t *gateway, const char *service,
@@ -416,7 +449,8 @@
     gate_collect_peers (gateway, stats->name, true, &peers);
   pressure = ca_admission_combine (admission->own, values, peers.count,
                                    gateway->heartbeat_period_us);
-  if (ca_admission_tick (admission, gateway->now_us, pressure))
+  if (ca_admission_tick (admission, gateway->now_us, pressure,
+                         gate_peers_level (gateway, stats->name)))
     {
       gate_log_level (gateway, stats, admission, former, &peers);
       gate->next_shares_us = gateway->now_us;
