--- a/tests/gateway/admission_world.c
+++ b/tests/gateway/admission_world.c
@@ -441,7 +441,7 @@
 
   memset (&world, 0, sizeof world);
   world.scenario = scenario;
-  world.seed = 7;
+  world.seed = scenario->seed == 0 ? 7 : scenario->seed;
   world.now_us = STEP_US;
   world.shortest_step_us = UINT64_MAX;
   TAILQ_INIT (&world.runs);
--- a/tests/gateway/admission_world.h
+++ b/tests/gateway/admission_world.h
@@ -48,6 +48,7 @@
 typedef struct
 {
   size_t entries;
+  uint64_t seed;   /* 0: 7 */
   double overload; /* demand to what the pool can serve */
   uint64_t load_us;
   double flood[KINDS]; /* rate of the first workspace to that of another */
