--- a/packages/base/counters.c
+++ b/packages/base/counters.c
@@ -55,6 +55,8 @@
   "clients_cut_after_end",
   "endpoint_starts",
   "endpoints_paced",
+  "shed_priority",
+  "shed_share",
 };
 
 static const char *const latency_names[CA_LATENCY_KINDS]
--- a/packages/base/counters.h
+++ b/packages/base/counters.h
@@ -57,6 +57,8 @@
   CA_COUNT_CLIENTS_CUT_AFTER_END,
   CA_COUNT_ENDPOINT_STARTS, /* whose requests were limited */
   CA_COUNT_ENDPOINTS_PACED, /* selections that left out such an endpoint */
+  CA_COUNT_SHED_PRIORITY,   /* requests shed for more urgent ones */
+  CA_COUNT_SHED_SHARE,      /* requests shed beyond their workspace's share */
   CA_COUNT_KINDS
 } ca_count_t;
 
