--- a/packages/gateway/endpoint_model.h
+++ b/packages/gateway/endpoint_model.h
@@ -13,6 +13,7 @@
   double log_slowness; /* 0: as fast as the service is assumed to be */
   uint64_t updated_us; /* 0: nothing was measured */
   uint32_t known;      /* samples, up to the number that is enough */
+  double samples;      /* that log_slowness is the mean of, up to a number */
   double sum;     /* logarithms of own samples in this round of heartbeats */
   uint32_t count; /* number of these */
   double round_ratio; /* mean of the round before, to be reported */
--- a/packages/gateway/select.c
+++ b/packages/gateway/select.c
@@ -51,8 +51,9 @@
 
 /* Random samples that are drawn before all engines are compared.  A sample of
  * two of 60 is empty for every eighth request; if these compared all engines,
- * 84 entries sent some 50 of them to the same one between two heartbeats. */
-#define SELECT_SAMPLE_TRIES 4
+ * 84 entries sent some 50 of them to the same one between two heartbeats.  With
+ * four samples, engines whose limit was lifted were found too late. */
+#define SELECT_SAMPLE_TRIES 2
 
 /* Random part of the cost of a plain endpoint, so that equal endpoints share
  * the load. */
