--- a/packages/gateway/endpoint_interference.c
+++ b/packages/gateway/endpoint_interference.c
@@ -4,19 +4,22 @@
 
 #include <math.h>
 
-/* The longest prompt of a service is forgotten with this time constant. */
-#define INTERFERENCE_LONG_US (30.0 * CA_US_PER_S)
+/* Weight of a prompt of the mean length; longer ones weigh more in proportion,
+ * so that the mean is that of a token, not of a request. */
+#define INTERFERENCE_READ_WEIGHT 0.01
+#define INTERFERENCE_READ_WEIGHT_MAX 0.1
 
-/* Time to read the service's longest prompt of late. */
-static double
-interference_long_us (const ca_gateway_t *gateway,
-                      const ca_service_stats_t *stats)
+/* Updates the time to read the service's prompts, by their tokens. */
+static void
+interference_note_read (ca_service_stats_t *stats, double read_us)
 {
-  if (stats->long_read_at_us == 0)
-    return 0;
-  return stats->long_read_us
-         * exp (-(double)(gateway->now_us - stats->long_read_at_us)
-                / INTERFERENCE_LONG_US);
+  double weight
+      = stats->long_read_us <= 0
+            ? 1
+            : fmin (INTERFERENCE_READ_WEIGHT * read_us / stats->long_read_us,
+                    INTERFERENCE_READ_WEIGHT_MAX);
+
+  stats->long_read_us += (read_us - stats->long_read_us) * weight;
 }
 
 /* Notes the tightest gap of the routes that requests to the service have had
@@ -41,7 +44,7 @@
   ca_service_stats_t *stats
       = ca_service_stats (gateway, exchange->service->name);
   double read_us
-      = exchange->prefill_tokens / stats->prefill_tokens_per_ms * CA_US_PER_MS;
+      = exchange->prompt.tokens / stats->prefill_tokens_per_ms * CA_US_PER_MS;
 
   if (!exchange->service->is_engine)
     return;
@@ -50,13 +53,9 @@
   ca_interference_rate_add (&exchange->endpoint->own_reading, gateway->now_us,
                             exchange->prefill_tokens);
   interference_note_gap (stats, exchange);
-  if (read_us >= interference_long_us (gateway, stats))
-    {
-      stats->long_read_us = read_us;
-      stats->long_read_at_us = gateway->now_us;
-    }
-  stats->interferes = ca_interference_is_likely (
-      interference_long_us (gateway, stats), (double)stats->gap_us);
+  interference_note_read (stats, read_us);
+  stats->interferes
+      = ca_interference_is_likely (stats->long_read_us, (double)stats->gap_us);
 }
 
 void
--- a/packages/gateway/gateway.h
+++ b/packages/gateway/gateway.h
@@ -303,12 +303,11 @@
   ca_window_t busy;             /* endpoint time used, in us */
   ca_window_t arrivals;
   double held_tokens;
-  double baseline_need;     /* endpoints, smoothed while none is reclaimed */
-  bool speeds_differ;       /* of its endpoints, see endpoint_speed.c */
-  double mean_slowness;     /* of these, by what they can read together */
-  bool interferes;          /* reading its prompts stops streams for long */
-  double long_read_us;      /* to read the longest prompt of late, */
-  uint64_t long_read_at_us; /* which came then; 0 if none has */
+  double baseline_need; /* endpoints, smoothed while none is reclaimed */
+  bool speeds_differ;   /* of its endpoints, see endpoint_speed.c */
+  double mean_slowness; /* of these, by what they can read together */
+  bool interferes;      /* reading its prompts stops streams for long */
+  double long_read_us;  /* to read a prompt, in the mean over tokens */
   uint64_t gap_us;     /* tightest of the routes that were used; 0 if none is */
   uint64_t gap_config; /* version of the configuration that has these routes */
   ca_reach_t reach;
--- a/packages/gateway/interference.c
+++ b/packages/gateway/interference.c
@@ -13,6 +13,11 @@
  * second prompt may follow at once. */
 #define INTERFERENCE_GAP_SHARE 0.5
 
+/* Prompts interfere if reading them takes more than this part of the gap.  By
+ * the longest prompt, a service was taken for one whose streams suffer where
+ * they do not, and sessions left the engines that had them cached. */
+#define INTERFERENCE_LIKELY_SHARE 0.55
+
 /* Time between two events of a stream when no prompt is read. */
 #define INTERFERENCE_EVENT_US (20.0 * CA_US_PER_MS)
 
@@ -42,7 +47,7 @@
 bool
 ca_interference_is_likely (double long_read_us, double gap_us)
 {
-  return gap_us > 0 && long_read_us > gap_us * INTERFERENCE_GAP_SHARE;
+  return gap_us > 0 && long_read_us > gap_us * INTERFERENCE_LIKELY_SHARE;
 }
 
 void
