--- a/packages/gateway/admission.c
+++ b/packages/gateway/admission.c
@@ -10,7 +10,7 @@
 /* An objective that is tighter by this factor makes the rule apply.  With 1.5
  * it did where the present rule serves the urgent kind well: more was refused
  * of each kind. */
-#define ADMISSION_TARGET_RATIO 2.0
+#define ADMISSION_TARGET_RATIO 3.0
 
 /* Time constant of the pressure, and the longest time that one sample stands
  * for, so that a single one cannot set the pressure. */
--- a/tests/gateway/test_admission_rules.c
+++ b/tests/gateway/test_admission_rules.c
@@ -57,9 +57,9 @@
   ca_admission_rule_add (&rule, 0, 1000);
   ca_admission_rule_add (&rule, 1, 800);
   assert_false (ca_admission_rule_applies (&rule));
-  ca_admission_rule_add (&rule, 2, 1599);
+  ca_admission_rule_add (&rule, 2, 2399);
   assert_false (ca_admission_rule_applies (&rule));
-  ca_admission_rule_add (&rule, 2, 1600);
+  ca_admission_rule_add (&rule, 2, 2400);
   assert_true (ca_admission_rule_applies (&rule));
 }
 
