--- a/packages/gateway/endpoint_speed.c
+++ b/packages/gateway/endpoint_speed.c
@@ -139,6 +139,10 @@
   if (gateway->now_us < gateway->next_speed_survey_us)
     return;
   gateway->next_speed_survey_us = gateway->now_us + SPEED_SURVEY_PERIOD_US;
+  gateway->speeds_differ = false;
   for (stats = gateway->services; stats != NULL; stats = stats->hh.next)
-    speed_survey (gateway, stats);
+    {
+      speed_survey (gateway, stats);
+      gateway->speeds_differ = gateway->speeds_differ || stats->speeds_differ;
+    }
 }
--- a/packages/gateway/gateway.h
+++ b/packages/gateway/gateway.h
@@ -509,6 +509,7 @@
   uint64_t next_stream_expiry_us;
   uint64_t next_version_survey_us;
   uint64_t next_speed_survey_us;
+  bool speeds_differ; /* of some service's engines */
   uint64_t next_load_notice_us;
   uint64_t list_validated_us; /* all changes of the list up to then are known */
   bool list_wanted;           /* a decision needs a more recent list */
--- a/packages/gateway/peer_loads.c
+++ b/packages/gateway/peer_loads.c
@@ -13,9 +13,9 @@
 /* Interval of notices.  A prompt takes about as long to be read. */
 #define LOADS_NOTICE_US (100 * CA_US_PER_MS)
 
-/* Notices are sent if the tightest objective of an engine's route is shorter
- * than this part of the interval of heartbeats, which then are too old to meet
- * it. */
+/* Notices are sent if engines differ in speed and the tightest objective of
+ * their routes is shorter than this part of the interval of heartbeats, which
+ * then are too old to meet it. */
 #define LOADS_OBJECTIVE_SHARE 0.8
 
 #define LOADS_NOTICE_ROWS 64
@@ -159,7 +159,8 @@
 {
   const ca_catalog_t *catalog = gateway->catalog;
 
-  return catalog != NULL && catalog->engine_target_ms > 0
+  return gateway->speeds_differ && catalog != NULL
+         && catalog->engine_target_ms > 0
          && catalog->engine_target_ms * CA_US_PER_MS
                 < LOADS_OBJECTIVE_SHARE * (double)gateway->heartbeat_period_us;
 }
