--- a/packages/gateway/admission.h
+++ b/packages/gateway/admission.h
@@ -10,7 +10,7 @@
 #include <stddef.h>
 #include <stdint.h>
 
-/* Priorities that are told apart; the least urgent of more count as one. */
+/* Priorities that are distinguished; the least urgent of more count as one. */
 #define CA_ADMISSION_RANKS_MAX 8
 
 /* Workspaces whose work is known; with more, those with the least are left
