--- a/packages/gateway/gateway.h
+++ b/packages/gateway/gateway.h
@@ -488,6 +488,9 @@
   uint64_t validation_requested_us; /* last request to any peer */
   uint32_t validation_attempts;     /* peers asked since the last validation */
   uint64_t outdated_since_us;       /* a peer has had a newer one since */
+  uint64_t named_version; /* newest one that a peer has named, and when it first
+                             did so */
+  uint64_t named_us;
   uint64_t next_catalog_request_us; /* earliest next request to a peer */
   ca_config_transfer_t config_transfer;
   /* Requests. */
@@ -512,6 +515,7 @@
   bool speeds_differ; /* of some service's engines */
   uint64_t next_load_notice_us;
   uint64_t list_validated_us; /* all changes of the list up to then are known */
+  const char *list_source;    /* who brought its latest rows, for the log */
   bool list_wanted;           /* a decision needs a more recent list */
   uint64_t first_list_us;     /* the list has been known without a gap since */
   bool history_from_start;    /* no entry ran before the history begins */
@@ -584,6 +588,9 @@
 bool ca_gateway_store_era (ca_gateway_t *gateway, uint64_t now_us,
                            ca_era_statement_t statement, uint64_t era);
 
+/* Names who brings the next rows of the list, for the log; a static text. */
+void ca_gateway_list_source (ca_gateway_t *gateway, const char *source);
+
 /* Changes to the list of endpoints.  A complete list is enclosed by
  * ca_gateway_list_begin and ca_gateway_list_end. */
 void ca_gateway_list_begin (ca_gateway_t *gateway, uint64_t now_us);
--- a/packages/gateway/peers.c
+++ b/packages/gateway/peers.c
@@ -845,6 +845,8 @@
   else if (heartbeat->reports_known
            && heartbeat->store_era == gateway->store_era)
     gateway->reports_known = true;
+  if (heartbeat->config_known)
+    ca_state_sync_name_version (gateway, heartbeat->config_version);
   if (heartbeat->config_known && gateway->catalog != NULL
       && heartbeat->echo_us > 0 && heartbeat->echo_us <= gateway->now_us
       && heartbeat->config_version == gateway->catalog->version)
--- a/packages/gateway/private.h
+++ b/packages/gateway/private.h
@@ -146,6 +146,9 @@
  * and has not heard from all peers yet. */
 bool ca_state_sync_may_be_restored (const ca_gateway_t *gateway);
 
+/* Notes a configuration version that a peer has in force. */
+void ca_state_sync_name_version (ca_gateway_t *gateway, uint64_t version);
+
 /* select.c */
 
 /* The endpoint chosen for an exchange, and what its choice was based on. */
--- a/packages/gateway/relay.c
+++ b/packages/gateway/relay.c
@@ -181,6 +181,7 @@
   ca_state_sync_peer_era (gateway, update->era);
   if (update->era != gateway->store_era)
     return;
+  ca_state_sync_name_version (gateway, update->config_version);
   validated_us = (int64_t)update->stamp_us - (int64_t)update->age_us
                  + peer->clock_offset_us;
   if (validated_us > 0)
--- a/packages/gateway/state_sync.c
+++ b/packages/gateway/state_sync.c
@@ -24,6 +24,25 @@
 /* Minimum interval between requests for a peer's configuration. */
 #define CATALOG_REQUEST_PERIOD_US (300 * CA_US_PER_MS)
 
+void
+ca_state_sync_name_version (ca_gateway_t *gateway, uint64_t version)
+{
+  if (version <= gateway->named_version || gateway->catalog == NULL
+      || version <= gateway->catalog->version)
+    return;
+  gateway->named_version = version;
+  gateway->named_us = gateway->now_us;
+}
+
+/* Time since a peer first named a version; 0 if none did. */
+static uint64_t
+state_sync_named_age_us (const ca_gateway_t *gateway, uint64_t version)
+{
+  return gateway->named_version == version && version != 0
+             ? gateway->now_us - gateway->named_us
+             : 0;
+}
+
 void
 ca_gateway_catalog (ca_gateway_t *gateway, uint64_t now_us,
                     ca_catalog_t *catalog)
@@ -42,10 +61,11 @@
       gateway, CA_EVENT_CONFIG_APPLIED, NULL, NULL,
       "version %" PRIu64 " replaces %" PRIu64
       ", %u routes, %u workspaces, %zu bytes from %s, built in "
-      "%" PRIu64 " us",
+      "%" PRIu64 " us, named by a peer %" PRIu64 " ms before",
       catalog->version, former == NULL ? 0 : former->version,
       catalog->route_count, catalog->workspace_count, catalog->text_bytes,
-      catalog->source == NULL ? "a file" : catalog->source, catalog->build_us);
+      catalog->source == NULL ? "a file" : catalog->source, catalog->build_us,
+      state_sync_named_age_us (gateway, catalog->version) / CA_US_PER_MS);
   if (former != NULL)
     {
       ca_config_transfer_replaced (gateway, former);
@@ -183,6 +203,22 @@
     ca_registry_expire (&gateway->registry, now_us, 0);
 }
 
+static const char *
+state_sync_list_source (const ca_gateway_t *gateway)
+{
+  return gateway->list_source == NULL ? "a file" : gateway->list_source;
+}
+
+/* Time since the list was last known to be complete. */
+static uint64_t
+state_sync_list_age_ms (const ca_gateway_t *gateway)
+{
+  return gateway->now_us > gateway->list_validated_us
+                 && gateway->list_validated_us != 0
+             ? (gateway->now_us - gateway->list_validated_us) / CA_US_PER_MS
+             : 0;
+}
+
 void
 ca_gateway_endpoint_listed (ca_gateway_t *gateway, uint64_t now_us,
                             const ca_endpoint_record_t *record)
@@ -208,13 +244,15 @@
   endpoint = ca_registry_find (&gateway->registry, record->id);
   ca_stream_versions_listed (gateway, endpoint);
   ca_brittle_listed (gateway, endpoint);
-  ca_gateway_log (gateway,
-                  record->draining ? CA_EVENT_ENDPOINT_LEAVING
-                                   : CA_EVENT_ENDPOINT_ADDED,
-                  NULL, record->id,
-                  "service %s zone %s started %" PRIu64 " software version %s",
-                  record->service, record->zone, record->started_ms,
-                  record->version == NULL ? "" : record->version);
+  ca_gateway_log (
+      gateway,
+      record->draining ? CA_EVENT_ENDPOINT_LEAVING : CA_EVENT_ENDPOINT_ADDED,
+      NULL, record->id,
+      "service %s zone %s started %" PRIu64
+      " software version %s, from %s, list validated %" PRIu64 " ms before",
+      record->service, record->zone, record->started_ms,
+      record->version == NULL ? "" : record->version,
+      state_sync_list_source (gateway), state_sync_list_age_ms (gateway));
 }
 
 void
@@ -232,9 +270,17 @@
       return;
     }
   ca_registry_remove (&gateway->registry, now_us, id, confirmed);
-  ca_gateway_log (gateway, CA_EVENT_ENDPOINT_GONE, NULL, id, "%s",
-                  confirmed ? "removed from the list"
-                            : "missing since the store recovered");
+  ca_gateway_log (
+      gateway, CA_EVENT_ENDPOINT_GONE, NULL, id,
+      "%s, from %s, list validated %" PRIu64 " ms before",
+      confirmed ? "removed from the list" : "missing since the store recovered",
+      state_sync_list_source (gateway), state_sync_list_age_ms (gateway));
+}
+
+void
+ca_gateway_list_source (ca_gateway_t *gateway, const char *source)
+{
+  gateway->list_source = source;
 }
 
 /* Asks the k-th entry for a validation; true if this entry must ask the store
