watch: limits of calls follow from the bound on the table's changes

What callers saw: requests went to an endpoint that had reported that it leaves (DRAIN).

Cause: an entry that reads the list for itself let the store hold its call for 10 s (the leader for 1.5 s) and took the answer for lost 1 s after that, where the bound on leaving is 2 s. A lost answer, on a connection that stays open, hid all changes for 11 s. The bound on leaving was not read from the settings at all; the relay used the one on propagation. Ruled out: a wait after the entry has learned of it; in the failing runs endpoint_leaving comes with the answer, 2.7 s and more after the list was last validated.

Change: watch_times.c derives the hold, the time for the answer, the pause after changes, the interval of updates and the age at which a follower asks from the bound of the table (bounds.drain_ms for endpoints), and their sums, which test_watch_times compares with bounds of 1 to 6 s. The time for an answer grows with the latest one, so a slow store is not taken for a silent one. After a call without an answer the next one follows at once.

--- a/packages/gateway/gateway.h
+++ b/packages/gateway/gateway.h
@@ -35,6 +35,8 @@
 typedef struct
 {
   uint32_t propagation_ms; /* until a new configuration is in force */
+  uint32_t drain_ms; /* until an endpoint that leaves gets no requests; 0: as
+                        propagation_ms */
   bool strict_revocation;  /* a revoked key must not be used */
   uint32_t revocation_ms; /* at the latest after this, even without the store */
   double retry_ratio;     /* retries per request of a service */
--- a/packages/gateway/relay.c
+++ b/packages/gateway/relay.c
@@ -15,23 +15,18 @@
  * often that it would make more calls than it saves. */
 #define RELAY_MIN_ENTRIES 5
 
-/* Shares of the bound on propagation: the reader's wait at the store, the age
- * at which its updates expire, and the interval between updates.  The remainder
- * is for a follower's own call. */
-#define RELAY_WAIT_SHARE 0.4
-#define RELAY_MAX_AGE_SHARE 0.6
-#define RELAY_UPDATE_SHARE 0.1
-
 /* A larger configuration is not sent in an update: peers request the version
  * that the update names (config_transfer.c). */
 #define RELAY_MAX_ROW_BYTES (16 * 1024)
 
-/* Returns a share of the bound on propagation. */
-static uint64_t
-relay_share_us (const ca_gateway_t *gateway, double share)
+/* The bound within which changes of the table must be known. */
+static uint32_t
+relay_bound_ms (const ca_gateway_t *gateway, const ca_watch_t *watch)
 {
-  return (uint64_t)(gateway->options.bounds.propagation_ms * share
-                    * CA_US_PER_MS);
+  const ca_bounds_t *bounds = &gateway->options.bounds;
+
+  return watch->holds_config || bounds->drain_ms == 0 ? bounds->propagation_ms
+                                                      : bounds->drain_ms;
 }
 
 /* Sends an update to every live peer of this zone. */
@@ -76,7 +71,7 @@
 {
   uint64_t age_us = gateway->now_us - watch->validated_us;
   bool is_stale = role == CA_WATCH_FOLLOWER && watch->listed
-                  && age_us >= watch->max_update_age_us;
+                  && age_us >= watch->times.max_age_ms * CA_US_PER_MS;
 
   if (watch->role != role)
     ca_gateway_log (gateway, CA_EVENT_STORE_READER, NULL, watch->table,
@@ -84,9 +79,8 @@
                     relay_roles[role], same_zone);
   if (is_stale && !watch->update_is_stale)
     ca_gateway_log (gateway, CA_EVENT_STORE_WORD_OLD, NULL, watch->table,
-                    "validated %" PRIu64 " ms ago, limit %" PRIu64 " ms",
-                    age_us / CA_US_PER_MS,
-                    watch->max_update_age_us / CA_US_PER_MS);
+                    "validated %" PRIu64 " ms ago, limit %u ms",
+                    age_us / CA_US_PER_MS, (unsigned)watch->times.max_age_ms);
   watch->role = role;
   watch->update_is_stale = is_stale;
 }
@@ -101,9 +95,7 @@
 
   gateway->now_us = now_us;
   ca_peers_count_same_zone (gateway, &same_zone, &senior);
-  watch->relay_wait_ms
-      = (uint32_t)(relay_share_us (gateway, RELAY_WAIT_SHARE) / CA_US_PER_MS);
-  watch->max_update_age_us = relay_share_us (gateway, RELAY_MAX_AGE_SHARE);
+  ca_watch_times_init (&watch->times, relay_bound_ms (gateway, watch));
   if (same_zone < RELAY_MIN_ENTRIES || gateway->stopping || gateway->store_down)
     role = CA_WATCH_INDEPENDENT;
   else
@@ -112,7 +104,7 @@
   if (watch->role != CA_WATCH_READER || !watch->listed || watch->is_applying
       || now_us < watch->next_update_us)
     return;
-  watch->next_update_us = now_us + relay_share_us (gateway, RELAY_UPDATE_SHARE);
+  watch->next_update_us = now_us + watch->times.update_ms * CA_US_PER_MS;
   relay_fill (gateway, watch, &update);
   update.after = watch->last_change_version;
   relay_send (gateway, &update);
--- a/packages/gateway/watch.c
+++ b/packages/gateway/watch.c
@@ -15,9 +15,13 @@
  * that the store's recovery is noticed soon; the long ones succeed while the
  * store is slow. */
 #define WATCH_TIMEOUT_MS 2000
-#define WATCH_FEED_MARGIN_MS 1000
 #define WATCH_SHORT_TIMEOUT_MS 600
 
+/* Time for an answer beyond the time for which the store holds the call, at
+ * most, and in terms of the time that the latest answer took. */
+#define WATCH_MAX_ANSWER_MS 1000
+#define WATCH_ANSWER_FACTOR 2
+
 void
 ca_watch_init (ca_watch_t *watch, const char *table, uint32_t number,
                uint32_t wait_ms, uint32_t pause_ms,
@@ -52,14 +56,38 @@
 {
   uint64_t age_ms = (now_us - watch->validated_us) / CA_US_PER_MS;
 
+  uint32_t wait_ms = watch->wait_ms;
+
   if (watch->failures > 0 || watch->is_refreshing)
     return 0;
-  if (watch->role == CA_WATCH_INDEPENDENT)
-    return watch->max_wait_ms > 0 && watch->max_wait_ms < watch->wait_ms
-               ? watch->max_wait_ms
-               : watch->wait_ms;
-  return age_ms < watch->relay_wait_ms ? watch->relay_wait_ms - (uint32_t)age_ms
-                                       : 0;
+  if (watch->times.hold_ms > 0 && watch->times.hold_ms < wait_ms)
+    wait_ms = watch->times.hold_ms;
+  if (watch->role != CA_WATCH_INDEPENDENT)
+    return age_ms < wait_ms ? wait_ms - (uint32_t)age_ms : 0;
+  return watch->max_wait_ms > 0 && watch->max_wait_ms < wait_ms
+             ? watch->max_wait_ms
+             : wait_ms;
+}
+
+/* Time for an answer beyond the call's wait: longer while the store is slow. */
+static uint32_t
+watch_answer_ms (const ca_watch_t *watch)
+{
+  uint32_t slow_ms = WATCH_ANSWER_FACTOR * watch->answer_ms;
+  uint32_t answer_ms = watch->times.answer_ms;
+
+  if (answer_ms == 0 || answer_ms > WATCH_MAX_ANSWER_MS
+      || slow_ms > WATCH_MAX_ANSWER_MS)
+    return WATCH_MAX_ANSWER_MS;
+  return slow_ms > answer_ms ? slow_ms : answer_ms;
+}
+
+static uint32_t
+watch_pause_ms (const ca_watch_t *watch)
+{
+  return watch->times.pause_ms > 0 && watch->times.pause_ms < watch->pause_ms
+             ? watch->times.pause_ms
+             : watch->pause_ms;
 }
 
 /* True if this follower needs no call, as its reader's updates are recent. */
@@ -68,7 +96,8 @@
 {
   return watch->role == CA_WATCH_FOLLOWER && watch->listed
          && watch->failures == 0
-         && now_us < watch->validated_us + watch->max_update_age_us;
+         && now_us
+                < watch->validated_us + watch->times.max_age_ms * CA_US_PER_MS;
 }
 
 void
@@ -78,9 +107,10 @@
       || watch_reader_is_recent (watch, now_us))
     return;
   watch->busy = true;
+  watch->called_us = now_us;
   watch->call_wait_ms = watch_wait_ms (watch, now_us);
   watch->call_timeout_ms = watch->failures == 0 && watch->listed
-                               ? watch->call_wait_ms + WATCH_FEED_MARGIN_MS
+                               ? watch->call_wait_ms + watch_answer_ms (watch)
                                : WATCH_TIMEOUT_MS;
   if (watch->failures % 2 == 1)
     watch->call_timeout_ms = WATCH_SHORT_TIMEOUT_MS;
@@ -103,6 +133,17 @@
   watch->next_us = now_us;
 }
 
+/* Notes the time that an answer took beyond the call's wait. */
+static void
+watch_note_answer (ca_watch_t *watch, uint64_t now_us)
+{
+  uint64_t took_ms = (now_us - watch->called_us) / CA_US_PER_MS;
+
+  watch->answer_ms = took_ms > watch->call_wait_ms
+                         ? (uint32_t)took_ms - watch->call_wait_ms
+                         : 0;
+}
+
 void
 ca_watch_done (ca_watch_t *watch, uint64_t now_us, ca_watch_status_t status,
                uint64_t version, bool changed, uint64_t validated_us)
@@ -111,9 +152,11 @@
 
   watch->busy = false;
   watch->is_refreshing = false;
-  if (status == CA_WATCH_FAILED)
+  if (status == CA_WATCH_FAILED || status == CA_WATCH_UNANSWERED)
     {
       watch->failures++;
+      if (status == CA_WATCH_UNANSWERED && watch->failures == 1)
+        pause_us = 0; /* it may just have been the connection */
       for (uint32_t i = 1; i < watch->failures && pause_us < WATCH_RETRY_MAX_US;
            i++)
         pause_us *= 2;
@@ -121,7 +164,10 @@
       return;
     }
   watch->failures = 0;
-  watch->next_us = now_us + (changed ? watch->pause_ms * CA_US_PER_MS : 0);
+  watch->next_us
+      = now_us + (changed ? watch_pause_ms (watch) * CA_US_PER_MS : 0);
+  if (!changed && watch->listed)
+    watch_note_answer (watch, now_us);
   if (status == CA_WATCH_COMPACTED)
     {
       watch->listed = false;
--- a/packages/gateway/watch.h
+++ b/packages/gateway/watch.h
@@ -5,6 +5,8 @@
 #ifndef CA_GATEWAY_WATCH_H
 #define CA_GATEWAY_WATCH_H
 
+#include "gateway/watch_times.h"
+
 #include <stdbool.h>
 #include <stdint.h>
 
@@ -12,7 +14,8 @@
 {
   CA_WATCH_OK,
   CA_WATCH_COMPACTED, /* the store has compacted its history since then */
-  CA_WATCH_FAILED     /* refused, timed out or not answered */
+  CA_WATCH_FAILED,    /* refused */
+  CA_WATCH_UNANSWERED /* no whole answer came in time */
 } ca_watch_status_t;
 
 /* Which entry reads the table (relay.c). */
@@ -26,9 +29,10 @@
 typedef struct ca_watch
 {
   const char *table;
-  uint32_t number;   /* of the table, in updates to peers */
-  uint32_t wait_ms;  /* how long the store waits for a change */
-  uint32_t pause_ms; /* batches changes, since calls cost money */
+  uint32_t number;        /* of the table, in updates to peers */
+  uint32_t wait_ms;       /* how long the store may hold a call at most */
+  uint32_t pause_ms;      /* batches changes, since calls cost money */
+  ca_watch_times_t times; /* set before each tick; 0: only the limits above */
   void (*list) (void *context, struct ca_watch *watch);
   void (*feed) (void *context, struct ca_watch *watch);
   /* Ends the call in flight; NULL if it cannot be ended.  Set by the owner. */
@@ -40,18 +44,19 @@
   uint64_t last_change_version; /* the store's version at the latest change */
   uint32_t call_wait_ms;        /* wait at the store, of the call in flight */
   uint32_t call_timeout_ms;     /* timeout of that call */
-  uint32_t failures;            /* in a row */
+  uint64_t called_us;           /* when it was made */
+  uint32_t answer_ms; /* of the latest call that was held to its end: the time
+                         that its answer took */
+  uint32_t failures;  /* in a row */
   uint64_t next_us;
-  uint64_t validated_us;      /* all changes up to then were applied */
-  ca_watch_role_t role;       /* set before each tick, like the next two */
-  uint32_t relay_wait_ms;     /* a reader's wait at the store */
-  uint32_t max_wait_ms;       /* while this entry reads for itself; 0: none */
-  bool is_refreshing;         /* the next call does not wait */
-  uint64_t max_update_age_us; /* age at which a reader's update expires */
-  uint64_t next_update_us;    /* when a reader next sends an update */
-  bool update_is_stale;       /* a follower reads the store itself */
-  bool holds_config;          /* its row is the configuration */
-  bool is_applying;           /* the latest change is not in force yet */
+  uint64_t validated_us;   /* all changes up to then were applied */
+  ca_watch_role_t role;    /* set before each tick */
+  uint32_t max_wait_ms;    /* while this entry reads for itself; 0: none */
+  bool is_refreshing;      /* the next call does not wait */
+  uint64_t next_update_us; /* when a reader next sends an update */
+  bool update_is_stale;    /* a follower reads the store itself */
+  bool holds_config;       /* its row is the configuration */
+  bool is_applying;        /* the latest change is not in force yet */
 } ca_watch_t;
 
 /* Initialises caller-owned memory. */
--- /dev/null
+++ b/tests/gateway/test_watch_times.c
@@ -0,0 +1,66 @@
+/* Guards against waits and time limits whose sum exceeds the bound that they
+ * serve. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+
+#include <cmocka.h>
+
+#include "gateway/watch_times.h"
+
+/* Bounds of the sites' sheets, and shorter and longer ones. */
+static const uint32_t bounds_ms[] = { 1000, 2000, 3000, 6000 };
+
+#define BOUNDS (sizeof bounds_ms / sizeof bounds_ms[0])
+
+static void
+test_lost_answer (void **state)
+{
+  (void)state;
+  for (size_t i = 0; i < BOUNDS; i++)
+    {
+      ca_watch_times_t times;
+
+      ca_watch_times_init (&times, bounds_ms[i]);
+      assert_true (ca_watch_times_call_ms (&times) <= bounds_ms[i]);
+    }
+}
+
+static void
+test_silent_reader (void **state)
+{
+  (void)state;
+  for (size_t i = 0; i < BOUNDS; i++)
+    {
+      ca_watch_times_t times;
+
+      ca_watch_times_init (&times, bounds_ms[i]);
+      assert_true (ca_watch_times_follow_ms (&times) <= bounds_ms[i]);
+    }
+}
+
+/* A reader whose call is held to its end is not taken for silent. */
+static void
+test_held_call_is_recent (void **state)
+{
+  (void)state;
+  for (size_t i = 0; i < BOUNDS; i++)
+    {
+      ca_watch_times_t times;
+
+      ca_watch_times_init (&times, bounds_ms[i]);
+      assert_true (times.hold_ms + times.update_ms < times.max_age_ms);
+    }
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_lost_answer),
+    cmocka_unit_test (test_silent_reader),
+    cmocka_unit_test (test_held_call_is_recent),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
--- a/tests/site/lib.sh
+++ b/tests/site/lib.sh
@@ -101,6 +101,7 @@
 cloud_api.address=127.0.0.1:$BASE
 cloud_api.duties=usage_reporting,autoscaling
 bounds.config_propagation_ms=2000
+bounds.drain_ms=2000
 bounds.revocation_strict=true
 bounds.revocation_ms=5000
 bounds.retry_budget_ratio=0.2
