relay: small zones share one reader of the store

Change: the live entries of all such zones form one group, whose longest-lived entry reads the tables for it, as a larger zone's does. An entry that needs a recent list asks at once, too.

--- a/packages/gateway/gateway.h
+++ b/packages/gateway/gateway.h
@@ -37,7 +37,7 @@
   uint32_t propagation_ms; /* until a new configuration is in force */
   uint32_t drain_ms; /* until an endpoint that leaves gets no requests; 0: as
                         propagation_ms */
-  bool strict_revocation;  /* a revoked key must not be used */
+  bool strict_revocation; /* a revoked key must not be used */
   uint32_t revocation_ms; /* at the latest after this, even without the store */
   double retry_ratio;     /* retries per request of a service */
   double retry_allowance; /* additional retries in one window */
@@ -391,6 +391,7 @@
   uint64_t discovered_us;
   uint64_t heartbeat_sent_us;
   bool leaving;
+  bool zone_is_small; /* and so is this entry's (ca_peers_in_reading_group) */
   bool reads_store;
   bool leads;
   bool grants_slots; /* of brittle engines; older entries do not */
@@ -533,8 +534,10 @@
   ca_peer_t *peers;
   bool entries_listed; /* the store has listed all entries since the start */
   uint64_t heartbeat_period_us; /* between heartbeats to one peer */
-  bool heartbeat_all_due;       /* send to all in one tick, as a stop begins */
-  uint64_t round_started_us;    /* start of the current round of heartbeats */
+  bool zone_is_small;           /* too small for a reader of its own */
+  uint64_t next_zone_survey_us;
+  bool heartbeat_all_due;    /* send to all in one tick, as a stop begins */
+  uint64_t round_started_us; /* start of the current round of heartbeats */
   uint64_t rounds;
   uint64_t next_share_us; /* next division of the quotas */
   uint64_t last_share_us; /* last division of the quotas */
--- a/packages/gateway/peers.c
+++ b/packages/gateway/peers.c
@@ -24,6 +24,9 @@
 /* Heartbeat interval towards a peer that is not live. */
 #define HEARTBEAT_SILENT_PEER_US (2 * CA_US_PER_S)
 
+/* Interval at which the entries of zones are counted. */
+#define PEER_ZONE_SURVEY_US (100 * CA_US_PER_MS)
+
 /* A peer that has sent nothing for this long is removed. */
 #define PEER_RETENTION_US (40 * CA_US_PER_S)
 
@@ -189,20 +192,59 @@
   return peer->id < gateway->id;
 }
 
+/* Number of live entries of a zone that can read the store. */
+static uint32_t
+peer_count_readers (const ca_gateway_t *gateway, const char *zone)
+{
+  uint32_t count
+      = !gateway->store_down && strcmp (gateway->options.zone, zone) == 0;
+  const ca_peer_t *peer;
+
+  for (peer = gateway->peers; peer != NULL; peer = peer->hh.next)
+    count += peer_is_eligible (gateway, peer) && strcmp (peer->zone, zone) == 0;
+  return count;
+}
+
+/* Notes at intervals which zones are too small for a reader of their own. */
+static void
+peer_survey_zones (ca_gateway_t *gateway, uint32_t min_entries)
+{
+  ca_peer_t *peer;
+
+  if (gateway->now_us < gateway->next_zone_survey_us)
+    return;
+  gateway->next_zone_survey_us = gateway->now_us + PEER_ZONE_SURVEY_US;
+  gateway->zone_is_small
+      = peer_count_readers (gateway, gateway->options.zone) < min_entries;
+  for (peer = gateway->peers; peer != NULL; peer = peer->hh.next)
+    peer->zone_is_small
+        = gateway->zone_is_small
+          && peer_count_readers (gateway, peer->zone) < min_entries;
+}
+
+bool
+ca_peers_in_reading_group (const ca_gateway_t *gateway, const ca_peer_t *peer)
+{
+  return gateway->zone_is_small
+             ? peer_is_live (gateway, peer) && peer->zone_is_small
+             : ca_peers_in_same_zone (gateway, peer);
+}
+
 void
-ca_peers_count_same_zone (const ca_gateway_t *gateway, uint32_t *same_zone,
-                          uint32_t *senior)
+ca_peers_count_reading_group (ca_gateway_t *gateway, uint32_t min_entries,
+                              uint32_t *count, uint32_t *senior)
 {
   const ca_peer_t *peer;
 
-  *same_zone = gateway->store_down ? 0 : 1;
+  peer_survey_zones (gateway, min_entries);
+  *count = gateway->store_down ? 0 : 1;
   *senior = 0;
   for (peer = gateway->peers; peer != NULL; peer = peer->hh.next)
     {
       if (!peer_is_eligible (gateway, peer)
-          || !ca_peers_in_same_zone (gateway, peer))
+          || !ca_peers_in_reading_group (gateway, peer))
         continue;
-      (*same_zone)++;
+      (*count)++;
       if (peer_is_senior (gateway, peer))
         (*senior)++;
     }
--- a/packages/gateway/private.h
+++ b/packages/gateway/private.h
@@ -677,10 +677,17 @@
 void ca_peers_update_clock_offset (const ca_gateway_t *gateway, ca_peer_t *peer,
                                    uint64_t stamp_us);
 
-/* Counts the live entries of this zone that read the store, this one included,
- * and those of them that are senior to this one. */
-void ca_peers_count_same_zone (const ca_gateway_t *gateway, uint32_t *same_zone,
-                               uint32_t *senior);
+/* True if the peer is live and of the group for which one entry reads the
+ * store: this entry's zone, or all small zones together if it is one of them
+ * (as of the latest ca_peers_count_reading_group). */
+bool ca_peers_in_reading_group (const ca_gateway_t *gateway,
+                                const ca_peer_t *peer);
+
+/* Counts the live entries of this entry's group that read the store, this one
+ * included, and those of them that are senior to this one.  A zone with fewer
+ * than `min_entries` is small. */
+void ca_peers_count_reading_group (ca_gateway_t *gateway, uint32_t min_entries,
+                                   uint32_t *count, uint32_t *senior);
 
 /* Returns the k-th live entry that reads the store, in order of their numbers.
  * NULL if that is this entry, with `is_self` set, or if there are fewer. */
--- a/packages/gateway/relay.c
+++ b/packages/gateway/relay.c
@@ -1,7 +1,8 @@
-/* Tables of the store that one entry of a zone reads for the others.
+/* Tables of the store that one entry of a group reads for the others.
  *
- * Calls to the store cost money and share one rate limit.  In a zone with
- * several entries the one that started first therefore reads the tables.  It
+ * Calls to the store cost money and share one rate limit.  A group is a zone,
+ * or all zones with few entries together: the entry that started first reads
+ * the tables.  It
  * sends the others each change, and at short intervals the age of its copy.
  * The others read the store themselves when that age exceeds a limit, so the
  * bound on propagation holds also if the reader fails or cannot reach the
@@ -11,9 +12,9 @@
 
 #include <inttypes.h>
 
-/* With fewer live entries in a zone each reads for itself.  A reader polls so
- * often that it would make more calls than it saves. */
-#define RELAY_MIN_ENTRIES 5
+/* A zone with fewer live entries is small: together with other small zones it
+ * has one reader. */
+#define RELAY_ZONE_MIN_ENTRIES 5
 
 /* A larger configuration is not sent in an update: peers request the version
  * that the update names (config_transfer.c). */
@@ -29,7 +30,7 @@
                                                       : bounds->drain_ms;
 }
 
-/* Sends an update to every live peer of this zone. */
+/* Sends an update to every live peer of the group. */
 static void
 relay_send (ca_gateway_t *gateway, Camphor__TableWord *update)
 {
@@ -40,7 +41,7 @@
   envelope.table_word = update;
   for (peer = gateway->peers; peer != NULL; peer = peer->hh.next)
     {
-      if (ca_peers_in_same_zone (gateway, peer))
+      if (ca_peers_in_reading_group (gateway, peer))
         ca_peers_send (gateway, &peer->address, &envelope);
     }
 }
@@ -62,12 +63,12 @@
 static const char *const relay_roles[]
     = { [CA_WATCH_INDEPENDENT] = "this entry, for itself only",
         [CA_WATCH_READER] = "this entry, for its zone",
-        [CA_WATCH_FOLLOWER] = "the longest-lived entry of the zone" };
+        [CA_WATCH_FOLLOWER] = "the longest-lived entry" };
 
 /* Logs a change of role, and when a reader's updates become too old. */
 static void
 relay_log_changes (ca_gateway_t *gateway, ca_watch_t *watch,
-                   ca_watch_role_t role, uint32_t same_zone)
+                   ca_watch_role_t role, uint32_t group)
 {
   uint64_t age_us = gateway->now_us - watch->validated_us;
   bool is_stale = role == CA_WATCH_FOLLOWER && watch->listed
@@ -75,8 +76,9 @@
 
   if (watch->role != role)
     ca_gateway_log (gateway, CA_EVENT_STORE_READER, NULL, watch->table,
-                    "read by %s; %u live entries of the zone read the store",
-                    relay_roles[role], same_zone);
+                    "read by %s; %u live entries %s can read the store",
+                    relay_roles[role], group,
+                    gateway->zone_is_small ? "of small zones" : "of the zone");
   if (is_stale && !watch->update_is_stale)
     ca_gateway_log (gateway, CA_EVENT_STORE_WORD_OLD, NULL, watch->table,
                     "validated %" PRIu64 " ms ago, limit %u ms",
@@ -90,17 +92,19 @@
 {
   Camphor__TableWord update = CAMPHOR__TABLE_WORD__INIT;
   ca_watch_role_t role;
-  uint32_t same_zone;
+  uint32_t group;
   uint32_t senior;
 
   gateway->now_us = now_us;
-  ca_peers_count_same_zone (gateway, &same_zone, &senior);
+  ca_peers_count_reading_group (gateway, RELAY_ZONE_MIN_ENTRIES, &group,
+                                &senior);
   ca_watch_times_init (&watch->times, relay_bound_ms (gateway, watch));
-  if (same_zone < RELAY_MIN_ENTRIES || gateway->stopping || gateway->store_down)
+  if (group < 2 || gateway->stopping || gateway->store_down)
     role = CA_WATCH_INDEPENDENT;
   else
     role = senior > 0 ? CA_WATCH_FOLLOWER : CA_WATCH_READER;
-  relay_log_changes (gateway, watch, role, same_zone);
+  watch->may_refresh = gateway->zone_is_small;
+  relay_log_changes (gateway, watch, role, group);
   if (watch->role != CA_WATCH_READER || !watch->listed || watch->is_applying
       || now_us < watch->next_update_us)
     return;
--- a/packages/gateway/watch.c
+++ b/packages/gateway/watch.c
@@ -95,7 +95,7 @@
 watch_reader_is_recent (const ca_watch_t *watch, uint64_t now_us)
 {
   return watch->role == CA_WATCH_FOLLOWER && watch->listed
-         && watch->failures == 0
+         && watch->failures == 0 && !watch->is_refreshing
          && now_us
                 < watch->validated_us + watch->times.max_age_ms * CA_US_PER_MS;
 }
@@ -123,11 +123,16 @@
 void
 ca_watch_refresh (ca_watch_t *watch, uint64_t now_us, uint64_t max_age_us)
 {
-  if (!watch->listed || !watch->busy || watch->is_refreshing
-      || watch->failures > 0 || watch->role != CA_WATCH_INDEPENDENT
+  bool is_waiting = watch->busy ? watch->call_wait_ms > 0
+                                : watch->role == CA_WATCH_FOLLOWER;
+
+  if (!watch->listed || !is_waiting || watch->is_refreshing
+      || watch->failures > 0
+      || (watch->role != CA_WATCH_INDEPENDENT && !watch->may_refresh)
       || watch->cancel == NULL || now_us < watch->validated_us + max_age_us)
     return;
-  watch->cancel (watch->context, watch);
+  if (watch->busy)
+    watch->cancel (watch->context, watch);
   watch->busy = false;
   watch->is_refreshing = true;
   watch->next_us = now_us;
@@ -199,6 +204,7 @@
       /* The call would bring what the update has brought. */
       watch->cancel (watch->context, watch);
       watch->busy = false;
+      watch->is_refreshing = false;
     }
   if (until == watch->after)
     return false;
--- a/packages/gateway/watch.h
+++ b/packages/gateway/watch.h
@@ -49,10 +49,12 @@
                          that its answer took */
   uint32_t failures;  /* in a row */
   uint64_t next_us;
-  uint64_t validated_us;   /* all changes up to then were applied */
-  ca_watch_role_t role;    /* set before each tick */
-  uint32_t max_wait_ms;    /* while this entry reads for itself; 0: none */
-  bool is_refreshing;      /* the next call does not wait */
+  uint64_t validated_us; /* all changes up to then were applied */
+  ca_watch_role_t role;  /* set before each tick */
+  uint32_t max_wait_ms;  /* while this entry reads for itself; 0: none */
+  bool is_refreshing;    /* the next call does not wait */
+  bool may_refresh; /* a follower and its reader ask at once, too; set before
+                       each tick */
   uint64_t next_update_us; /* when a reader next sends an update */
   bool update_is_stale;    /* a follower reads the store itself */
   bool holds_config;       /* its row is the configuration */
@@ -73,8 +75,9 @@
 /* Makes the next call if it is due. */
 void ca_watch_tick (ca_watch_t *watch, uint64_t now_us);
 
-/* Asks the store at once, instead of waiting for a change, if this entry reads
- * for itself and the latest answer is older than `max_age_us`. */
+/* Asks the store at once, instead of waiting for a change or for a reader's
+ * update, if the copy is older than `max_age_us` and this entry reads for
+ * itself or may do so. */
 void ca_watch_refresh (ca_watch_t *watch, uint64_t now_us, uint64_t max_age_us);
 
 /* Ends the call in flight.  `version` is the store's version in its answer,
