http client: a lost answer makes other kept connections suspect

Cause: when the connections to the store fall silent while they stay open, each call that follows takes the next kept one and is lost as well, 0.6 to 2 s each. Evidence: after the call of 11,000 ms the log of an entry has a second store_call_failed, not answered after 604 ms, while the store answers others; with it store_down.

test_http, test_silent_kept_connections failed before: the second call was lost, too.

--- a/packages/http/client.c
+++ b/packages/http/client.c
@@ -69,6 +69,7 @@
   bool response_complete; /* read to its end: the request was received */
   bool cancelled;         /* by one of its own callbacks */
   bool parsing;
+  uint64_t started_us;  /* time of the call */
   uint64_t deadline_us; /* 0: none */
   size_t body_bytes;    /* of the response */
   uint64_t body_us;     /* time of its latest bytes */
@@ -381,6 +382,22 @@
                               : CA_HTTP_OUTCOME_INTERRUPTED);
 }
 
+/* Closes the idle connections that were not used since the call was sent. */
+static void
+call_close_unproven (const ca_http_pool_call_t *call)
+{
+  ca_http_pool_call_t *idle = TAILQ_FIRST (&call->host->idle);
+
+  while (idle != NULL)
+    {
+      ca_http_pool_call_t *next = TAILQ_NEXT (idle, entries);
+
+      if (idle->idle_since_us <= call->started_us)
+        call_free (idle);
+      idle = next;
+    }
+}
+
 /* Ends a call at its deadline, or an idle connection at its limit. */
 static void
 call_on_timeout (evutil_socket_t fd, short what, void *context)
@@ -395,8 +412,12 @@
   else if (call->connected && call_extended_deadline_us (call) > now_us)
     call_set_timer (call, call_extended_deadline_us (call) - now_us);
   else
-    call_fail (call, call->connected ? CA_HTTP_OUTCOME_INTERRUPTED
-                                     : CA_HTTP_OUTCOME_NOT_SENT);
+    {
+      if (call->options.timeout_closes_idle)
+        call_close_unproven (call);
+      call_fail (call, call->connected ? CA_HTTP_OUTCOME_INTERRUPTED
+                                       : CA_HTTP_OUTCOME_NOT_SENT);
+    }
 }
 
 static void
@@ -508,10 +529,11 @@
   call->body_bytes = 0;
   call->reader.response_to_head = strcmp (options->method, "HEAD") == 0;
   call->options.method = call->reader.response_to_head ? "HEAD" : "";
+  call->started_us = ca_clock_boot_us ();
   call->deadline_us
       = options->timeout_ms == 0
             ? 0
-            : ca_clock_boot_us () + (uint64_t)options->timeout_ms * 1000;
+            : call->started_us + (uint64_t)options->timeout_ms * 1000;
   call_format_request (call, options);
   if (!reused)
     {
--- a/packages/http/client.h
+++ b/packages/http/client.h
@@ -55,6 +55,10 @@
   /* While the response's body arrives, the timeout is extended to this long
    * after its latest bytes, if they come fast enough on average.  0: never. */
   uint32_t stall_timeout_ms;
+  /* If the call ends at its timeout, idle connections to the address that were
+   * not used since it was sent are closed: they may have been lost with its
+   * own. */
+  bool timeout_closes_idle;
   uint32_t max_idle_ms; /* maximum idle time of a reused connection; 0: open a
                            new one */
   ca_http_head_action_t (*on_head) (void *context, const ca_http_head_t *head);
--- a/tests/gateway/test_http.c
+++ b/tests/gateway/test_http.c
@@ -246,6 +246,34 @@
   return result;
 }
 
+/* Starts a call whose loss is taken for that of the kept connections, too. */
+static void
+start_call (raw_server_t *server, ca_http_pool_t *pool, uint32_t timeout_ms,
+            call_result_t *result)
+{
+  ca_http_pool_call_options_t options = { .address = server->address,
+                                          .method = "GET",
+                                          .target = "/x",
+                                          .connect_timeout_ms = 1000,
+                                          .timeout_ms = timeout_ms,
+                                          .max_idle_ms = 1000,
+                                          .timeout_closes_idle = true,
+                                          .on_head = result_on_head,
+                                          .on_body = result_on_body,
+                                          .on_done = result_on_done,
+                                          .context = result };
+
+  *result = (call_result_t){ .base = server->base };
+  ca_http_pool_call_start (pool, &options);
+}
+
+static void
+finish_call (const call_result_t *result)
+{
+  while (!result->done)
+    event_base_loop (result->base, EVLOOP_ONCE);
+}
+
 typedef struct
 {
   const char *name;
@@ -508,6 +536,38 @@
   raw_end (&server);
 }
 
+/* Several kept connections fall silent, and stay open: one call is lost, not
+ * one for each of them. */
+static void
+test_silent_kept_connections (void **state)
+{
+  raw_server_t server;
+  ca_http_pool_t pool;
+  call_result_t results[3];
+
+  (void)state;
+  raw_start (&server, HEAD "Content-Length: 2\r\n\r\nhi", AFTER_KEEP_OPEN);
+  ca_http_pool_init (&pool, server.base);
+  for (size_t i = 0; i < 3; i++)
+    start_call (&server, &pool, 2000, &results[i]);
+  for (size_t i = 0; i < 3; i++)
+    finish_call (&results[i]);
+  assert_int_equal (pool.opened, 3);
+  for (size_t i = 0; i < RAW_MAX_OPEN; i++)
+    {
+      if (server.open[i] != NULL)
+        bufferevent_disable (server.open[i], EV_READ);
+    }
+  start_call (&server, &pool, 100, &results[0]);
+  finish_call (&results[0]);
+  assert_int_equal (results[0].outcome, CA_HTTP_OUTCOME_INTERRUPTED);
+  start_call (&server, &pool, 100, &results[0]);
+  finish_call (&results[0]);
+  assert_int_equal (results[0].outcome, CA_HTTP_OUTCOME_COMPLETE);
+  ca_http_pool_finish (&pool);
+  raw_end (&server);
+}
+
 static void
 test_no_listener (void **state)
 {
@@ -802,6 +862,7 @@
     cmocka_unit_test (test_large_answer_outlasts_timeout),
     cmocka_unit_test (test_trickling_answer_times_out),
     cmocka_unit_test (test_kept_connection),
+    cmocka_unit_test (test_silent_kept_connections),
     cmocka_unit_test (test_no_listener),
     cmocka_unit_test (test_timeout_discards_unsent),
     cmocka_unit_test (test_requests),
