config transfer: leave a peer that does not send

What callers saw: requests handled by an older configuration after the bound (CONFIG), at entries whose peers have the newer one.

Cause: a request for a part was repeated after 0.5, 1 and 2 s to the same peer before another was asked, 3.5 s in all where 3 s are allowed, also if the version was named by others meanwhile.

Change: a transfer without a part for a tenth of the bound moves to the next peer that names the version; requests are repeated after 0.15 of the bound, without doubling.

test_gateway_config_fleet, test_sender_falls_silent failed before: 3,915 ms, now 2,115 ms (heartbeats name the version, 0.5 s later it is requested).

--- a/packages/gateway/config_transfer.c
+++ b/packages/gateway/config_transfer.c
@@ -23,9 +23,13 @@
 /* A part that is followed by no request for the next one is given up. */
 #define TRANSFER_OPEN_US (500 * CA_US_PER_MS)
 
-/* Time until a request for a part is repeated, which doubles, and the repeats
- * until another peer is asked. */
-#define TRANSFER_REPEAT_US (500 * CA_US_PER_MS)
+/* Share of the bound on propagation after which another peer that names the
+ * version is asked if no part has arrived, the minimum of that time, the one
+ * until a request is repeated in terms of it, and the repeats until the
+ * transfer ends. */
+#define TRANSFER_STALL_SHARE 0.1
+#define TRANSFER_STALL_MIN_US (100 * CA_US_PER_MS)
+#define TRANSFER_REPEAT_STALLS 1.5
 #define TRANSFER_MAX_REPEATS 2
 
 /* Longer former texts are not kept, since they take memory. */
@@ -77,6 +81,24 @@
   return gateway->catalog == NULL ? 0 : gateway->catalog->version;
 }
 
+/* Time without a part after which another peer may be asked. */
+static uint64_t
+transfer_stall_us (const ca_gateway_t *gateway)
+{
+  uint64_t stall_us = (uint64_t)(gateway->options.bounds.propagation_ms
+                                 * TRANSFER_STALL_SHARE * CA_US_PER_MS);
+
+  return stall_us > TRANSFER_STALL_MIN_US ? stall_us : TRANSFER_STALL_MIN_US;
+}
+
+/* True if the peer that was asked does not send. */
+static bool
+transfer_is_stalled (const ca_gateway_t *gateway)
+{
+  return gateway->now_us - gateway->config_transfer.progress_us
+         >= transfer_stall_us (gateway);
+}
+
 /* Requests the next part. */
 static void
 transfer_request (ca_gateway_t *gateway)
@@ -137,9 +159,11 @@
 
   if (version <= transfer_own_version (gateway)
       || version <= transfer->completed_version
-      || (transfer->peer != 0 && version <= transfer->version))
+      || (transfer->peer != 0 && version <= transfer->version
+          && (peer->id == transfer->peer || !transfer_is_stalled (gateway))))
     return false;
   transfer_stop (transfer);
+  transfer->progress_us = gateway->now_us;
   transfer->peer = peer->id;
   transfer->version = version;
   transfer->whole_only = false;
@@ -364,6 +388,7 @@
   memcpy (transfer->received + transfer->received_bytes, part->text.data,
           part->text.len);
   transfer->received_bytes += part->text.len;
+  transfer->progress_us = gateway->now_us;
   transfer->repeats = 0;
   if (transfer->received_bytes == transfer->packed_bytes)
     transfer_complete (gateway);
@@ -392,8 +417,8 @@
   if (gateway->catalog != NULL)
     transfer_serve (gateway);
   if (transfer->peer == 0
-      || gateway->now_us - transfer->requested_us < TRANSFER_REPEAT_US
-                                                        << transfer->repeats)
+      || (double)(gateway->now_us - transfer->requested_us)
+             < TRANSFER_REPEAT_STALLS * (double)transfer_stall_us (gateway))
     return;
   if (transfer->repeats++ < TRANSFER_MAX_REPEATS)
     transfer_request (gateway);
--- a/packages/gateway/config_transfer.h
+++ b/packages/gateway/config_transfer.h
@@ -46,6 +46,7 @@
   size_t text_bytes;
   bool whole_only;       /* the change could not be used */
   uint64_t requested_us; /* the latest part */
+  uint64_t progress_us;  /* of the latest part that arrived, or the start */
   uint32_t repeats;      /* of that request */
   uint64_t completed_version;
 } ca_config_transfer_t;
--- a/tests/gateway/test_config_fleet.c
+++ b/tests/gateway/test_config_fleet.c
@@ -134,6 +134,39 @@
   config_world_end ();
 }
 
+/* The only sender falls silent between two parts; another entry has the
+ * version. */
+static void
+test_sender_falls_silent (void **state)
+{
+  config_entry_t *sender = &config_world.entries[0];
+  config_entry_t *receiver = &config_world.entries[1];
+  config_entry_t *other = &config_world.entries[2];
+  uint64_t from_us;
+
+  (void)state;
+  config_world_start (3, true);
+  for (size_t i = 0; i < 3; i++)
+    config_world.entries[i].store_cut = true;
+  config_entry_apply (sender, 2, 8000);
+  from_us = config_world.now_us;
+  while (receiver->gateway.config_transfer.received_bytes == 0
+         && config_world.now_us - from_us < 5 * CA_US_PER_S)
+    config_world_run (CONFIG_WORLD_STEP_US / CA_US_PER_MS);
+  assert_true (receiver->gateway.config_transfer.received_bytes > 0);
+  sender->paused = true;
+  config_entry_apply (other, 2, 8000);
+  from_us = config_world.now_us;
+  while (receiver->gateway.catalog->version < 2
+         && config_world.now_us - from_us < 20 * CA_US_PER_S)
+    config_world_run (CONFIG_WORLD_STEP_US / CA_US_PER_MS);
+  printf ("sender falls silent: %llu ms\n",
+          (unsigned long long)(config_world.now_us - from_us) / CA_US_PER_MS);
+  assert_true (config_world.now_us - from_us
+               <= CONFIG_WORLD_BOUND_MS * CA_US_PER_MS);
+  config_world_end ();
+}
+
 int
 main (void)
 {
@@ -145,6 +178,7 @@
     cmocka_unit_test (test_300_entries),
     cmocka_unit_test (test_readers_end),
     cmocka_unit_test (test_version_between_parts),
+    cmocka_unit_test (test_sender_falls_silent),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
