tests: readers whose calls hang keep versions from their followers, known red

What callers see: requests handled by an older configuration for seconds after the bound, late answers and refusals at all entries of a zone.

From 0.75 s on 46 to 84 of the 84 entries receive the whole text at any moment, and hardly one gets further than half of it, since each update of their reader ends their calls.

--- a/tests/gateway/test_config_readers_pause.c
+++ b/tests/gateway/test_config_readers_pause.c
@@ -13,6 +13,7 @@
 #define SETTLE_MS 6000
 #define MAX_WAIT_US (20 * CA_US_PER_S)
 #define ROUTES 5600
+#define INCIDENT_ROUTES 4200
 
 /* Time from the version at the readers to their pause, in which the first parts
  * are sent. */
@@ -162,6 +163,30 @@
   config_world_end ();
 }
 
+/* The readers' calls hang, and they go on telling how old their copies are. */
+static void
+test_readers_lose_the_store (void **state)
+{
+  uint64_t from_us;
+  uint64_t took_ms;
+
+  (void)state;
+  config_world_start (84, true);
+  config_world.builds_slowly = true;
+  for (size_t zone = 0; zone < CONFIG_WORLD_ZONES; zone++)
+    config_world_reader (zone)->store_cut = true;
+  from_us = config_world.now_us;
+  config_world_write (2, INCIDENT_ROUTES);
+  while (!config_world_all_have (2, CONFIG_WORLD_ZONES)
+         && config_world.now_us - from_us < MAX_WAIT_US)
+    config_world_run (CONFIG_WORLD_STEP_US / CA_US_PER_MS);
+  took_ms = (config_world.now_us - from_us) / CA_US_PER_MS;
+  printf ("84 entries, readers' calls hang: in force after %llu ms\n",
+          (unsigned long long)took_ms);
+  assert_true (took_ms <= CONFIG_WORLD_BOUND_MS);
+  config_world_end ();
+}
+
 int
 main (void)
 {
@@ -172,6 +197,7 @@
     cmocka_unit_test (test_84_entries_all_narrow),
     cmocka_unit_test (test_300_entries),
     cmocka_unit_test (test_senders_pause),
+    cmocka_unit_test (test_readers_lose_the_store),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
