watch: an update ends a follower's call only if it is newer than the call

Cause: each update of the zone's reader ended the call that a follower had made for itself, also if the update was as old as the follower's copy. A reader that is late (a call that hangs, a link or a processor that is full) but runs sends an update every tenth of the bound. So the followers, all of them, began to read the whole text, were stopped 0.3 s later and began again: the text takes 1 s of a link of 10 Mbit/s, so none got it, and their links were full, which delays the answers to callers and whatever made the reader late. The overload keeps itself up until the reader is done.

Evidence: test_gateway_config_readers_pause, test_readers_lose_the_store, has 46 to 84 of 84 entries receiving the whole text at any moment from 0.75 s on, and after 2 s only two that have it.

Change: an update ends a follower's call if it was validated after the call was made.

Failed before: test_readers_lose_the_store 4,955 ms, now 1,835 (3,000 allowed); test_watch_keeps_call_newer_than_update.

--- a/packages/gateway/watch.c
+++ b/packages/gateway/watch.c
@@ -199,7 +199,8 @@
     return false;
   if (validated_us > watch->validated_us)
     watch->validated_us = validated_us;
-  if (watch->busy && watch->role == CA_WATCH_FOLLOWER && watch->cancel != NULL)
+  if (watch->busy && watch->role == CA_WATCH_FOLLOWER && watch->cancel != NULL
+      && validated_us >= watch->called_us)
     {
       /* The call would bring what the update has brought. */
       watch->cancel (watch->context, watch);
--- a/tests/gateway/test_state_sync.c
+++ b/tests/gateway/test_state_sync.c
@@ -75,6 +75,7 @@
 {
   int lists;
   int feeds;
+  int cancelled;
 } calls_t;
 
 static void
@@ -94,7 +95,7 @@
 static void
 test_watch (void **state)
 {
-  calls_t calls = { 0, 0 };
+  calls_t calls = { 0, 0, 0 };
   ca_watch_t watch;
 
   (void)state;
@@ -121,7 +122,7 @@
 static void
 test_watch_restarts_from_an_older_copy (void **state)
 {
-  calls_t calls = { 0, 0 };
+  calls_t calls = { 0, 0, 0 };
   ca_watch_t watch;
 
   (void)state;
@@ -146,7 +147,7 @@
 static void
 test_watch_notices_recovery_soon (void **state)
 {
-  calls_t calls = { 0, 0 };
+  calls_t calls = { 0, 0, 0 };
   ca_watch_t watch;
   uint64_t now_us = 0;
   uint64_t longest_us = 0;
@@ -172,6 +173,37 @@
   assert_true (longest_us <= 700 * MS);
 }
 
+static void
+on_cancel (void *context, ca_watch_t *watch)
+{
+  (void)watch;
+  ((calls_t *)context)->cancelled++;
+}
+
+/* A late reader's update, which is older than a follower's call, must not end
+ * it. */
+static void
+test_watch_keeps_call_newer_than_update (void **state)
+{
+  calls_t calls = { 0, 0, 0 };
+  ca_watch_t watch;
+
+  (void)state;
+  ca_watch_init (&watch, "t", 0, 10000, 250, on_list, on_feed, &calls);
+  watch.cancel = on_cancel;
+  ca_watch_tick (&watch, 0);
+  ca_watch_done (&watch, 0, CA_WATCH_OK, 7, true, 0);
+  watch.role = CA_WATCH_FOLLOWER;
+  ca_watch_tick (&watch, 5000 * MS);
+  assert_true (watch.busy);
+  ca_watch_apply_update (&watch, 7, 7, 4000 * MS, false);
+  assert_true (watch.busy);
+  assert_int_equal (calls.cancelled, 0);
+  ca_watch_apply_update (&watch, 7, 7, 5001 * MS, false);
+  assert_false (watch.busy);
+  assert_int_equal (calls.cancelled, 1);
+}
+
 static bool
 record_is_valid (const char *text)
 {
@@ -295,6 +327,7 @@
     cmocka_unit_test (test_watch),
     cmocka_unit_test (test_watch_restarts_from_an_older_copy),
     cmocka_unit_test (test_watch_notices_recovery_soon),
+    cmocka_unit_test (test_watch_keeps_call_newer_than_update),
     cmocka_unit_test (test_endpoint_records),
     cmocka_unit_test (test_config_that_cannot_be_read),
     cmocka_unit_test (test_settings),
