relay: deputies read for a zone whose reader is late

Cause: a follower asks the store when its copy's age reaches 0.6 of the bound, all of them at the same moment, however the reader came to be late.

Change: the next three entries in seniority are the reader's deputies. They ask earlier, one after the other (0.2 of the bound without a message, 0.5 of it in age), and send the others what they learn. While a text arrives or is built at one that reads, notices hold the others back. The field TableWord.arriving is new; older entries take such a message for an update that brings nothing.

--- a/packages/gateway/relay.c
+++ b/packages/gateway/relay.c
@@ -4,9 +4,11 @@
  * or all zones with few entries together: the entry that started first reads
  * the tables.  It
  * sends the others each change, and at short intervals the age of its copy.
- * The others read the store themselves when that age exceeds a limit, so the
- * bound on propagation holds also if the reader fails or cannot reach the
- * store or them. */
+ * If it is silent, or its copy old, the next ones in seniority ask the store,
+ * one after the other, and send the others what they learn: a large
+ * configuration would fill the links of a zone if all received it from the
+ * store.  The others ask when their copies' age exceeds a limit, so the bound
+ * holds also if nobody reads for them. */
 #include "gateway/private.h"
 #include "gateway/watch.h"
 
@@ -87,10 +89,53 @@
   watch->update_is_stale = is_stale;
 }
 
+/* True if a newer configuration arrives at this entry, or is built, for others
+ * to wait for.  What has stopped to arrive does not count. */
+static bool
+relay_is_arriving (ca_watch_t *watch)
+{
+  size_t noticed = watch->noticed_bytes;
+
+  watch->noticed_bytes = watch->arriving_bytes;
+  if (!watch->holds_config || watch->role == CA_WATCH_INDEPENDENT
+      || watch->rank > CA_WATCH_DEPUTIES)
+    return false;
+  return watch->is_applying
+         || (watch->arriving_bytes > RELAY_MAX_ROW_BYTES
+             && watch->arriving_bytes != noticed);
+}
+
+/* Sends the group notice that a newer configuration arrives here. */
+static void
+relay_send_notice (ca_gateway_t *gateway, ca_watch_t *watch)
+{
+  Camphor__TableWord notice = CAMPHOR__TABLE_WORD__INIT;
+
+  watch->next_update_us
+      = gateway->now_us + watch->times.update_ms * CA_US_PER_MS;
+  notice.table = watch->number;
+  notice.era = gateway->store_era;
+  notice.stamp_us = gateway->now_us;
+  notice.arriving = true;
+  relay_send (gateway, &notice);
+}
+
+/* Sends the group the version and age of this entry's copy. */
+static void
+relay_send_age (ca_gateway_t *gateway, ca_watch_t *watch)
+{
+  Camphor__TableWord update = CAMPHOR__TABLE_WORD__INIT;
+
+  watch->next_update_us
+      = gateway->now_us + watch->times.update_ms * CA_US_PER_MS;
+  relay_fill (gateway, watch, &update);
+  update.after = watch->last_change_version;
+  relay_send (gateway, &update);
+}
+
 void
 ca_relay_tick (ca_gateway_t *gateway, uint64_t now_us, ca_watch_t *watch)
 {
-  Camphor__TableWord update = CAMPHOR__TABLE_WORD__INIT;
   ca_watch_role_t role;
   uint32_t group;
   uint32_t senior;
@@ -104,14 +149,14 @@
   else
     role = senior > 0 ? CA_WATCH_FOLLOWER : CA_WATCH_READER;
   watch->may_refresh = gateway->zone_is_small;
+  watch->rank = senior;
   relay_log_changes (gateway, watch, role, group);
-  if (watch->role != CA_WATCH_READER || !watch->listed || watch->is_applying
-      || now_us < watch->next_update_us)
+  if (!watch->listed || now_us < watch->next_update_us)
     return;
-  watch->next_update_us = now_us + watch->times.update_ms * CA_US_PER_MS;
-  relay_fill (gateway, watch, &update);
-  update.after = watch->last_change_version;
-  relay_send (gateway, &update);
+  if (relay_is_arriving (watch))
+    relay_send_notice (gateway, watch);
+  else if (ca_watch_reads_for_group (watch) && !watch->is_applying)
+    relay_send_age (gateway, watch);
 }
 
 static size_t
@@ -131,7 +176,7 @@
   Camphor__TableWord update = CAMPHOR__TABLE_WORD__INIT;
 
   gateway->now_us = now_us;
-  if (watch->role != CA_WATCH_READER || count == 0)
+  if (!ca_watch_reads_for_group (watch) || count == 0)
     return;
   if (watch->holds_config
       && relay_row_bytes (rows, count) > RELAY_MAX_ROW_BYTES)
@@ -153,7 +198,7 @@
   Camphor__TableWord update = CAMPHOR__TABLE_WORD__INIT;
 
   gateway->now_us = now_us;
-  if (watch->role != CA_WATCH_READER)
+  if (!ca_watch_reads_for_group (watch))
     return;
   update.table = table;
   update.era = gateway->store_era;
--- a/packages/gateway/watch.c
+++ b/packages/gateway/watch.c
@@ -58,11 +58,12 @@
 
   uint32_t wait_ms = watch->wait_ms;
 
-  if (watch->failures > 0 || watch->is_refreshing)
+  if (watch->failures > 0 || watch->is_refreshing
+      || (watch->role == CA_WATCH_FOLLOWER && watch->listed))
     return 0;
   if (watch->times.hold_ms > 0 && watch->times.hold_ms < wait_ms)
     wait_ms = watch->times.hold_ms;
-  if (watch->role != CA_WATCH_INDEPENDENT)
+  if (watch->role == CA_WATCH_READER)
     return age_ms < wait_ms ? wait_ms - (uint32_t)age_ms : 0;
   return watch->max_wait_ms > 0 && watch->max_wait_ms < wait_ms
              ? watch->max_wait_ms
@@ -90,21 +91,81 @@
              : watch->pause_ms;
 }
 
-/* True if this follower needs no call, as its reader's updates are recent. */
+/* True if all who read for this deputy have been silent for its time. */
 static bool
-watch_reader_is_recent (const ca_watch_t *watch, uint64_t now_us)
+watch_readers_are_silent (const ca_watch_t *watch, uint64_t now_us)
 {
-  return watch->role == CA_WATCH_FOLLOWER && watch->listed
-         && watch->failures == 0 && !watch->is_refreshing
+  uint64_t known_us = watch->heard_us > watch->validated_us
+                          ? watch->heard_us
+                          : watch->validated_us;
+
+  return watch->rank <= CA_WATCH_DEPUTIES
          && now_us
-                < watch->validated_us + watch->times.max_age_ms * CA_US_PER_MS;
+                >= known_us
+                       + ca_watch_times_silence_ms (&watch->times, watch->rank)
+                             * CA_US_PER_MS;
+}
+
+/* True if one who reads for this follower has had notice of late that a newer
+ * configuration arrives there. */
+static bool
+watch_text_arrives (const ca_watch_t *watch, uint64_t now_us)
+{
+  return now_us < watch->arriving_us + watch->times.silence_ms * CA_US_PER_MS;
+}
+
+/* True if a text has been arriving for long, and this deputy has not asked
+ * since: who receives it may be lost meanwhile. */
+static bool
+watch_should_hedge (const ca_watch_t *watch, uint64_t now_us)
+{
+  return watch->own_validated_us < watch->arrives_since_us
+         && now_us >= watch->arrives_since_us
+                          + watch->times.update_ms * CA_US_PER_MS;
+}
+
+/* True if this follower needs no call of its own yet. */
+static bool
+watch_may_rely_on_readers (const ca_watch_t *watch, uint64_t now_us)
+{
+  if (watch->role != CA_WATCH_FOLLOWER || !watch->listed || watch->failures > 0
+      || watch->is_refreshing)
+    return false;
+  if (watch_text_arrives (watch, now_us))
+    return watch->rank > 1 || !watch_should_hedge (watch, now_us);
+  return !watch_readers_are_silent (watch, now_us)
+         && now_us
+                < watch->validated_us
+                      + ca_watch_times_max_age_ms (&watch->times, watch->rank)
+                            * CA_US_PER_MS;
+}
+
+void
+ca_watch_hear (ca_watch_t *watch, uint64_t now_us, bool arriving)
+{
+  watch->heard_us = now_us;
+  if (!arriving)
+    return;
+  if (!watch_text_arrives (watch, now_us))
+    watch->arrives_since_us = now_us;
+  watch->arriving_us = now_us;
+}
+
+bool
+ca_watch_reads_for_group (const ca_watch_t *watch)
+{
+  if (watch->role == CA_WATCH_READER)
+    return true;
+  return watch->role == CA_WATCH_FOLLOWER && watch->rank <= CA_WATCH_DEPUTIES
+         && watch->own_validated_us != 0
+         && watch->own_validated_us == watch->validated_us;
 }
 
 void
 ca_watch_tick (ca_watch_t *watch, uint64_t now_us)
 {
   if (watch->busy || now_us < watch->next_us
-      || watch_reader_is_recent (watch, now_us))
+      || watch_may_rely_on_readers (watch, now_us))
     return;
   watch->busy = true;
   watch->called_us = now_us;
@@ -184,7 +245,11 @@
   if (version > watch->after)
     watch->after = version;
   if (validated_us > watch->validated_us)
-    watch->validated_us = validated_us;
+    {
+      watch->validated_us = validated_us;
+      watch->own_validated_us = validated_us;
+    }
+  watch->next_update_us = now_us;
   ca_watch_tick (watch, now_us);
 }
 
--- a/packages/gateway/watch.h
+++ b/packages/gateway/watch.h
@@ -8,6 +8,7 @@
 #include "gateway/watch_times.h"
 
 #include <stdbool.h>
+#include <stddef.h>
 #include <stdint.h>
 
 typedef enum
@@ -53,6 +54,13 @@
   ca_watch_role_t role;  /* set before each tick */
   uint32_t max_wait_ms;  /* while this entry reads for itself; 0: none */
   bool is_refreshing;    /* the next call does not wait */
+  uint32_t rank;     /* entries that read in this one's stead; 0: the reader */
+  uint64_t heard_us; /* latest message of an entry that reads for this one */
+  uint64_t arrives_since_us; /* first of the latest notices in a row */
+  uint64_t arriving_us;      /* when one last received or built a newer text */
+  size_t arriving_bytes;     /* of the answer to the call in flight, so far */
+  size_t noticed_bytes;      /* of them, when peers last had notice */
+  uint64_t own_validated_us; /* as of this entry's own latest answer */
   bool may_refresh; /* a follower and its reader ask at once, too; set before
                        each tick */
   uint64_t next_update_us; /* when a reader next sends an update */
@@ -94,6 +102,14 @@
 bool ca_watch_apply_update (ca_watch_t *watch, uint64_t after, uint64_t until,
                             uint64_t validated_us, bool changed);
 
+/* Notes a message of an entry that reads for this one; `arriving` is true if it
+ * has notice that a newer configuration arrives there. */
+void ca_watch_hear (ca_watch_t *watch, uint64_t now_us, bool arriving);
+
+/* True if this entry reads for its group: its reader, or a deputy whose own
+ * answer is the latest that it knows. */
+bool ca_watch_reads_for_group (const ca_watch_t *watch);
+
 /* True while calls to the store keep failing. */
 bool ca_watch_is_down (const ca_watch_t *watch);
 
--- a/packages/wire/peer.pb-c.c
+++ b/packages/wire/peer.pb-c.c
@@ -6097,7 +6097,7 @@
   (ProtobufCMessageInit) camphor__table_row__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor camphor__table_word__field_descriptors[8] =
+static const ProtobufCFieldDescriptor camphor__table_word__field_descriptors[9] =
 {
   {
     "table",
@@ -6195,10 +6195,23 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "arriving",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Camphor__TableWord, arriving),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned camphor__table_word__field_indices_by_name[] = {
   1,   /* field[1] = after */
   4,   /* field[4] = age_us */
+  8,   /* field[8] = arriving */
   7,   /* field[7] = config_version */
   6,   /* field[6] = era */
   5,   /* field[5] = rows */
@@ -6209,7 +6222,7 @@
 static const ProtobufCIntRange camphor__table_word__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor camphor__table_word__descriptor =
 {
@@ -6219,7 +6232,7 @@
   "Camphor__TableWord",
   "camphor",
   sizeof(Camphor__TableWord),
-  8,
+  9,
   camphor__table_word__field_descriptors,
   camphor__table_word__field_indices_by_name,
   1,  camphor__table_word__number_ranges,
--- a/packages/wire/peer.pb-c.h
+++ b/packages/wire/peer.pb-c.h
@@ -1018,10 +1018,15 @@
    * that is too large for a message is left out, and requested by this version.
    */
   uint64_t config_version;
+  /*
+   * The sender is receiving or building a newer configuration; the update covers
+   * nothing, and its versions are 0.
+   */
+  protobuf_c_boolean arriving;
 };
 #define CAMPHOR__TABLE_WORD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&camphor__table_word__descriptor) \
-    , 0, 0, 0, 0, 0, 0,NULL, 0, 0 }
+    , 0, 0, 0, 0, 0, 0,NULL, 0, 0, 0 }
 
 
 /*
--- a/tests/gateway/config_world.c
+++ b/tests/gateway/config_world.c
@@ -169,6 +169,9 @@
   config_entry_t *entry = context;
   ca_watch_t *watch = &entry->watch;
 
+  ca_watch_hear (watch, config_world.now_us, update->arriving);
+  if (update->arriving)
+    return;
   if (update->n_rows == 0 && update->config_version != 0)
     {
       if (entry->gateway.catalog->version >= update->config_version)
@@ -266,6 +269,18 @@
                    last_change_version, &rows, 1);
 }
 
+/* Bytes that have arrived of a text from the store. */
+static size_t
+arrived_bytes (const config_entry_t *entry)
+{
+  double whole = (double)config_world.bytes * STORE_OVERHEAD;
+
+  return entry->calls && entry->answered && entry->answer_changed != 0
+                 && whole > entry->answer_bytes
+             ? (size_t)(whole - entry->answer_bytes)
+             : 0;
+}
+
 static void
 entry_start (size_t index)
 {
@@ -334,6 +349,7 @@
               != 0)
             continue;
           entry->watch.is_applying = entry->built != NULL;
+          entry->watch.arriving_bytes = arrived_bytes (entry);
           ca_relay_tick (&entry->gateway, config_world.now_us, &entry->watch);
           ca_watch_tick (&entry->watch, config_world.now_us);
           ca_gateway_tick (&entry->gateway, config_world.now_us,
--- a/tests/gateway/test_watch_times.c
+++ b/tests/gateway/test_watch_times.c
@@ -39,6 +39,33 @@
     }
 }
 
+/* Deputies ask one after the other, before the others, and in time. */
+static void
+test_deputies (void **state)
+{
+  (void)state;
+  for (size_t i = 0; i < BOUNDS; i++)
+    {
+      ca_watch_times_t times;
+
+      ca_watch_times_init (&times, bounds_ms[i]);
+      assert_true (ca_watch_times_deputy_ms (&times) <= bounds_ms[i]);
+      assert_true (ca_watch_times_silence_ms (&times, 1)
+                   >= 2 * times.update_ms);
+      for (uint32_t rank = 1; rank < CA_WATCH_DEPUTIES; rank++)
+        {
+          assert_true (ca_watch_times_silence_ms (&times, rank)
+                       < ca_watch_times_silence_ms (&times, rank + 1));
+          assert_true (ca_watch_times_max_age_ms (&times, rank)
+                       < ca_watch_times_max_age_ms (&times, rank + 1));
+        }
+      assert_true (ca_watch_times_max_age_ms (&times, CA_WATCH_DEPUTIES + 1)
+                   >= ca_watch_times_max_age_ms (&times, CA_WATCH_DEPUTIES));
+      assert_true (times.hold_ms + times.update_ms / 2
+                   < ca_watch_times_max_age_ms (&times, 1));
+    }
+}
+
 /* A reader whose call is held to its end is not taken for silent. */
 static void
 test_held_call_is_recent (void **state)
@@ -59,6 +86,7 @@
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_lost_answer),
     cmocka_unit_test (test_silent_reader),
+    cmocka_unit_test (test_deputies),
     cmocka_unit_test (test_held_call_is_recent),
   };
 
