state sync: ask peers whether the store was up while this entry was cut off

Cause: an entry whose calls to the store all fail takes the store for unreachable, and for 2.1 s after its own first answer does not believe that missing endpoints have left, since records expire while the store is away. Where only the entry was cut off, the store was up, and the entry is bound 3 s after the cut: 1.1 s until its next call and 2.1 s more are too much.

Change: Proof says for how long the store, of an era, has answered the sender or who reads for it without a gap. An entry that recovers asks four peers every 0.3 s; an answer of 2.1 s or more ends its recovery. Where the store was away for all, nobody can say so, and the wait counts from its first answer to anybody.

--- a/packages/gateway/gateway.h
+++ b/packages/gateway/gateway.h
@@ -477,12 +477,15 @@
   bool store_down;
   bool store_unreachable;      /* all kinds of calls fail */
   uint64_t store_recovered_us; /* when it answered again; 0 if it always did */
-  uint64_t store_era;          /* 0 until one is known */
-  uint64_t store_era_us;       /* when this entry learned of it */
-  uint64_t first_store_era;    /* first one known to this entry; 0 if none */
-  bool bad_era_logged;         /* since the last answer of this era */
-  uint64_t lease_fence;        /* highest fencing token known */
-  uint64_t usage_reported;     /* latest window that may have been reported */
+  uint64_t store_answers_us;   /* it has answered, without a gap, since then; 0:
+                                  it does not */
+  uint64_t next_recovery_request_us; /* to peers that may know that it did */
+  uint64_t store_era;                /* 0 until one is known */
+  uint64_t store_era_us;             /* when this entry learned of it */
+  uint64_t first_store_era; /* first one known to this entry; 0 if none */
+  bool bad_era_logged;      /* since the last answer of this era */
+  uint64_t lease_fence;     /* highest fencing token known */
+  uint64_t usage_reported;  /* latest window that may have been reported */
   bool reports_known;       /* no window after it has been, as this entry hears
                                the leaders */
   uint64_t leader_heard_us; /* no entry led unheard before this time */
--- a/packages/gateway/state_sync.c
+++ b/packages/gateway/state_sync.c
@@ -1,6 +1,7 @@
 /* The entry's copies of the configuration and of the list of endpoints, and how
  * they are kept up to date. */
 #include "gateway/private.h"
+#include "gateway/watch_times.h"
 
 #include <inttypes.h>
 #include <string.h>
@@ -10,6 +11,11 @@
  * 2 s. */
 #define LIST_RECOVERY_US (2100 * CA_US_PER_MS)
 
+/* Peers that are asked at a time whether the store has answered them meanwhile,
+ * and the interval. */
+#define LIST_RECOVERY_PEERS 4
+#define LIST_RECOVERY_REQUEST_US (300 * CA_US_PER_MS)
+
 /* A validation older than this is renewed: by the first entries, which ask the
  * store on behalf of all, or by the store.  The bound on revocation is several
  * times longer. */
@@ -134,6 +140,7 @@
                   era, former, source,
                   gateway->catalog == NULL ? 0 : gateway->catalog->version);
   gateway->store_recovered_us = gateway->now_us;
+  gateway->store_answers_us = 0;
   gateway->ports.store_restored (gateway->ports.context);
 }
 
@@ -283,6 +290,64 @@
   gateway->list_source = source;
 }
 
+/* Notes since when the store has answered this entry, or who reads for it. */
+static void
+state_sync_note_answers (ca_gateway_t *gateway)
+{
+  const ca_bounds_t *bounds = &gateway->options.bounds;
+  ca_watch_times_t times;
+
+  ca_watch_times_init (&times, bounds->drain_ms == 0 ? bounds->propagation_ms
+                                                     : bounds->drain_ms);
+  if (gateway->store_down || gateway->list_validated_us == 0
+      || gateway->now_us - gateway->list_validated_us
+             > times.max_age_ms * CA_US_PER_MS)
+    gateway->store_answers_us = 0;
+  else if (gateway->store_answers_us == 0)
+    gateway->store_answers_us = gateway->now_us;
+}
+
+/* Asks peers whether the store has answered them while it did not answer this
+ * entry: then endpoints are missing from the list since they have left. */
+static void
+state_sync_request_recovery (ca_gateway_t *gateway)
+{
+  Camphor__Envelope envelope = CAMPHOR__ENVELOPE__INIT;
+  Camphor__ProofWant request = CAMPHOR__PROOF_WANT__INIT;
+  const ca_peer_t *peers[LIST_RECOVERY_PEERS];
+  size_t count;
+
+  if (gateway->store_unreachable || !state_sync_list_is_recovering (gateway)
+      || gateway->now_us < gateway->next_recovery_request_us)
+    return;
+  gateway->next_recovery_request_us
+      = gateway->now_us + LIST_RECOVERY_REQUEST_US;
+  request.stamp_us = gateway->now_us;
+  envelope.body_case = CAMPHOR__ENVELOPE__BODY_PROOF_WANT;
+  envelope.proof_want = &request;
+  count = ca_peers_ranked (gateway, gateway->now_us, false, peers,
+                           LIST_RECOVERY_PEERS);
+  for (size_t i = 0; i < count; i++)
+    ca_peers_send (gateway, &peers[i]->address, &envelope);
+}
+
+/* Ends the recovery of the list if the store has answered a peer for as long as
+ * endpoints may be missing after an outage. */
+static void
+state_sync_apply_recovery (ca_gateway_t *gateway, const Camphor__Proof *proof)
+{
+  if (gateway->store_unreachable || !state_sync_list_is_recovering (gateway)
+      || proof->echo_us < gateway->store_recovered_us
+      || proof->store_era != gateway->store_era
+      || proof->store_since_us < LIST_RECOVERY_US)
+    return;
+  gateway->store_recovered_us = 0;
+  ca_gateway_log (gateway, CA_EVENT_STORE_UP, NULL, NULL,
+                  "it has answered a peer for %" PRIu64
+                  " ms: endpoints that are missing have left",
+                  proof->store_since_us / CA_US_PER_MS);
+}
+
 /* Asks the k-th entry for a validation; true if this entry must ask the store
  * itself. */
 static bool
@@ -337,6 +402,9 @@
   proof.config_version = gateway->catalog->version;
   proof.config_age_us
       = ca_freshness_age_us (&gateway->config_freshness, gateway->now_us);
+  proof.store_era = gateway->store_era;
+  if (gateway->store_answers_us != 0)
+    proof.store_since_us = gateway->now_us - gateway->store_answers_us;
   answer.body_case = CAMPHOR__ENVELOPE__BODY_PROOF;
   answer.proof = &proof;
   ca_peers_send (gateway, &peer->address, &answer);
@@ -348,6 +416,8 @@
 {
   const Camphor__Proof *proof = envelope->proof;
 
+  if (proof->echo_us <= gateway->now_us)
+    state_sync_apply_recovery (gateway, proof);
   if (gateway->catalog != NULL && proof->echo_us <= gateway->now_us
       && proof->config_version == gateway->catalog->version)
     ca_freshness_from_peer (&gateway->config_freshness, proof->echo_us,
@@ -421,6 +491,8 @@
 void
 ca_state_sync_tick (ca_gateway_t *gateway)
 {
+  state_sync_note_answers (gateway);
+  state_sync_request_recovery (gateway);
   if (!state_sync_list_is_recovering (gateway))
     ca_registry_expire (&gateway->registry, gateway->now_us, 0);
   state_sync_request_catalog (gateway);
--- a/packages/wire/peer.pb-c.c
+++ b/packages/wire/peer.pb-c.c
@@ -5956,7 +5956,7 @@
   (ProtobufCMessageInit) camphor__proof_want__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor camphor__proof__field_descriptors[3] =
+static const ProtobufCFieldDescriptor camphor__proof__field_descriptors[5] =
 {
   {
     "echo_us",
@@ -5994,16 +5994,42 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "store_since_us",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Camphor__Proof, store_since_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "store_era",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Camphor__Proof, store_era),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned camphor__proof__field_indices_by_name[] = {
   2,   /* field[2] = config_age_us */
   1,   /* field[1] = config_version */
   0,   /* field[0] = echo_us */
+  4,   /* field[4] = store_era */
+  3,   /* field[3] = store_since_us */
 };
 static const ProtobufCIntRange camphor__proof__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor camphor__proof__descriptor =
 {
@@ -6013,7 +6039,7 @@
   "Camphor__Proof",
   "camphor",
   sizeof(Camphor__Proof),
-  3,
+  5,
   camphor__proof__field_descriptors,
   camphor__proof__field_indices_by_name,
   1,  camphor__proof__number_ranges,
--- a/packages/wire/peer.pb-c.h
+++ b/packages/wire/peer.pb-c.h
@@ -961,10 +961,16 @@
   uint64_t echo_us;
   uint64_t config_version;
   uint64_t config_age_us;
+  /*
+   * Time for which the store, of this era, has answered the sender or who reads
+   * for it without a gap.
+   */
+  uint64_t store_since_us;
+  uint64_t store_era;
 };
 #define CAMPHOR__PROOF__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&camphor__proof__descriptor) \
-    , 0, 0, 0 }
+    , 0, 0, 0, 0, 0 }
 
 
 /*
