--- a/packages/gateway/relay.c
+++ b/packages/gateway/relay.c
@@ -2,13 +2,14 @@
  *
  * Calls to the store cost money and share one rate limit.  A group is a zone,
  * or all zones with few entries together: the entry that started first reads
- * the tables.  It
- * sends the others each change, and at short intervals the age of its copy.
- * If it is silent, or its copy old, the next ones in seniority ask the store,
- * one after the other, and send the others what they learn: a large
- * configuration would fill the links of a zone if all received it from the
- * store.  The others ask when their copies' age exceeds a limit, so the bound
- * holds also if nobody reads for them. */
+ * the tables.  It sends the others each change, and at short intervals the age
+ * of its copy.
+ *
+ * If it is silent, or its copy old, its deputies ask the store, one after the
+ * other, and send the others what they learn: a large configuration would fill
+ * the links of a zone if all received it from the store.  The others ask when
+ * their copies' age exceeds a limit, so the bound holds also if nobody reads
+ * for them. */
 #include "gateway/private.h"
 #include "gateway/watch.h"
 
--- a/packages/gateway/watch.c
+++ b/packages/gateway/watch.c
@@ -55,7 +55,6 @@
 watch_wait_ms (const ca_watch_t *watch, uint64_t now_us)
 {
   uint64_t age_ms = (now_us - watch->validated_us) / CA_US_PER_MS;
-
   uint32_t wait_ms = watch->wait_ms;
 
   if (watch->failures > 0 || watch->is_refreshing
