--- a/packages/gateway/watch.h
+++ b/packages/gateway/watch.h
@@ -54,7 +54,7 @@
   ca_watch_role_t role;  /* set before each tick */
   uint32_t max_wait_ms;  /* while this entry reads for itself; 0: none */
   bool is_refreshing;    /* the next call does not wait */
-  uint32_t rank;     /* live entries of the group senior to this one */
+  uint32_t rank;         /* live entries of the group senior to this one */
   uint64_t heard_us; /* latest message of an entry that reads for this one */
   uint64_t arrives_since_us; /* first of the latest notices in a row */
   uint64_t arriving_us;      /* when one last received or built a newer text */
