watch: a deputy ends its own read once the version has come from its reader

What callers saw: a first deputy's link of 10 Mbit/s carries a whole text beside answers to callers although the entry has that version.

Cause: while a text arrives at the reader for long, the first deputy asks the store as well. The reader's update does not end that call, since it was validated before the call was made; and an update that names a version which is still on its way from a peer was dropped, so nothing ended the call when the version came in force. The call goes on until the text is there.

Change: an update that names a configuration is kept until a version as new is in force, and then applied; a call made beside the reader's ends if an update brings a change.

--- a/packages/gateway/watch.c
+++ b/packages/gateway/watch.c
@@ -44,6 +44,7 @@
   watch->busy = false;
   watch->is_refreshing = false;
   watch->listed = false;
+  watch->named.text_version = 0;
   watch->after = 0;
   watch->last_change_version = 0;
   watch->next_us = at_us;
@@ -167,6 +168,9 @@
       || watch_may_rely_on_readers (watch, now_us))
     return;
   watch->busy = true;
+  watch->is_hedge = watch->role == CA_WATCH_FOLLOWER && watch->listed
+                    && watch->failures == 0
+                    && watch_text_arrives (watch, now_us);
   watch->called_us = now_us;
   watch->call_wait_ms = watch_wait_ms (watch, now_us);
   watch->call_timeout_ms = watch->failures == 0 && watch->listed
@@ -252,6 +256,17 @@
   ca_watch_tick (watch, now_us);
 }
 
+/* True if an update brings what the call in flight would bring. */
+static bool
+watch_update_replaces_call (const ca_watch_t *watch, uint64_t until,
+                            uint64_t validated_us, bool changed)
+{
+  if (!watch->busy || watch->role != CA_WATCH_FOLLOWER || watch->cancel == NULL)
+    return false;
+  return validated_us >= watch->called_us
+         || (watch->is_hedge && changed && until > watch->after);
+}
+
 bool
 ca_watch_apply_update (ca_watch_t *watch, uint64_t after, uint64_t until,
                        uint64_t validated_us, bool changed)
@@ -263,10 +278,8 @@
     return false;
   if (validated_us > watch->validated_us)
     watch->validated_us = validated_us;
-  if (watch->busy && watch->role == CA_WATCH_FOLLOWER && watch->cancel != NULL
-      && validated_us >= watch->called_us)
+  if (watch_update_replaces_call (watch, until, validated_us, changed))
     {
-      /* The call would bring what the update has brought. */
       watch->cancel (watch->context, watch);
       watch->busy = false;
       watch->is_refreshing = false;
@@ -279,6 +292,24 @@
   return changed;
 }
 
+void
+ca_watch_name_text (ca_watch_t *watch, const ca_watch_named_t *named)
+{
+  watch->named = *named;
+}
+
+void
+ca_watch_text_in_force (ca_watch_t *watch, uint64_t version)
+{
+  const ca_watch_named_t named = watch->named;
+
+  if (named.text_version == 0 || version < named.text_version)
+    return;
+  watch->named.text_version = 0;
+  ca_watch_apply_update (watch, 0, named.until, named.validated_us,
+                         named.changed > watch->last_change_version);
+}
+
 bool
 ca_watch_is_down (const ca_watch_t *watch)
 {
--- a/packages/gateway/watch.h
+++ b/packages/gateway/watch.h
@@ -27,6 +27,15 @@
   CA_WATCH_FOLLOWER     /* a peer, while its updates are recent */
 } ca_watch_role_t;
 
+/* An update of a peer that names a configuration instead of holding it. */
+typedef struct
+{
+  uint64_t text_version; /* of the configuration; 0: none is named */
+  uint64_t until;        /* version up to which the peer has all changes */
+  uint64_t changed;      /* version of the table's latest change */
+  uint64_t validated_us; /* as of when */
+} ca_watch_named_t;
+
 typedef struct ca_watch
 {
   const char *table;
@@ -54,7 +63,10 @@
   ca_watch_role_t role;  /* set before each tick */
   uint32_t max_wait_ms;  /* while this entry reads for itself; 0: none */
   bool is_refreshing;    /* the next call does not wait */
-  uint32_t rank;         /* live entries of the group senior to this one */
+  bool is_hedge;         /* the call in flight was made while the same text
+                            arrived at one that reads for this entry */
+  ca_watch_named_t named;
+  uint32_t rank;     /* live entries of the group senior to this one */
   uint64_t heard_us; /* latest message of an entry that reads for this one */
   uint64_t arrives_since_us; /* first of the latest notices in a row */
   uint64_t arriving_us;      /* when one last received or built a newer text */
@@ -102,6 +114,13 @@
 bool ca_watch_apply_update (ca_watch_t *watch, uint64_t after, uint64_t until,
                             uint64_t validated_us, bool changed);
 
+/* Records an update that names a configuration.  It is applied once a version
+ * as new is in force here, whichever way that came. */
+void ca_watch_name_text (ca_watch_t *watch, const ca_watch_named_t *named);
+
+/* Notes the version of the configuration in force. */
+void ca_watch_text_in_force (ca_watch_t *watch, uint64_t version);
+
 /* Notes a message of an entry that reads for this one; `arriving` is true if it
  * has notice that a newer configuration arrives there. */
 void ca_watch_hear (ca_watch_t *watch, uint64_t now_us, bool arriving);
--- a/tests/gateway/config_world.c
+++ b/tests/gateway/config_world.c
@@ -174,9 +174,13 @@
     return;
   if (update->n_rows == 0 && update->config_version != 0)
     {
-      if (entry->gateway.catalog->version >= update->config_version)
-        ca_watch_apply_update (watch, 0, update->until, validated_us,
-                               update->after > watch->last_change_version);
+      const ca_watch_named_t named = { .text_version = update->config_version,
+                                       .until = update->until,
+                                       .changed = update->after,
+                                       .validated_us = validated_us };
+
+      ca_watch_name_text (watch, &named);
+      ca_watch_text_in_force (watch, entry->gateway.catalog->version);
       return;
     }
   if (ca_watch_apply_update (watch, update->after, update->until, validated_us,
@@ -348,6 +352,8 @@
                   % (CA_GATEWAY_TICK_US / CONFIG_WORLD_STEP_US)
               != 0)
             continue;
+          ca_watch_text_in_force (&entry->watch,
+                                  entry->gateway.catalog->version);
           entry->watch.is_applying = entry->built != NULL;
           entry->watch.arriving_bytes = arrived_bytes (entry);
           ca_relay_tick (&entry->gateway, config_world.now_us, &entry->watch);
--- a/tests/gateway/test_config_fleet.c
+++ b/tests/gateway/test_config_fleet.c
@@ -167,6 +167,46 @@
   config_world_end ();
 }
 
+/* True if an entry receives the newest text from the store although it has it.
+ */
+static bool
+receives_needlessly (const config_entry_t *entry, uint64_t version)
+{
+  return entry->gateway.catalog->version >= version && entry->calls
+         && entry->answered && entry->answer_changed == config_world.changed;
+}
+
+/* Guards against deputies that go on receiving a text that their reader has
+ * passed on. */
+static void
+test_deputies_stop_receiving (void **state)
+{
+  uint64_t since_us[CONFIG_WORLD_MAX_ENTRIES] = { 0 };
+  uint64_t longest_us = 0;
+  uint64_t until_us;
+
+  (void)state;
+  config_world_start (84, true);
+  config_world_write (2, 5600);
+  until_us = config_world.now_us + 2 * CONFIG_WORLD_BOUND_MS * CA_US_PER_MS;
+  while (config_world.now_us < until_us)
+    {
+      config_world_run (CONFIG_WORLD_STEP_US / CA_US_PER_MS);
+      for (size_t i = 0; i < config_world.count; i++)
+        {
+          if (!receives_needlessly (&config_world.entries[i], 2))
+            since_us[i] = config_world.now_us;
+          else if (config_world.now_us - since_us[i] > longest_us)
+            longest_us = config_world.now_us - since_us[i];
+        }
+    }
+  printf ("an entry receives a text that it has for up to %llu ms\n",
+          (unsigned long long)longest_us / CA_US_PER_MS);
+  assert_true (config_world_all_have (2, 0));
+  assert_true (longest_us <= CA_GATEWAY_TICK_US);
+  config_world_end ();
+}
+
 int
 main (void)
 {
@@ -179,6 +219,7 @@
     cmocka_unit_test (test_readers_end),
     cmocka_unit_test (test_version_between_parts),
     cmocka_unit_test (test_sender_falls_silent),
+    cmocka_unit_test (test_deputies_stop_receiving),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
