state sync: refuse what only a replaced configuration allows, past the bound

What callers saw: requests to a moved route handled by version 14 at two entries, 3.4 s after version 17 was acknowledged and some 6 s after peers could have it (CONFIG).

Cause: an entry that knows that its copy has been replaced, since peers name a newer version, goes on with it until it has got that version, however long this takes.

Change: requests are refused (503, not run, with Retry-After) while a peer has a newer version and the copy was last known to be the newest a bound ago. A version is confirmed after any moment at which the one before was the newest, so no request is refused that the older one may still handle, and none is handled that it may not. The moment comes from the watch's latest validation, not counting what is still being built; renewed validations by a store that has lost the newer version do not move it past the time at which that was first named. An entry that hears of no newer version goes on as before: cut off from all, it serves what it can.

--- a/packages/gateway/exchange.c
+++ b/packages/gateway/exchange.c
@@ -1092,6 +1092,8 @@
   *wait_us = RETRY_AFTER_DEFAULT_US;
   if (gateway->catalog == NULL || !gateway->config_freshness.known)
     return CA_REFUSE_NO_CONFIGURATION;
+  if (ca_state_sync_config_is_overdue (gateway))
+    return CA_REFUSE_STALE;
   exchange->catalog = ca_catalog_ref (gateway->catalog);
   exchange->route
       = ca_catalog_find_route (exchange->catalog, facts->host, facts->path);
--- a/packages/gateway/gateway.h
+++ b/packages/gateway/gateway.h
@@ -497,6 +497,8 @@
   uint64_t named_version; /* newest one that a peer has named, and when it first
                              did so */
   uint64_t named_us;
+  uint64_t replaced_us; /* since when a newer one than that in force is named */
+  uint64_t config_newest_us; /* as of then, that in force was the newest */
   uint64_t next_catalog_request_us; /* earliest next request to a peer */
   ca_config_transfer_t config_transfer;
   /* Requests. */
@@ -608,6 +610,9 @@
 void ca_gateway_endpoint_removed (ca_gateway_t *gateway, uint64_t now_us,
                                   const char *id);
 
+/* Records that the configuration in force was the newest at `newest_us`. */
+void ca_gateway_config_newest (ca_gateway_t *gateway, uint64_t newest_us);
+
 /* Records that the list of endpoints has all changes up to `validated_us`. */
 void ca_gateway_list_validated (ca_gateway_t *gateway, uint64_t validated_us);
 
--- a/packages/gateway/state_sync.c
+++ b/packages/gateway/state_sync.c
@@ -30,12 +30,17 @@
 /* Minimum interval between requests for a peer's configuration. */
 #define CATALOG_REQUEST_PERIOD_US (300 * CA_US_PER_MS)
 
+/* Times of peers that are mapped to this entry's clock are off by less. */
+#define CONFIG_OVERDUE_MARGIN_US CA_GATEWAY_TICK_US
+
 void
 ca_state_sync_name_version (ca_gateway_t *gateway, uint64_t version)
 {
   if (version <= gateway->named_version || gateway->catalog == NULL
       || version <= gateway->catalog->version)
     return;
+  if (gateway->named_version <= gateway->catalog->version)
+    gateway->replaced_us = gateway->now_us;
   gateway->named_version = version;
   gateway->named_us = gateway->now_us;
 }
@@ -49,6 +54,30 @@
              : 0;
 }
 
+bool
+ca_state_sync_config_is_overdue (const ca_gateway_t *gateway)
+{
+  const ca_freshness_t *freshness = &gateway->config_freshness;
+  uint64_t newest_us = gateway->config_newest_us;
+
+  if (gateway->options.bounds.propagation_ms == 0 || gateway->catalog == NULL
+      || gateway->named_version <= gateway->catalog->version)
+    return false;
+  if (freshness->known && freshness->validated_us > newest_us)
+    newest_us = freshness->validated_us;
+  /* A store that has lost the newer one may have validated this one since. */
+  if (newest_us > gateway->replaced_us)
+    newest_us = gateway->replaced_us;
+  return gateway->now_us + CONFIG_OVERDUE_MARGIN_US
+         >= newest_us + gateway->options.bounds.propagation_ms * CA_US_PER_MS;
+}
+
+void
+ca_gateway_config_newest (ca_gateway_t *gateway, uint64_t newest_us)
+{
+  gateway->config_newest_us = newest_us;
+}
+
 void
 ca_gateway_catalog (ca_gateway_t *gateway, uint64_t now_us,
                     ca_catalog_t *catalog)
@@ -62,6 +91,7 @@
       return;
     }
   gateway->catalog = catalog;
+  gateway->replaced_us = gateway->named_us;
   gateway->next_share_us = 0;
   ca_gateway_log (
       gateway, CA_EVENT_CONFIG_APPLIED, NULL, NULL,
