validation_times: the sum of the waits that serve the bound on revocation

The bound on the revocation of keys was the only one of the sheets whose sum no test held: three files had the times, and a postmortem added them up by hand. They are in one header now, and test_watch_times fails if a lost answer to the first call to the store brings an entry to the age at which it refuses requests with a key: 3,900 ms and 600 of 5,000. No time is changed.

--- a/packages/gateway/exchange.c
+++ b/packages/gateway/exchange.c
@@ -6,16 +6,13 @@
  * sent or the endpoint reports that it did not run it. */
 #include "gateway/private.h"
 #include "gateway/rollout_private.h"
+#include "gateway/validation_times.h"
 
 #include <inttypes.h>
 #include <stdlib.h>
 #include <string.h>
 #include <xxhash.h>
 
-/* Requests with a key are refused this long before the revocation bound, to
- * cover the transfer and the run of the last request admitted. */
-#define REVOCATION_MARGIN_US (600 * CA_US_PER_MS)
-
 /* After this long without validation, an unknown route or key may be missing
  * only because the configuration is outdated. */
 #define CONFIG_OUTDATED_US (3 * CA_US_PER_S)
@@ -1109,7 +1106,7 @@
   if (!exchange->route->is_public && exchange->catalog->workspace_count > 0)
     {
       if (bounds->strict_revocation
-          && (age_us + REVOCATION_MARGIN_US
+          && (age_us + CA_VALIDATION_MARGIN_US
                   > bounds->revocation_ms * CA_US_PER_MS
               || ca_state_sync_may_be_restored (gateway)))
         return CA_REFUSE_STALE;
--- a/packages/gateway/state_sync.c
+++ b/packages/gateway/state_sync.c
@@ -1,6 +1,7 @@
 /* The entry's copies of the configuration and of the list of endpoints, and how
  * they are kept up to date. */
 #include "gateway/private.h"
+#include "gateway/validation_times.h"
 #include "gateway/watch_times.h"
 
 #include <inttypes.h>
@@ -16,13 +17,6 @@
 #define LIST_RECOVERY_PEERS 4
 #define LIST_RECOVERY_REQUEST_US (300 * CA_US_PER_MS)
 
-/* A validation older than this is renewed: by the first entries, which ask the
- * store on behalf of all, or by the store.  The bound on revocation is several
- * times longer. */
-#define VALIDATION_MAX_AGE_US (2000 * CA_US_PER_MS)
-#define VALIDATION_RETRY_US (300 * CA_US_PER_MS)
-#define VALIDATION_MAX_PEERS 2
-
 /* A newer configuration that only a peer has had for this long is requested
  * from that peer. */
 #define CATALOG_OUTDATED_US (500 * CA_US_PER_MS)
@@ -403,15 +397,15 @@
   uint64_t age_us = ca_freshness_age_us (&gateway->config_freshness, now_us);
 
   gateway->now_us = now_us;
-  if (gateway->catalog == NULL || age_us < VALIDATION_MAX_AGE_US)
+  if (gateway->catalog == NULL || age_us < CA_VALIDATION_MAX_AGE_US)
     {
       gateway->validation_attempts = 0;
       return false;
     }
-  if (now_us - gateway->validation_requested_us < VALIDATION_RETRY_US)
+  if (now_us - gateway->validation_requested_us < CA_VALIDATION_RETRY_US)
     return false;
   gateway->validation_requested_us = now_us;
-  if (gateway->validation_attempts++ < VALIDATION_MAX_PEERS)
+  if (gateway->validation_attempts++ < CA_VALIDATION_MAX_PEERS)
     return state_sync_request_validation (gateway,
                                           gateway->validation_attempts - 1);
   return true;
--- a/tests/gateway/test_watch_times.c
+++ b/tests/gateway/test_watch_times.c
@@ -6,6 +6,7 @@
 
 #include <cmocka.h>
 
+#include "gateway/validation_times.h"
 #include "gateway/watch_times.h"
 
 /* Bounds of the sites' sheets, and shorter and longer ones. */
@@ -80,6 +81,18 @@
     }
 }
 
+/* The sheets' bound on the revocation of keys. */
+#define REVOCATION_US (5000 * CA_US_PER_MS)
+
+/* A lost answer does not let requests with a key be refused. */
+static void
+test_validation_is_renewed_in_time (void **state)
+{
+  (void)state;
+  assert_true (CA_VALIDATION_LATE_US + CA_VALIDATION_MARGIN_US
+               <= REVOCATION_US);
+}
+
 int
 main (void)
 {
@@ -88,6 +101,7 @@
     cmocka_unit_test (test_silent_reader),
     cmocka_unit_test (test_deputies),
     cmocka_unit_test (test_held_call_is_recent),
+    cmocka_unit_test (test_validation_is_renewed_in_time),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
