state sync: 404 and 401 only while the configuration is within its bound

Cause: an entry that knows no route or key for a request answers 404 or 401 until its configuration was last validated 3,000 ms ago, and 503 after that. Besides, the age was that of the last validation for the bound on revocation, renewed only when it is 2 s old, and not that of the last message of the zone's reader.

Evidence: scripts/unknown-route-overdue on the code before: 404 and 401 2,100 ms after the last validation. That the users' entry took this way is suspected: the record has one sentence of it.

Change: the limit is the deployment's bound, and the age counts from the latest time at which the configuration in force is known to have been the newest, also by the reader's updates. These are 1,200 ms old at most while the reader is heard.

Failed before: scripts/unknown-route-overdue, r3 and r4, now 503 with Retry-After; r1, r2 and r6, within the bound, still get 404 and 401. The other scripts are unchanged.

--- a/packages/gateway/exchange.c
+++ b/packages/gateway/exchange.c
@@ -13,10 +13,6 @@
 #include <string.h>
 #include <xxhash.h>
 
-/* After this long without validation, an unknown route or key may be missing
- * only because the configuration is outdated. */
-#define CONFIG_OUTDATED_US (3 * CA_US_PER_S)
-
 /* Failed connections, and rejections by endpoints, before a request is
  * refused. */
 #define CONNECT_FAILURES_MAX 4
@@ -1083,7 +1079,7 @@
   const ca_bounds_t *bounds = &gateway->options.bounds;
   uint64_t age_us
       = ca_freshness_age_us (&gateway->config_freshness, gateway->now_us);
-  bool may_be_outdated = age_us > CONFIG_OUTDATED_US;
+  bool may_be_outdated = ca_state_sync_config_may_be_overdue (gateway);
   ca_gateway_refusal_t blocked;
 
   *wait_us = RETRY_AFTER_DEFAULT_US;
--- a/packages/gateway/private.h
+++ b/packages/gateway/private.h
@@ -146,6 +146,10 @@
  * and has not heard from all peers yet. */
 bool ca_state_sync_may_be_restored (const ca_gateway_t *gateway);
 
+/* True if a newer configuration, known here or not, may have been confirmed for
+ * as long as the bound on propagation. */
+bool ca_state_sync_config_may_be_overdue (const ca_gateway_t *gateway);
+
 /* True if peers have a newer configuration, and that in force may have been
  * replaced for as long as the bound on propagation: requests would be handled
  * as only the older one allows. */
--- a/packages/gateway/state_sync.c
+++ b/packages/gateway/state_sync.c
@@ -48,22 +48,45 @@
              : 0;
 }
 
+/* Latest time at which the configuration in force is known to have been the
+ * newest. */
+static uint64_t
+state_sync_newest_us (const ca_gateway_t *gateway)
+{
+  const ca_freshness_t *freshness = &gateway->config_freshness;
+
+  return freshness->known && freshness->validated_us > gateway->config_newest_us
+             ? freshness->validated_us
+             : gateway->config_newest_us;
+}
+
+/* True if a configuration that replaced the one in force at a time has to be in
+ * force by now. */
+static bool
+state_sync_is_due (const ca_gateway_t *gateway, uint64_t replaced_us)
+{
+  return gateway->now_us + CONFIG_OVERDUE_MARGIN_US
+         >= replaced_us + gateway->options.bounds.propagation_ms * CA_US_PER_MS;
+}
+
+bool
+ca_state_sync_config_may_be_overdue (const ca_gateway_t *gateway)
+{
+  return state_sync_is_due (gateway, state_sync_newest_us (gateway));
+}
+
 bool
 ca_state_sync_config_is_overdue (const ca_gateway_t *gateway)
 {
-  const ca_freshness_t *freshness = &gateway->config_freshness;
-  uint64_t newest_us = gateway->config_newest_us;
+  uint64_t newest_us = state_sync_newest_us (gateway);
 
   if (gateway->options.bounds.propagation_ms == 0 || gateway->catalog == NULL
       || gateway->named_version <= gateway->catalog->version)
     return false;
-  if (freshness->known && freshness->validated_us > newest_us)
-    newest_us = freshness->validated_us;
   /* A store that has lost the newer one may have validated this one since. */
   if (newest_us > gateway->replaced_us)
     newest_us = gateway->replaced_us;
-  return gateway->now_us + CONFIG_OVERDUE_MARGIN_US
-         >= newest_us + gateway->options.bounds.propagation_ms * CA_US_PER_MS;
+  return state_sync_is_due (gateway, newest_us);
 }
 
 void
