registry: an endpoint that left stays leaving if a drill brings its record back

Cause: what an endpoint's answers say is kept with its registry record. When its row is removed, the record goes, while the endpoint serves for some seconds more. If the store comes back from an older copy in that time, the row is listed again, and the endpoint is new and ready to the entry.

Evidence: scripts/endpoint-left-before-drill on the code before: r2 and r3 go to the endpoint.

Change: the registry keeps, for 60 s, the instances that were leaving as they were removed. A record of such an instance, the same id and start, is listed as leaving; a later start under the id is another instance and ready. Rows that were removed without a word of leaving may come back as before, since a live endpoint's record may have expired.

Beside it: the record of a leaving endpoint that still says ready no longer counts as a change each time that it is listed.

Failed before: scripts/endpoint-left-before-drill, now refused and r4, after the later start, served.

--- a/packages/gateway/registry.c
+++ b/packages/gateway/registry.c
@@ -15,6 +15,11 @@
 #define REGISTRY_EJECT_MIN_US (500 * CA_US_PER_MS)
 #define REGISTRY_EJECT_MAX_US (4 * CA_US_PER_S)
 
+/* An endpoint that leaves serves for some seconds more.  If the store comes
+ * back from an older copy meanwhile, that may hold its record as it was before.
+ */
+#define REGISTRY_DEPARTED_US (60 * CA_US_PER_S)
+
 /* Weight of the newest response in the averages. */
 #define REGISTRY_SMOOTHING 0.15
 
@@ -41,7 +46,14 @@
 {
   ca_gateway_endpoint_t *endpoint;
   ca_gateway_endpoint_t *next;
+  ca_departed_endpoint_t *departed;
+  ca_departed_endpoint_t *following;
 
+  HASH_ITER (hh, registry->departed, departed, following)
+  {
+    HASH_DEL (registry->departed, departed);
+    free (departed);
+  }
   HASH_ITER (hh, registry->endpoints, endpoint, next)
   {
     HASH_DEL (registry->endpoints, endpoint);
@@ -74,11 +86,51 @@
   return endpoint;
 }
 
+/* Records that an instance was leaving when it was removed, and forgets those
+ * that are gone by now. */
+static void
+registry_note_departed (ca_registry_t *registry, uint64_t now_us,
+                        const ca_gateway_endpoint_t *endpoint)
+{
+  uint64_t instance = ca_gateway_endpoint_instance (endpoint);
+  ca_departed_endpoint_t *departed;
+
+  while ((departed = registry->departed) != NULL
+         && now_us - departed->removed_us >= REGISTRY_DEPARTED_US)
+    {
+      HASH_DEL (registry->departed, departed);
+      free (departed);
+    }
+  HASH_FIND (hh, registry->departed, &instance, sizeof instance, departed);
+  if (departed != NULL)
+    HASH_DEL (registry->departed, departed);
+  else
+    departed = calloc (1, sizeof *departed);
+  departed->instance = instance;
+  departed->removed_us = now_us;
+  HASH_ADD (hh, registry->departed, instance, sizeof instance, departed);
+}
+
+static bool
+registry_has_departed (const ca_registry_t *registry, uint64_t now_us,
+                       const ca_gateway_endpoint_t *endpoint)
+{
+  uint64_t instance = ca_gateway_endpoint_instance (endpoint);
+  const ca_departed_endpoint_t *departed;
+
+  HASH_FIND (hh, registry->departed, &instance, sizeof instance, departed);
+  return departed != NULL
+         && now_us - departed->removed_us < REGISTRY_DEPARTED_US;
+}
+
 /* Removes an instance from the registry; its memory is kept while exchanges
  * refer to it. */
 static void
-registry_retire (ca_registry_t *registry, ca_gateway_endpoint_t *endpoint)
+registry_retire (ca_registry_t *registry, uint64_t now_us,
+                 ca_gateway_endpoint_t *endpoint)
 {
+  if (endpoint->state == CA_GATEWAY_ENDPOINT_DRAINING)
+    registry_note_departed (registry, now_us, endpoint);
   HASH_DEL (registry->endpoints, endpoint);
   endpoint->state = CA_GATEWAY_ENDPOINT_GONE;
   if (endpoint->references == 0)
@@ -150,19 +202,24 @@
 
   if (endpoint != NULL && !registry_is_same_instance (endpoint, record))
     {
-      registry_retire (registry, endpoint);
+      registry_retire (registry, now_us, endpoint);
       endpoint = NULL;
     }
   if (endpoint == NULL)
     {
       endpoint = registry_add (registry, record);
       endpoint->added_us = now_us;
+      if (registry_has_departed (registry, now_us, endpoint))
+        endpoint->state = CA_GATEWAY_ENDPOINT_DRAINING;
       changed = true;
     }
-  changed = changed || endpoint->state != state;
   /* An instance that is draining never becomes ready again. */
-  if (endpoint->state != CA_GATEWAY_ENDPOINT_DRAINING)
-    endpoint->state = state;
+  if (endpoint->state != CA_GATEWAY_ENDPOINT_DRAINING
+      && endpoint->state != state)
+    {
+      endpoint->state = state;
+      changed = true;
+    }
   endpoint->reclaimable = record->reclaimable;
   endpoint->slots = record->slots;
   endpoint->missing_since_us = 0;
@@ -181,7 +238,7 @@
   if (endpoint == NULL)
     return;
   if (confirmed)
-    registry_retire (registry, endpoint);
+    registry_retire (registry, now_us, endpoint);
   else if (endpoint->missing_since_us == 0)
     endpoint->missing_since_us = now_us;
 }
@@ -196,7 +253,7 @@
   {
     if (endpoint->missing_since_us != 0
         && now_us - endpoint->missing_since_us >= wait_us)
-      registry_retire (registry, endpoint);
+      registry_retire (registry, now_us, endpoint);
   }
 }
 
--- a/packages/gateway/registry.h
+++ b/packages/gateway/registry.h
@@ -134,9 +134,18 @@
   UT_hash_handle hh;
 } ca_gateway_endpoint_t;
 
+/* An instance that was leaving when it was removed. */
+typedef struct
+{
+  uint64_t instance;
+  uint64_t removed_us;
+  UT_hash_handle hh;
+} ca_departed_endpoint_t;
+
 typedef struct
 {
   ca_gateway_endpoint_t *endpoints; /* by id */
+  ca_departed_endpoint_t *departed; /* by instance, in order of removal */
   ca_gateway_endpoint_t *retired;   /* former instances with open exchanges */
 } ca_registry_t;
 
--- a/packages/gateway/state_sync.c
+++ b/packages/gateway/state_sync.c
@@ -300,7 +300,8 @@
   ca_brittle_listed (gateway, endpoint);
   ca_gateway_log (
       gateway,
-      record->draining ? CA_EVENT_ENDPOINT_LEAVING : CA_EVENT_ENDPOINT_ADDED,
+      ca_gateway_endpoint_is_open (endpoint) ? CA_EVENT_ENDPOINT_ADDED
+                                             : CA_EVENT_ENDPOINT_LEAVING,
       NULL, record->id,
       "service %s zone %s started %" PRIu64
       " software version %s, from %s, list validated %" PRIu64 " ms before",
