--- a/packages/gateway/exchange.c
+++ b/packages/gateway/exchange.c
@@ -1208,11 +1208,11 @@
                      RETRY_AFTER_DEFAULT_US);
 }
 
-/* True if the endpoint leaves, or is gone, before the request was sent there.
- */
+/* True if the endpoint leaves or is gone, and the request has not been sent
+ * there yet. */
 static bool
-exchange_is_too_late (const ca_gateway_t *gateway,
-                      const ca_exchange_t *exchange)
+exchange_must_be_taken_back (const ca_gateway_t *gateway,
+                             const ca_exchange_t *exchange)
 {
   const ca_gateway_ports_t *ports = &gateway->ports;
 
@@ -1236,7 +1236,7 @@
                       CA_REFUSE_EXPIRED);
       else if (exchange->phase == CA_EXCHANGE_WAITING)
         exchange_dispatch (gateway, exchange);
-      else if (exchange_is_too_late (gateway, exchange))
+      else if (exchange_must_be_taken_back (gateway, exchange))
         {
           exchange_log_failure (gateway, exchange,
                                 "endpoint leaves before the request was sent");
--- a/packages/gateway/gateway.h
+++ b/packages/gateway/gateway.h
@@ -500,8 +500,9 @@
   uint64_t named_version; /* newest one that a peer has named, and when it first
                              did so */
   uint64_t named_us;
-  uint64_t replaced_us; /* since when a newer one than that in force is named */
-  uint64_t config_newest_us; /* as of then, that in force was the newest */
+  uint64_t replaced_us; /* when one newer than that in force was first named */
+  uint64_t config_newest_us; /* when that in force was last the newest, as far
+                                as the watch knows */
   uint64_t next_catalog_request_us; /* earliest next request to a peer */
   ca_config_transfer_t config_transfer;
   /* Requests. */
--- a/packages/gateway/state_sync.c
+++ b/packages/gateway/state_sync.c
@@ -24,7 +24,8 @@
 /* Minimum interval between requests for a peer's configuration. */
 #define CATALOG_REQUEST_PERIOD_US (300 * CA_US_PER_MS)
 
-/* Times of peers that are mapped to this entry's clock are off by less. */
+/* A copy counts as overdue this long before the bound: times of peers are
+ * mapped to this entry's clock with a smaller error. */
 #define CONFIG_OVERDUE_MARGIN_US CA_GATEWAY_TICK_US
 
 void
@@ -60,7 +61,7 @@
              : gateway->config_newest_us;
 }
 
-/* True if a configuration that replaced the one in force at a time has to be in
+/* True if a configuration that was confirmed at `replaced_us` has to be in
  * force by now. */
 static bool
 state_sync_is_due (const ca_gateway_t *gateway, uint64_t replaced_us)
--- a/packages/gateway/watch.h
+++ b/packages/gateway/watch.h
@@ -59,14 +59,14 @@
                          that its answer took */
   uint32_t failures;  /* in a row */
   uint64_t next_us;
-  uint64_t validated_us; /* all changes up to then were applied */
-  ca_watch_role_t role;  /* set before each tick */
-  uint32_t max_wait_ms;  /* while this entry reads for itself; 0: none */
-  bool is_refreshing;    /* the next call does not wait */
-  bool is_hedge;         /* the call in flight was made while the same text
-                            arrived at one that reads for this entry */
-  ca_watch_named_t named;
-  uint32_t rank;     /* live entries of the group senior to this one */
+  uint64_t validated_us;  /* all changes up to then were applied */
+  ca_watch_role_t role;   /* set before each tick */
+  uint32_t max_wait_ms;   /* while this entry reads for itself; 0: none */
+  bool is_refreshing;     /* the next call does not wait */
+  bool is_hedge;          /* the call in flight was made while the same text
+                             arrived at one that reads for this entry */
+  ca_watch_named_t named; /* latest one that has not been applied */
+  uint32_t rank;          /* live entries of the group senior to this one */
   uint64_t heard_us; /* latest message of an entry that reads for this one */
   uint64_t arrives_since_us; /* first of the latest notices in a row */
   uint64_t arriving_us;      /* when one last received or built a newer text */
