--- a/tests/gateway/test_http.c
+++ b/tests/gateway/test_http.c
@@ -585,6 +585,23 @@
   event_base_free (server.base);
 }
 
+/* Opens a port of which the kernel accepts connections, and nobody reads. */
+static int
+open_unread_port (ca_address_t *address)
+{
+  struct sockaddr_in at = { .sin_family = AF_INET };
+  socklen_t size = sizeof at;
+  int listener = socket (AF_INET, SOCK_STREAM, 0);
+
+  at.sin_addr.s_addr = htonl (LOOPBACK);
+  assert_int_equal (bind (listener, (struct sockaddr *)&at, sizeof at), 0);
+  assert_int_equal (listen (listener, 1), 0);
+  getsockname (listener, (struct sockaddr *)&at, &size);
+  address->ip = LOOPBACK;
+  address->port = ntohs (at.sin_port);
+  return listener;
+}
+
 /* Guards against a request that timed out while its endpoint was unreachable,
  * but arrived 6 s later, when the endpoint was leaving: the kernel kept
  * retransmitting after the close.  Bytes that the peer has not received must be
@@ -594,8 +611,6 @@
 {
   static char body[8 * 1024 * 1024];
   struct event_base *base = event_base_new ();
-  struct sockaddr_in at = { .sin_family = AF_INET };
-  socklen_t size = sizeof at;
   call_result_t result = { .base = base };
   ca_http_pool_t pool;
   ca_http_pool_call_options_t options = { .method = "POST",
@@ -609,18 +624,12 @@
                                           .on_body = result_on_body,
                                           .on_done = result_on_done,
                                           .context = &result };
-  int listener = socket (AF_INET, SOCK_STREAM, 0);
+  int listener = open_unread_port (&options.address);
   char received[65536];
   ssize_t bytes;
   int peer;
 
   (void)state;
-  at.sin_addr.s_addr = htonl (LOOPBACK);
-  assert_int_equal (bind (listener, (struct sockaddr *)&at, sizeof at), 0);
-  assert_int_equal (listen (listener, 1), 0);
-  getsockname (listener, (struct sockaddr *)&at, &size);
-  options.address.ip = LOOPBACK;
-  options.address.port = ntohs (at.sin_port);
   ca_http_pool_init (&pool, base);
   ca_http_pool_call_start (&pool, &options);
   while (!result.done)
@@ -644,8 +653,6 @@
 test_call_is_connecting (void **state)
 {
   struct event_base *base = event_base_new ();
-  struct sockaddr_in at = { .sin_family = AF_INET };
-  socklen_t size = sizeof at;
   call_result_t result = { .base = base };
   ca_http_pool_t pool;
   ca_http_pool_call_options_t options = { .method = "GET",
@@ -657,15 +664,9 @@
                                           .on_done = result_on_done,
                                           .context = &result };
   ca_http_pool_call_t *call;
-  int listener = socket (AF_INET, SOCK_STREAM, 0);
+  int listener = open_unread_port (&options.address);
 
   (void)state;
-  at.sin_addr.s_addr = htonl (LOOPBACK);
-  assert_int_equal (bind (listener, (struct sockaddr *)&at, sizeof at), 0);
-  assert_int_equal (listen (listener, 1), 0);
-  getsockname (listener, (struct sockaddr *)&at, &size);
-  options.address.ip = LOOPBACK;
-  options.address.port = ntohs (at.sin_port);
   ca_http_pool_init (&pool, base);
   call = ca_http_pool_call_start (&pool, &options);
   assert_true (ca_http_pool_call_is_connecting (call));
