watch, relay: entries that keep up with a series of versions do not refuse

What callers would see: 503 "configuration too old to rely on" at entries whose version was replaced less than a bound ago, while versions with many routes follow each other.

Cause: an entry knows how recent its version is from updates that name it. It kept the latest of these only, so one that names the next version made it forget the one that was on its way; and readers name no version while they receive or build the next, which in a series is nearly always.

Change: up to eight named versions are kept, and the newest one that is in force is applied; a notice that a text arrives also names the version in force, unless one is being built, as the watch is ahead of it then. Older entries take such a message for the notice only.

Evidence: test_series_of_versions, 20 versions of 2,800 routes 300 ms apart, 84 entries with narrow links.

The test's model of the store was wrong for a series: it dropped an answer whose text had been replaced meanwhile, and dated answers as they arrived whole, not as they were made.

--- a/packages/gateway/relay.c
+++ b/packages/gateway/relay.c
@@ -106,7 +106,8 @@
              && watch->arriving_bytes != noticed);
 }
 
-/* Sends the group notice that a newer configuration arrives here. */
+/* Sends the group notice that a newer configuration arrives here, and which one
+ * is in force meanwhile: versions may follow each other without a pause. */
 static void
 relay_send_notice (ca_gateway_t *gateway, ca_watch_t *watch)
 {
@@ -118,6 +119,12 @@
   notice.era = gateway->store_era;
   notice.stamp_us = gateway->now_us;
   notice.arriving = true;
+  /* While one is built, the watch is ahead of what is in force. */
+  if (!watch->is_applying)
+    {
+      relay_fill (gateway, watch, &notice);
+      notice.after = watch->last_change_version;
+    }
   relay_send (gateway, &notice);
 }
 
--- a/packages/gateway/watch.c
+++ b/packages/gateway/watch.c
@@ -44,7 +44,7 @@
   watch->busy = false;
   watch->is_refreshing = false;
   watch->listed = false;
-  watch->named.text_version = 0;
+  watch->named_count = 0;
   watch->after = 0;
   watch->last_change_version = 0;
   watch->next_us = at_us;
@@ -292,20 +292,59 @@
   return changed;
 }
 
+/* Number of the named configurations up to a version. */
+static uint32_t
+watch_count_named (const ca_watch_t *watch, uint64_t version)
+{
+  uint32_t count = 0;
+
+  while (count < watch->named_count
+         && watch->named[count].text_version <= version)
+    count++;
+  return count;
+}
+
+/* Drops the oldest named configurations. */
+static void
+watch_drop_named (ca_watch_t *watch, uint32_t count)
+{
+  watch->named_count -= count;
+  memmove (watch->named, watch->named + count,
+           watch->named_count * sizeof watch->named[0]);
+}
+
 void
 ca_watch_name_text (ca_watch_t *watch, const ca_watch_named_t *named)
 {
-  watch->named = *named;
+  uint32_t at = watch_count_named (watch, named->text_version);
+
+  if (at > 0 && watch->named[at - 1].text_version == named->text_version)
+    {
+      if (named->validated_us > watch->named[at - 1].validated_us)
+        watch->named[at - 1] = *named;
+      return;
+    }
+  if (watch->named_count == CA_WATCH_NAMED_MAX)
+    {
+      watch_drop_named (watch, 1);
+      at = at > 0 ? at - 1 : 0;
+    }
+  memmove (watch->named + at + 1, watch->named + at,
+           (watch->named_count - at) * sizeof watch->named[0]);
+  watch->named[at] = *named;
+  watch->named_count++;
 }
 
 void
 ca_watch_text_in_force (ca_watch_t *watch, uint64_t version)
 {
-  const ca_watch_named_t named = watch->named;
+  uint32_t count = watch_count_named (watch, version);
+  ca_watch_named_t named;
 
-  if (named.text_version == 0 || version < named.text_version)
+  if (count == 0)
     return;
-  watch->named.text_version = 0;
+  named = watch->named[count - 1];
+  watch_drop_named (watch, count);
   ca_watch_apply_update (watch, 0, named.until, named.validated_us,
                          named.changed > watch->last_change_version);
 }
--- a/packages/gateway/watch.h
+++ b/packages/gateway/watch.h
@@ -30,12 +30,16 @@
 /* An update of a peer that names a configuration instead of holding it. */
 typedef struct
 {
-  uint64_t text_version; /* of the configuration; 0: none is named */
+  uint64_t text_version; /* of the configuration */
   uint64_t until;        /* version up to which the peer has all changes */
   uint64_t changed;      /* version of the table's latest change */
   uint64_t validated_us; /* as of when */
 } ca_watch_named_t;
 
+/* Named configurations that are on their way; of more, the oldest is dropped.
+ */
+#define CA_WATCH_NAMED_MAX 8
+
 typedef struct ca_watch
 {
   const char *table;
@@ -59,14 +63,15 @@
                          that its answer took */
   uint32_t failures;  /* in a row */
   uint64_t next_us;
-  uint64_t validated_us;  /* all changes up to then were applied */
-  ca_watch_role_t role;   /* set before each tick */
-  uint32_t max_wait_ms;   /* while this entry reads for itself; 0: none */
-  bool is_refreshing;     /* the next call does not wait */
-  bool is_hedge;          /* the call in flight was made while the same text
-                             arrived at one that reads for this entry */
-  ca_watch_named_t named; /* latest one that has not been applied */
-  uint32_t rank;          /* live entries of the group senior to this one */
+  uint64_t validated_us; /* all changes up to then were applied */
+  ca_watch_role_t role;  /* set before each tick */
+  uint32_t max_wait_ms;  /* while this entry reads for itself; 0: none */
+  bool is_refreshing;    /* the next call does not wait */
+  bool is_hedge;         /* the call in flight was made while the same text
+                            arrived at one that reads for this entry */
+  ca_watch_named_t named[CA_WATCH_NAMED_MAX]; /* not applied, oldest first */
+  uint32_t named_count;
+  uint32_t rank;     /* live entries of the group senior to this one */
   uint64_t heard_us; /* latest message of an entry that reads for this one */
   uint64_t arrives_since_us; /* first of the latest notices in a row */
   uint64_t arriving_us;      /* when one last received or built a newer text */
@@ -114,8 +119,9 @@
 bool ca_watch_apply_update (ca_watch_t *watch, uint64_t after, uint64_t until,
                             uint64_t validated_us, bool changed);
 
-/* Records an update that names a configuration.  It is applied once a version
- * as new is in force here, whichever way that came. */
+/* Records an update that names a configuration.  It is applied once that
+ * version is in force here, or a newer one that no update has named, whichever
+ * way it came. */
 void ca_watch_name_text (ca_watch_t *watch, const ca_watch_named_t *named);
 
 /* Notes the version of the configuration in force. */
--- a/tests/gateway/config_world.c
+++ b/tests/gateway/config_world.c
@@ -170,8 +170,6 @@
   ca_watch_t *watch = &entry->watch;
 
   ca_watch_hear (watch, config_world.now_us, update->arriving);
-  if (update->arriving)
-    return;
   if (update->n_rows == 0 && update->config_version != 0)
     {
       const ca_watch_named_t named = { .text_version = update->config_version,
@@ -183,6 +181,8 @@
       ca_watch_text_in_force (watch, entry->gateway.catalog->version);
       return;
     }
+  if (update->arriving)
+    return;
   if (ca_watch_apply_update (watch, update->after, update->until, validated_us,
                              update->n_rows > 0))
     apply (entry, (char *)update->rows[0]->value.data,
@@ -212,8 +212,30 @@
 static void
 on_cancel (void *context, ca_watch_t *watch)
 {
+  config_entry_t *entry = context;
+
   (void)watch;
-  ((config_entry_t *)context)->calls = false;
+  entry->calls = false;
+  free (entry->answer_text);
+  entry->answer_text = NULL;
+}
+
+/* The store answers with the text that it has now, if that is new. */
+static void
+store_answer (config_entry_t *entry)
+{
+  entry->answered = true;
+  entry->answered_us = config_world.now_us;
+  entry->answer_version = config_world.version;
+  entry->answer_changed
+      = config_world.changed > entry->call_after ? config_world.changed : 0;
+  entry->answer_bytes = 0;
+  if (entry->answer_changed == 0)
+    return;
+  entry->answer_bytes = (double)config_world.bytes * STORE_OVERHEAD;
+  entry->answer_text_bytes = config_world.bytes;
+  entry->answer_text = malloc (config_world.bytes);
+  memcpy (entry->answer_text, config_world.text, config_world.bytes);
 }
 
 /* Answers a call to the store over the entry's link. */
@@ -224,6 +246,7 @@
   bool is_feed = entry->watch.listed;
   Camphor__TableRow row = CAMPHOR__TABLE_ROW__INIT;
   Camphor__TableRow *rows = &row;
+  char *text;
   bool changed;
 
   if (!entry->calls || entry->store_cut)
@@ -231,14 +254,7 @@
   if (!entry->answered
       && (config_world.changed > entry->call_after
           || config_world.now_us >= entry->call_until_us))
-    {
-      entry->answered = true;
-      entry->answer_changed
-          = config_world.changed > entry->call_after ? config_world.changed : 0;
-      entry->answer_bytes = entry->answer_changed == 0
-                                ? 0
-                                : (double)config_world.bytes * STORE_OVERHEAD;
-    }
+    store_answer (entry);
   if (!entry->answered)
     return;
   if (entry->answer_bytes > 0)
@@ -255,19 +271,20 @@
       return;
     }
   entry->calls = false;
-  changed = entry->answer_changed != 0
-            && entry->answer_changed == config_world.changed;
+  text = entry->answer_text;
+  entry->answer_text = NULL;
+  changed = text != NULL;
   if (changed)
     {
       entry->texts_read++;
-      apply (entry, config_world.text, config_world.bytes);
+      apply (entry, text, entry->answer_text_bytes);
     }
   row.key = "config";
-  row.value.data = (uint8_t *)config_world.text;
-  row.value.len = config_world.bytes;
+  row.value.data = (uint8_t *)text;
+  row.value.len = entry->answer_text_bytes;
   ca_watch_done (&entry->watch, config_world.now_us, CA_WATCH_OK,
-                 changed ? config_world.version : entry->watch.after, changed,
-                 config_world.now_us);
+                 changed ? entry->answer_version : entry->watch.after, changed,
+                 entry->answered_us);
   if (is_feed && changed)
     ca_relay_rows (&entry->gateway, config_world.now_us, &entry->watch,
                    last_change_version, &rows, 1);
@@ -277,7 +294,7 @@
 static size_t
 arrived_bytes (const config_entry_t *entry)
 {
-  double whole = (double)config_world.bytes * STORE_OVERHEAD;
+  double whole = (double)entry->answer_text_bytes * STORE_OVERHEAD;
 
   return entry->calls && entry->answered && entry->answer_changed != 0
                  && whole > entry->answer_bytes
@@ -326,6 +343,8 @@
   if (entry->built != NULL)
     ca_catalog_unref (entry->built);
   entry->built = NULL;
+  free (entry->answer_text);
+  entry->answer_text = NULL;
   ca_gateway_finish (&entry->gateway);
   entry->alive = false;
 }
@@ -355,6 +374,9 @@
           ca_watch_text_in_force (&entry->watch,
                                   entry->gateway.catalog->version);
           entry->watch.is_applying = entry->built != NULL;
+          if (!entry->watch.is_applying)
+            ca_gateway_config_newest (&entry->gateway,
+                                      entry->watch.validated_us);
           entry->watch.arriving_bytes = arrived_bytes (entry);
           ca_relay_tick (&entry->gateway, config_world.now_us, &entry->watch);
           ca_watch_tick (&entry->watch, config_world.now_us);
--- a/tests/gateway/config_world.h
+++ b/tests/gateway/config_world.h
@@ -34,6 +34,10 @@
   bool answered;       /* the answer is on its way */
   double answer_bytes; /* that have not arrived */
   uint64_t answer_changed;
+  uint64_t answer_version; /* of the store, as it answered */
+  uint64_t answered_us;
+  char *answer_text; /* NULL without a change */
+  size_t answer_text_bytes;
   ca_catalog_t *built; /* in force from `built_us` on; NULL if none is */
   uint64_t built_us;
   uint32_t texts_read; /* from the store */
--- a/tests/gateway/test_config_fleet.c
+++ b/tests/gateway/test_config_fleet.c
@@ -7,6 +7,7 @@
 #include <cmocka.h>
 
 #include "config_world.h"
+#include "gateway/private.h"
 
 #include <stdio.h>
 
@@ -207,6 +208,63 @@
   config_world_end ();
 }
 
+#define SERIES 20
+#define SERIES_STEP_MS 300
+
+/* How long ago a version was written that replaced the one in force; 0 if none
+ * has. */
+static uint64_t
+replaced_since_us (const config_entry_t *entry, const uint64_t *written_us,
+                   uint64_t newest)
+{
+  uint64_t version = entry->gateway.catalog->version;
+
+  return version >= newest ? 0 : config_world.now_us - written_us[version + 1];
+}
+
+/* Guards against entries that refuse while they keep up with a series of
+ * versions, or serve with one that was replaced a bound ago. */
+static void
+test_series_of_versions (void **state)
+{
+  uint64_t written_us[SERIES + 2] = { 0 };
+  uint64_t latest_us = 0;
+  size_t needless = 0;
+  size_t overdue = 0;
+
+  (void)state;
+  config_world_start (84, true);
+  config_world.builds_slowly = true;
+  for (uint64_t version = 2; version <= SERIES; version++)
+    {
+      config_world_write (version, 2800 + version);
+      written_us[version] = config_world.now_us;
+      for (uint64_t ms = 0; ms < SERIES_STEP_MS; ms += 5)
+        {
+          config_world_run (5);
+          for (size_t i = 0; i < config_world.count; i++)
+            {
+              const config_entry_t *entry = &config_world.entries[i];
+              uint64_t since_us
+                  = replaced_since_us (entry, written_us, version);
+              bool refuses = ca_state_sync_config_is_overdue (&entry->gateway);
+
+              latest_us = since_us > latest_us ? since_us : latest_us;
+              needless += refuses && since_us < 2 * CA_US_PER_S;
+              overdue += !refuses
+                         && since_us > CONFIG_WORLD_BOUND_MS * CA_US_PER_MS;
+            }
+        }
+    }
+  printf (
+      "series of versions: replaced for up to %llu ms, refuses needlessly in "
+      "%zu steps, does not in %zu\n",
+      (unsigned long long)latest_us / CA_US_PER_MS, needless, overdue);
+  assert_int_equal (needless, 0);
+  assert_int_equal (overdue, 0);
+  config_world_end ();
+}
+
 int
 main (void)
 {
@@ -220,6 +278,7 @@
     cmocka_unit_test (test_version_between_parts),
     cmocka_unit_test (test_sender_falls_silent),
     cmocka_unit_test (test_deputies_stop_receiving),
+    cmocka_unit_test (test_series_of_versions),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
