tests: free the texts of the store's answers in config_world

The model of copies each answer's text and did not free it: the sanitizers report leaks in test_gateway_config_fleet, which passes with them now (readers_pause beside it).

--- a/tests/gateway/config_world.c
+++ b/tests/gateway/config_world.c
@@ -288,6 +288,7 @@
   if (is_feed && changed)
     ca_relay_rows (&entry->gateway, config_world.now_us, &entry->watch,
                    last_change_version, &rows, 1);
+  free (text);
 }
 
 /* Bytes that have arrived of a text from the store. */
