--- a/tests/gateway/test_config_fleet.c
+++ b/tests/gateway/test_config_fleet.c
@@ -177,8 +177,7 @@
          && entry->answered && entry->answer_changed == config_world.changed;
 }
 
-/* Guards against deputies that go on receiving a text that their reader has
- * passed on. */
+/* Guards against deputies that go on receiving a text that they have. */
 static void
 test_deputies_stop_receiving (void **state)
 {
@@ -222,8 +221,7 @@
   return version >= newest ? 0 : config_world.now_us - written_us[version + 1];
 }
 
-/* Guards against entries that refuse while they keep up with a series of
- * versions, or serve with one that was replaced a bound ago. */
+/* Guards against needless, and missing, refusals in a series of versions. */
 static void
 test_series_of_versions (void **state)
 {
