--- /dev/null
+++ b/review/standins-2/callers.c
@@ -0,0 +1,255 @@
+/* Sound callers that read their answers.
+ *
+ *   callers --ports N,N,... --count N --burst N --spread-ms N --paths P,P,...
+ *           --streams 0|1 --key K --budget-ms N --tag T
+ *
+ * --count callers at each port begin in bursts of --burst, spread over
+ * --spread-ms.  Each opens a channel and asks for the paths on it, one after
+ * the other; with --streams 1 the last one is a streaming request.  Prints a
+ * line for each request once it has ended: "ID PORT SENT STATUS EVENTS OUTCOME
+ * AT", times in ms since the start.  OUTCOME is complete, cut (the channel
+ * ended in the middle of the answer) or none (it ended without an answer). */
+#include <arpa/inet.h>
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <http_parser.h>
+#include <stdbool.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+
+#define CALLERS_MAX_PATHS 4
+
+typedef struct
+{
+  char id[64];
+  uint16_t port;
+  size_t asked; /* requests sent */
+  uint64_t sent_ms;
+  uint32_t events;
+  uint32_t newlines; /* in a row */
+  bool has_head;
+  bool ended;
+  http_parser parser;
+  struct bufferevent *stream;
+  struct event *timer;
+} caller_t;
+
+static struct
+{
+  struct event_base *base;
+  char *paths[CALLERS_MAX_PATHS];
+  size_t path_count;
+  bool streams;
+  const char *key;
+  const char *tag;
+  unsigned budget_ms;
+  uint64_t started_ms;
+  size_t open;
+} callers;
+
+static const char *
+callers_argument (int argc, char **argv, const char *name, const char *value)
+{
+  for (int i = 1; i + 1 < argc; i += 2)
+    {
+      if (strncmp (argv[i], "--", 2) == 0 && strcmp (argv[i] + 2, name) == 0)
+        return argv[i + 1];
+    }
+  return value;
+}
+
+static uint64_t
+callers_now_ms (void)
+{
+  struct timespec now;
+
+  clock_gettime (CLOCK_MONOTONIC, &now);
+  return (uint64_t)now.tv_sec * 1000 + (uint64_t)now.tv_nsec / 1000000
+         - callers.started_ms;
+}
+
+static void
+caller_print (const caller_t *caller, const char *outcome)
+{
+  printf ("%s-%zu %u %llu %u %u %s %llu\n", caller->id, caller->asked,
+          (unsigned)caller->port, (unsigned long long)caller->sent_ms,
+          caller->has_head ? (unsigned)caller->parser.status_code : 0,
+          (unsigned)caller->events, outcome,
+          (unsigned long long)callers_now_ms ());
+  fflush (stdout);
+}
+
+static void
+caller_end (caller_t *caller)
+{
+  if (caller->ended)
+    return;
+  caller->ended = true;
+  bufferevent_disable (caller->stream, EV_READ | EV_WRITE);
+  if (--callers.open == 0)
+    event_base_loopexit (callers.base, NULL);
+}
+
+/* Sends the next request. */
+static void
+caller_ask (caller_t *caller)
+{
+  const char *path = callers.paths[caller->asked++];
+  bool streams = callers.streams && caller->asked == callers.path_count;
+
+  caller->sent_ms = callers_now_ms ();
+  caller->has_head = false;
+  caller->events = 0;
+  caller->newlines = 0;
+  http_parser_init (&caller->parser, HTTP_RESPONSE);
+  evbuffer_add_printf (
+      bufferevent_get_output (caller->stream),
+      "POST %s HTTP/1.1\r\nHost: host.example\r\n"
+      "Authorization: Bearer %s\r\nCamphorarch-Attempt-Id: %s-%zu\r\n"
+      "Camphorarch-Deadline-Remaining: %u\r\n%sContent-Length: 1\r\n\r\nx",
+      path, callers.key, caller->id, caller->asked, callers.budget_ms,
+      streams ? "Camphorarch-Model: m\r\nCamphorarch-Token-Usage: 40,200\r\n"
+              : "");
+}
+
+static int
+caller_on_head (http_parser *parser)
+{
+  ((caller_t *)parser->data)->has_head = true;
+  return 0;
+}
+
+/* Counts events, which end with an empty line. */
+static int
+caller_on_body (http_parser *parser, const char *bytes, size_t count)
+{
+  caller_t *caller = parser->data;
+
+  for (size_t i = 0; i < count; i++)
+    {
+      caller->newlines = bytes[i] == '\n' ? caller->newlines + 1 : 0;
+      if (caller->newlines == 2)
+        caller->events++;
+    }
+  return 0;
+}
+
+static int
+caller_on_end (http_parser *parser)
+{
+  caller_t *caller = parser->data;
+
+  caller_print (caller, "complete");
+  if (caller->asked == callers.path_count)
+    caller_end (caller);
+  else
+    caller_ask (caller);
+  return 0;
+}
+
+static const http_parser_settings caller_settings
+    = { .on_headers_complete = caller_on_head,
+        .on_body = caller_on_body,
+        .on_message_complete = caller_on_end };
+
+static void
+caller_on_readable (struct bufferevent *stream, void *context)
+{
+  caller_t *caller = context;
+  char bytes[4096];
+  size_t count;
+
+  while ((count = bufferevent_read (stream, bytes, sizeof bytes)) > 0)
+    http_parser_execute (&caller->parser, &caller_settings, bytes, count);
+}
+
+static void
+caller_on_event (struct bufferevent *stream, short what, void *context)
+{
+  caller_t *caller = context;
+
+  (void)stream;
+  if (!(what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)))
+    return;
+  if (!caller->ended)
+    caller_print (caller, caller->has_head ? "cut" : "none");
+  caller_end (caller);
+}
+
+static void
+caller_begin (evutil_socket_t fd, short what, void *context)
+{
+  caller_t *caller = context;
+  struct sockaddr_in to = { .sin_family = AF_INET,
+                            .sin_addr.s_addr = htonl (INADDR_LOOPBACK),
+                            .sin_port = htons (caller->port) };
+
+  (void)fd;
+  (void)what;
+  caller->parser.data = caller;
+  caller->stream
+      = bufferevent_socket_new (callers.base, -1, BEV_OPT_CLOSE_ON_FREE);
+  bufferevent_setcb (caller->stream, caller_on_readable, NULL, caller_on_event,
+                     caller);
+  bufferevent_enable (caller->stream, EV_READ | EV_WRITE);
+  caller_ask (caller);
+  bufferevent_socket_connect (caller->stream, (struct sockaddr *)&to,
+                              sizeof to);
+}
+
+static void
+caller_start (caller_t *caller, uint16_t port, size_t number, uint64_t wait_ms)
+{
+  struct timeval wait
+      = { (time_t)(wait_ms / 1000), (suseconds_t)(wait_ms % 1000) * 1000 };
+
+  snprintf (caller->id, sizeof caller->id, "%s-%u-%zu", callers.tag,
+            (unsigned)port, number);
+  caller->port = port;
+  caller->timer = evtimer_new (callers.base, caller_begin, caller);
+  event_add (caller->timer, &wait);
+  callers.open++;
+}
+
+static size_t
+callers_number (int argc, char **argv, const char *name, const char *value)
+{
+  return strtoul (callers_argument (argc, argv, name, value), NULL, 10);
+}
+
+int
+main (int argc, char **argv)
+{
+  char *ports = strdup (callers_argument (argc, argv, "ports", "0"));
+  char *paths = strdup (callers_argument (argc, argv, "paths", "/again/x"));
+  size_t count = callers_number (argc, argv, "count", "1");
+  size_t burst = callers_number (argc, argv, "burst", "1");
+  size_t spread_ms = callers_number (argc, argv, "spread-ms", "0");
+
+  callers.base = event_base_new ();
+  for (char *path = strtok (paths, ",");
+       path != NULL && callers.path_count < CALLERS_MAX_PATHS;
+       path = strtok (NULL, ","))
+    callers.paths[callers.path_count++] = path;
+  callers.streams = callers_number (argc, argv, "streams", "0") != 0;
+  callers.key = callers_argument (argc, argv, "key", "k1");
+  callers.tag = callers_argument (argc, argv, "tag", "c");
+  callers.budget_ms
+      = (unsigned)callers_number (argc, argv, "budget-ms", "8000");
+  callers.started_ms = callers_now_ms ();
+  for (char *port = strtok (ports, ","); port != NULL;
+       port = strtok (NULL, ","))
+    {
+      caller_t *group = calloc (count, sizeof *group);
+
+      for (size_t i = 0; i < count; i++)
+        caller_start (&group[i], (uint16_t)atoi (port), i,
+                      spread_ms * (i / burst * burst) / count);
+    }
+  event_base_dispatch (callers.base);
+  return 0;
+}
