--- a/review/standins-2/callers.c
+++ b/review/standins-2/callers.c
@@ -1,11 +1,12 @@
 /* Sound callers that read their answers.
  *
  *   callers --ports N,N,... --count N --burst N --spread-ms N --paths P,P,...
- *           --streams 0|1 --key K --budget-ms N --tag T
+ *           --streams 0|1 --key K --budget-ms N --read-kb-s N --tag T
  *
  * --count callers at each port begin in bursts of --burst, spread over
  * --spread-ms.  Each opens a channel and asks for the paths on it, one after
- * the other; with --streams 1 the last one is a streaming request.  Prints a
+ * the other; with --streams 1 the last one is a streaming request.  With
+ * --read-kb-s it reads no faster than that.  Prints a
  * line for each request once it has ended: "ID PORT SENT STATUS EVENTS OUTCOME
  * AT", times in ms since the start.  OUTCOME is complete, cut (the channel
  * ended in the middle of the answer) or none (it ended without an answer). */
@@ -47,6 +48,7 @@
   const char *key;
   const char *tag;
   unsigned budget_ms;
+  struct ev_token_bucket_cfg *read_rate; /* NULL: unlimited */
   uint64_t started_ms;
   size_t open;
 } callers;
@@ -195,6 +197,8 @@
       = bufferevent_socket_new (callers.base, -1, BEV_OPT_CLOSE_ON_FREE);
   bufferevent_setcb (caller->stream, caller_on_readable, NULL, caller_on_event,
                      caller);
+  if (callers.read_rate != NULL)
+    bufferevent_set_rate_limit (caller->stream, callers.read_rate);
   bufferevent_enable (caller->stream, EV_READ | EV_WRITE);
   caller_ask (caller);
   bufferevent_socket_connect (caller->stream, (struct sockaddr *)&to,
@@ -229,6 +233,7 @@
   size_t count = callers_number (argc, argv, "count", "1");
   size_t burst = callers_number (argc, argv, "burst", "1");
   size_t spread_ms = callers_number (argc, argv, "spread-ms", "0");
+  size_t read_kb_s = callers_number (argc, argv, "read-kb-s", "0");
 
   callers.base = event_base_new ();
   for (char *path = strtok (paths, ",");
@@ -240,6 +245,10 @@
   callers.tag = callers_argument (argc, argv, "tag", "c");
   callers.budget_ms
       = (unsigned)callers_number (argc, argv, "budget-ms", "8000");
+  if (read_kb_s > 0)
+    callers.read_rate
+        = ev_token_bucket_cfg_new (read_kb_s * 1024, read_kb_s * 1024,
+                                   EV_RATE_LIMIT_MAX, EV_RATE_LIMIT_MAX, NULL);
   callers.started_ms = callers_now_ms ();
   for (char *port = strtok (ports, ","); port != NULL;
        port = strtok (NULL, ","))
