--- a/review/standins-2/callers.c
+++ b/review/standins-2/callers.c
@@ -1,15 +1,18 @@
 /* Sound callers that read their answers.
  *
  *   callers --ports N,N,... --count N --burst N --spread-ms N --paths P,P,...
- *           --streams 0|1 --key K --budget-ms N --read-kb-s N --tag T
+ *           --streams 0|1 --key K --budget-ms N --read-kb-s N --then PORT
+ *           --tag T
  *
  * --count callers at each port begin in bursts of --burst, spread over
  * --spread-ms.  Each opens a channel and asks for the paths on it, one after
  * the other; with --streams 1 the last one is a streaming request.  With
- * --read-kb-s it reads no faster than that.  Prints a
+ * --read-kb-s it reads no faster than that.  With --then, a stream that is cut
+ * after an event is taken up at that port.  Prints a
  * line for each request once it has ended: "ID PORT SENT STATUS EVENTS OUTCOME
- * AT", times in ms since the start.  OUTCOME is complete, cut (the channel
- * ended in the middle of the answer) or none (it ended without an answer). */
+ * AT DATA", times in ms since the start.  OUTCOME is complete, cut (the channel
+ * ended in the middle of the answer) or none (it ended without an answer). DATA
+ * joins what the events of the stream held so far, each text once. */
 #include <arpa/inet.h>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
@@ -23,6 +26,8 @@
 #include <time.h>
 
 #define CALLERS_MAX_PATHS 4
+#define CALLERS_LINE_BYTES 256
+#define CALLERS_DATA_BYTES 512
 
 typedef struct
 {
@@ -31,7 +36,13 @@
   size_t asked; /* requests sent */
   uint64_t sent_ms;
   uint32_t events;
-  uint32_t newlines; /* in a row */
+  char line[CALLERS_LINE_BYTES]; /* of an event, so far */
+  size_t line_bytes;
+  uint64_t event; /* that is being read */
+  uint64_t last_event;
+  char origin[80]; /* request that brought the first event */
+  char data[CALLERS_DATA_BYTES];
+  bool taken_up;
   bool has_head;
   bool ended;
   http_parser parser;
@@ -47,6 +58,7 @@
   bool streams;
   const char *key;
   const char *tag;
+  uint16_t then; /* 0: no stream is taken up */
   unsigned budget_ms;
   struct ev_token_bucket_cfg *read_rate; /* NULL: unlimited */
   uint64_t started_ms;
@@ -77,11 +89,12 @@
 static void
 caller_print (const caller_t *caller, const char *outcome)
 {
-  printf ("%s-%zu %u %llu %u %u %s %llu\n", caller->id, caller->asked,
+  printf ("%s-%zu %u %llu %u %u %s %llu %s\n", caller->id, caller->asked,
           (unsigned)caller->port, (unsigned long long)caller->sent_ms,
           caller->has_head ? (unsigned)caller->parser.status_code : 0,
           (unsigned)caller->events, outcome,
-          (unsigned long long)callers_now_ms ());
+          (unsigned long long)callers_now_ms (),
+          caller->data[0] == '\0' ? "-" : caller->data);
   fflush (stdout);
 }
 
@@ -100,22 +113,34 @@
 static void
 caller_ask (caller_t *caller)
 {
-  const char *path = callers.paths[caller->asked++];
-  bool streams = callers.streams && caller->asked == callers.path_count;
+  const char *path
+      = callers
+            .paths[caller->taken_up ? callers.path_count - 1 : caller->asked];
+  bool streams
+      = callers.streams
+        && (caller->taken_up || caller->asked + 1 == callers.path_count);
+  char resumes[160] = "";
+
+  caller->asked++;
+  if (caller->taken_up)
+    snprintf (resumes, sizeof resumes, "Last-Event-Id: %llu\r\nResumes: %s\r\n",
+              (unsigned long long)caller->last_event, caller->origin);
 
   caller->sent_ms = callers_now_ms ();
   caller->has_head = false;
   caller->events = 0;
-  caller->newlines = 0;
+  caller->line_bytes = 0;
+  caller->event = 0;
   http_parser_init (&caller->parser, HTTP_RESPONSE);
   evbuffer_add_printf (
       bufferevent_get_output (caller->stream),
       "POST %s HTTP/1.1\r\nHost: host.example\r\n"
       "Authorization: Bearer %s\r\nCamphorarch-Attempt-Id: %s-%zu\r\n"
-      "Camphorarch-Deadline-Remaining: %u\r\n%sContent-Length: 1\r\n\r\nx",
+      "Camphorarch-Deadline-Remaining: %u\r\n%s%sContent-Length: 1\r\n\r\nx",
       path, callers.key, caller->id, caller->asked, callers.budget_ms,
       streams ? "Camphorarch-Model: m\r\nCamphorarch-Token-Usage: 40,200\r\n"
-              : "");
+              : "",
+      resumes);
 }
 
 static int
@@ -125,7 +150,36 @@
   return 0;
 }
 
-/* Counts events, which end with an empty line. */
+/* Adds a text to the data of the stream, unless it is there. */
+static void
+caller_add_data (caller_t *caller, const char *text)
+{
+  size_t used = strlen (caller->data);
+
+  if (strstr (caller->data, text) == NULL)
+    snprintf (caller->data + used, sizeof caller->data - used, "%s%s",
+              used > 0 ? "+" : "", text);
+}
+
+/* Takes a line of an event.  An empty one ends it. */
+static void
+caller_take_line (caller_t *caller)
+{
+  if (strncmp (caller->line, "id: ", 4) == 0)
+    caller->event = strtoull (caller->line + 4, NULL, 10);
+  else if (strncmp (caller->line, "data: ", 6) == 0)
+    caller_add_data (caller, caller->line + 6);
+  else if (caller->line_bytes == 0 && caller->event > 0)
+    {
+      if (caller->last_event == 0)
+        snprintf (caller->origin, sizeof caller->origin, "%s-%zu", caller->id,
+                  caller->asked);
+      caller->last_event = caller->event;
+      caller->event = 0;
+      caller->events++;
+    }
+}
+
 static int
 caller_on_body (http_parser *parser, const char *bytes, size_t count)
 {
@@ -133,9 +187,14 @@
 
   for (size_t i = 0; i < count; i++)
     {
-      caller->newlines = bytes[i] == '\n' ? caller->newlines + 1 : 0;
-      if (caller->newlines == 2)
-        caller->events++;
+      if (bytes[i] == '\n')
+        {
+          caller->line[caller->line_bytes] = '\0';
+          caller_take_line (caller);
+          caller->line_bytes = 0;
+        }
+      else if (caller->line_bytes + 1 < sizeof caller->line)
+        caller->line[caller->line_bytes++] = bytes[i];
     }
   return 0;
 }
@@ -146,7 +205,7 @@
   caller_t *caller = parser->data;
 
   caller_print (caller, "complete");
-  if (caller->asked == callers.path_count)
+  if (caller->asked >= callers.path_count)
     caller_end (caller);
   else
     caller_ask (caller);
@@ -169,17 +228,26 @@
     http_parser_execute (&caller->parser, &caller_settings, bytes, count);
 }
 
+static void caller_begin (evutil_socket_t fd, short what, void *context);
+
 static void
 caller_on_event (struct bufferevent *stream, short what, void *context)
 {
   caller_t *caller = context;
 
   (void)stream;
-  if (!(what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)))
+  if (!(what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) || caller->ended)
     return;
-  if (!caller->ended)
-    caller_print (caller, caller->has_head ? "cut" : "none");
-  caller_end (caller);
+  caller_print (caller, caller->has_head ? "cut" : "none");
+  if (callers.then == 0 || caller->last_event == 0 || caller->taken_up)
+    {
+      caller_end (caller);
+      return;
+    }
+  bufferevent_disable (caller->stream, EV_READ | EV_WRITE);
+  caller->taken_up = true;
+  caller->port = callers.then;
+  caller_begin (-1, 0, caller);
 }
 
 static void
@@ -242,6 +310,7 @@
     callers.paths[callers.path_count++] = path;
   callers.streams = callers_number (argc, argv, "streams", "0") != 0;
   callers.key = callers_argument (argc, argv, "key", "k1");
+  callers.then = (uint16_t)callers_number (argc, argv, "then", "0");
   callers.tag = callers_argument (argc, argv, "tag", "c");
   callers.budget_ms
       = (unsigned)callers_number (argc, argv, "budget-ms", "8000");
--- a/review/standins-2/server.c
+++ b/review/standins-2/server.c
@@ -1,18 +1,21 @@
 /* Stand-in for one replica of the platform, as the users' pages specify it.
  *
  *   server --id ID --service S --zone Z --port N --store N --runs FILE
- *          [--events N] [--event-ms N]
+ *          [--events N] [--event-ms N] [--version V]
  *
  * Registers in the store with `ready` and appends a line to FILE for each run
  * that begins: "run ID REQUEST PATH".  A request with Camphorarch-Token-Usage
  * is answered with a stream: --events events, all runs together in one step
  * each
- * --event-ms, as an engine that works in batches does.  Another one is answered
+ * --event-ms, as an engine that works in batches does; an event holds V or the
+ * request's id. A stream goes on after Last-Event-Id.  Another one is answered
  * whole: after N ms if its path holds "work-N", with N bytes if it holds
  * "size-N".  A request for another replica is answered 421.  A run ends when
  * its channel closes. */
 #include "tests/site/site.h"
 
+#include "base/clock_source.h"
+
 #include <fcntl.h>
 #include <resolv.h>
 #include <stdlib.h>
@@ -21,7 +24,10 @@
 #include <sys/time.h>
 #include <unistd.h>
 
-#define SERVER_REGISTER_MS 500
+/* Until the store has accepted the first entry, and between those that follow.
+ */
+#define SERVER_REGISTER_MS 100
+#define SERVER_BEAT_MS 1200
 #define SERVER_MAX_BYTES (8 * 1024 * 1024)
 
 typedef struct run
@@ -30,6 +36,7 @@
   struct event *timer; /* of a whole answer; NULL for a stream */
   char id[64];
   uint32_t next; /* event */
+  bool has_begun;
   size_t bytes;
   TAILQ_ENTRY (run) entries;
 } run_t;
@@ -45,8 +52,10 @@
   uint16_t store;
   uint32_t events;
   uint32_t event_ms;
+  const char *version; /* of the software; "" if events don't hold it */
   int runs_fd;
-  bool registered;
+  uint32_t sequence;   /* of the entry */
+  uint64_t written_us; /* when the store accepted it; 0 if it did not */
   uint64_t born_ms;
   TAILQ_HEAD (, run) streams;
 } server;
@@ -56,7 +65,7 @@
 {
   (void)context;
   if (head->status == 200)
-    server.registered = true;
+    server.written_us = ca_clock_boot_us ();
   return CA_HTTP_HEAD_ACCEPT;
 }
 
@@ -76,7 +85,8 @@
   (void)outcome;
 }
 
-/* Writes the replica's entry until the store has accepted it. */
+/* Writes the replica's entry until the store has accepted it, and again with
+ * each liveness report. */
 static void
 server_register (evutil_socket_t fd, short what, void *context)
 {
@@ -88,15 +98,25 @@
   (void)fd;
   (void)what;
   (void)context;
-  if (server.registered)
-    return;
+  if (server.written_us != 0)
+    {
+      /* Replicas that start together don't report together. */
+      uint64_t wait_ms = server.sequence == 1
+                             ? server.port * 997u % SERVER_BEAT_MS
+                             : SERVER_BEAT_MS;
+
+      if (ca_clock_boot_us () - server.written_us < wait_ms * 1000)
+        return;
+      server.written_us = 0;
+    }
   bytes = snprintf (
       text, sizeof text,
       "{\"service\":\"%s\",\"address\":\"127.0.0.1:%u\",\"zone\":\"%s\","
-      "\"version\":\"v1\",\"slots\":64,\"state\":\"ready\","
-      "\"cold_remaining_ms\":0,\"sequence\":1,\"born\":%llu}",
+      "\"version\":\"%s\",\"slots\":64,\"state\":\"ready\","
+      "\"cold_remaining_ms\":0,\"sequence\":%u,\"born\":%llu}",
       server.service, (unsigned)server.port, server.zone,
-      (unsigned long long)server.born_ms);
+      server.version[0] == '\0' ? "v1" : server.version,
+      (unsigned)++server.sequence, (unsigned long long)server.born_ms);
   b64_ntop ((const unsigned char *)text, (size_t)bytes, value, sizeof value);
   bytes = snprintf (body, sizeof body,
                     "{\"expect\":[],\"write\":[{\"table_name\":\"servers\","
@@ -189,10 +209,11 @@
   char event[128];
   int bytes;
 
-  if (run->next == 1)
+  if (!run->has_begun)
     {
       ca_headers_t headers;
 
+      run->has_begun = true;
       run_fill_headers (run, &headers);
       ca_headers_add (&headers, "Content-Type", "text/event-stream");
       ca_http_response_begin (run->request, 200, &headers);
@@ -204,8 +225,8 @@
       run_free (run);
       return;
     }
-  bytes = snprintf (event, sizeof event, "id: %u\ndata: %s %u\n\n", run->next,
-                    run->id, run->next);
+  bytes = snprintf (event, sizeof event, "id: %u\ndata: %s\n\n", run->next,
+                    server.version[0] == '\0' ? run->id : server.version);
   ca_http_response_write (run->request, event, (size_t)bytes);
   run->next++;
 }
@@ -259,7 +280,9 @@
     }
   run = calloc (1, sizeof *run);
   run->request = request;
-  run->next = 1;
+  run->next
+      = (uint32_t)strtoul (server_header (request, "Last-Event-Id"), NULL, 10)
+        + 1;
   run->bytes = bytes == 0 ? 16 : bytes;
   if (run->bytes > SERVER_MAX_BYTES)
     run->bytes = SERVER_MAX_BYTES;
@@ -311,11 +334,13 @@
   server.events = (uint32_t)atoi (site_argument (argc, argv, "events", "8"));
   server.event_ms
       = (uint32_t)atoi (site_argument (argc, argv, "event-ms", "25"));
+  server.version = site_argument (argc, argv, "version", "");
   server.runs_fd = open (site_argument (argc, argv, "runs", "/dev/null"),
                          O_WRONLY | O_APPEND | O_CREAT, 0600);
   TAILQ_INIT (&server.streams);
   site_init (&server.site, server.port, &handler);
   ca_http_pool_init (&server.pool, server.site.base);
+  server_register (-1, 0, NULL);
   server_start_timer (server_register, SERVER_REGISTER_MS);
   server_start_timer (server_step, server.event_ms);
   site_run (&server.site);
