--- a/review/standins-2/callers.c
+++ b/review/standins-2/callers.c
@@ -2,13 +2,14 @@
  *
  *   callers --ports N,N,... --count N --burst N --spread-ms N --paths P,P,...
  *           --streams 0|1 --key K --budget-ms N --read-kb-s N --then PORT
- *           --tag T
+ *           --leave-ms N --tag T
  *
  * --count callers at each port begin in bursts of --burst, spread over
  * --spread-ms.  Each opens a channel and asks for the paths on it, one after
  * the other; with --streams 1 the last one is a streaming request.  With
  * --read-kb-s it reads no faster than that.  With --then, a stream that is cut
- * after an event is taken up at that port.  Prints a
+ * after an event is taken up at that port; with --leave-ms callers leave their
+ * channels so long after the start and do the same.  Prints a
  * line for each request once it has ended: "ID PORT SENT STATUS EVENTS OUTCOME
  * AT DATA", times in ms since the start.  OUTCOME is complete, cut (the channel
  * ended in the middle of the answer) or none (it ended without an answer). DATA
@@ -58,7 +59,8 @@
   bool streams;
   const char *key;
   const char *tag;
-  uint16_t then; /* 0: no stream is taken up */
+  uint16_t then;     /* 0: no stream is taken up */
+  uint32_t leave_ms; /* 0: never */
   unsigned budget_ms;
   struct ev_token_bucket_cfg *read_rate; /* NULL: unlimited */
   uint64_t started_ms;
@@ -230,6 +232,33 @@
 
 static void caller_begin (evutil_socket_t fd, short what, void *context);
 
+/* Takes the stream up at the other port; false if it can't be. */
+static bool
+caller_take_up (caller_t *caller)
+{
+  if (callers.then == 0 || caller->last_event == 0 || caller->taken_up)
+    return false;
+  bufferevent_free (caller->stream);
+  caller->taken_up = true;
+  caller->port = callers.then;
+  caller_begin (-1, 0, caller);
+  return true;
+}
+
+static void
+caller_leave (evutil_socket_t fd, short what, void *context)
+{
+  caller_t *caller = context;
+
+  (void)fd;
+  (void)what;
+  if (caller->ended || caller->taken_up || caller->stream == NULL)
+    return;
+  caller_print (caller, "left");
+  if (!caller_take_up (caller))
+    caller_end (caller);
+}
+
 static void
 caller_on_event (struct bufferevent *stream, short what, void *context)
 {
@@ -239,15 +268,8 @@
   if (!(what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) || caller->ended)
     return;
   caller_print (caller, caller->has_head ? "cut" : "none");
-  if (callers.then == 0 || caller->last_event == 0 || caller->taken_up)
-    {
-      caller_end (caller);
-      return;
-    }
-  bufferevent_disable (caller->stream, EV_READ | EV_WRITE);
-  caller->taken_up = true;
-  caller->port = callers.then;
-  caller_begin (-1, 0, caller);
+  if (!caller_take_up (caller))
+    caller_end (caller);
 }
 
 static void
@@ -278,12 +300,16 @@
 {
   struct timeval wait
       = { (time_t)(wait_ms / 1000), (suseconds_t)(wait_ms % 1000) * 1000 };
+  struct timeval leave = { callers.leave_ms / 1000,
+                           (suseconds_t)(callers.leave_ms % 1000) * 1000 };
 
   snprintf (caller->id, sizeof caller->id, "%s-%u-%zu", callers.tag,
             (unsigned)port, number);
   caller->port = port;
   caller->timer = evtimer_new (callers.base, caller_begin, caller);
   event_add (caller->timer, &wait);
+  if (callers.leave_ms > 0)
+    event_add (evtimer_new (callers.base, caller_leave, caller), &leave);
   callers.open++;
 }
 
@@ -311,6 +337,7 @@
   callers.streams = callers_number (argc, argv, "streams", "0") != 0;
   callers.key = callers_argument (argc, argv, "key", "k1");
   callers.then = (uint16_t)callers_number (argc, argv, "then", "0");
+  callers.leave_ms = (uint32_t)callers_number (argc, argv, "leave-ms", "0");
   callers.tag = callers_argument (argc, argv, "tag", "c");
   callers.budget_ms
       = (unsigned)callers_number (argc, argv, "budget-ms", "8000");
