--- a/review/standins-2/callers.c
+++ b/review/standins-2/callers.c
@@ -330,10 +330,8 @@
   size_t read_kb_s = callers_number (argc, argv, "read-kb-s", "0");
 
   callers.base = event_base_new ();
-  for (char *path = strtok (paths, ",");
-       path != NULL && callers.path_count < CALLERS_MAX_PATHS;
-       path = strtok (NULL, ","))
-    callers.paths[callers.path_count++] = path;
+  while (paths != NULL && callers.path_count < CALLERS_MAX_PATHS)
+    callers.paths[callers.path_count++] = strsep (&paths, ",");
   callers.streams = callers_number (argc, argv, "streams", "0") != 0;
   callers.key = callers_argument (argc, argv, "key", "k1");
   callers.then = (uint16_t)callers_number (argc, argv, "then", "0");
@@ -346,9 +344,9 @@
         = ev_token_bucket_cfg_new (read_kb_s * 1024, read_kb_s * 1024,
                                    EV_RATE_LIMIT_MAX, EV_RATE_LIMIT_MAX, NULL);
   callers.started_ms = callers_now_ms ();
-  for (char *port = strtok (ports, ","); port != NULL;
-       port = strtok (NULL, ","))
+  while (ports != NULL)
     {
+      const char *port = strsep (&ports, ",");
       caller_t *group = calloc (count, sizeof *group);
 
       for (size_t i = 0; i < count; i++)
--- a/review/standins-2/server.c
+++ b/review/standins-2/server.c
@@ -1,12 +1,12 @@
 /* Stand-in for one replica of the platform, as the users' pages specify it.
  *
  *   server --id ID --service S --zone Z --port N --store N --runs FILE
- *          [--events N] [--event-ms N] [--version V]
+ *          [--events N] [--event-ms N] [--version V] [--listed N]
  *
- * Registers in the store with `ready` and appends a line to FILE for each run
- * that begins: "run ID REQUEST PATH".  A request with Camphorarch-Token-Usage
- * is answered with a stream: --events events, all runs together in one step
- * each
+ * Registers in the store with `ready`, with the port --listed if it is given,
+ * and appends a line to FILE for each run that begins: "run ID REQUEST PATH".
+ * A request with Camphorarch-Token-Usage is answered with a stream: --events
+ * events, all runs together in one step each
  * --event-ms, as an engine that works in batches does; an event holds V or the
  * request's id. A stream goes on after Last-Event-Id.  Another one is answered
  * whole: after N ms if its path holds "work-N", with N bytes if it holds
@@ -49,6 +49,7 @@
   const char *service;
   const char *zone;
   uint16_t port;
+  uint16_t listed; /* port in the entry, of a proxy maybe */
   uint16_t store;
   uint32_t events;
   uint32_t event_ms;
@@ -114,7 +115,7 @@
       "{\"service\":\"%s\",\"address\":\"127.0.0.1:%u\",\"zone\":\"%s\","
       "\"version\":\"%s\",\"slots\":64,\"state\":\"ready\","
       "\"cold_remaining_ms\":0,\"sequence\":%u,\"born\":%llu}",
-      server.service, (unsigned)server.port, server.zone,
+      server.service, (unsigned)server.listed, server.zone,
       server.version[0] == '\0' ? "v1" : server.version,
       (unsigned)++server.sequence, (unsigned long long)server.born_ms);
   b64_ntop ((const unsigned char *)text, (size_t)bytes, value, sizeof value);
@@ -330,6 +331,8 @@
   server.service = site_argument (argc, argv, "service", "api");
   server.zone = site_argument (argc, argv, "zone", "z1");
   server.port = (uint16_t)atoi (site_argument (argc, argv, "port", "0"));
+  server.listed = (uint16_t)atoi (site_argument (
+      argc, argv, "listed", site_argument (argc, argv, "port", "0")));
   server.store = (uint16_t)atoi (site_argument (argc, argv, "store", "0"));
   server.events = (uint32_t)atoi (site_argument (argc, argv, "events", "8"));
   server.event_ms
