gateway: log who keeps a stream's record and why a stream is refused

The logs could not tell three hypotheses apart: the record is at no entry that is left; it is at one, but the question is not answered in time; the list is too old to conclude from. stream_recorded (debug, one line a stream while several versions serve) names the entries that were sent the record, stream_version_unknown who was asked, who answered, and the list's age.

No change of what is decided.

--- a/packages/base/events.c
+++ b/packages/base/events.c
@@ -259,6 +259,14 @@
     "too few answers or endpoints" },
   { CA_EVENT_ROLLOUT_STATUS_WRITTEN, CA_LEVEL_INFO, "rollout_status_written",
     "the store accepted the status row of a rollout", NO_ACTION },
+  { CA_EVENT_STREAM_RECORDED, CA_LEVEL_DEBUG, "stream_recorded",
+    "a stream began while several versions of its endpoints serve; the detail "
+    "names the entries that keep a record of its version",
+    NO_ACTION },
+  { CA_EVENT_STREAM_VERSION_UNKNOWN, CA_LEVEL_INFO, "stream_version_unknown",
+    "a caller took up a stream and no record tells which version began it; the "
+    "detail has who was asked, and the request is refused",
+    "see which entries ended before, and whether the store answered" },
 };
 
 static const char *const level_names[]
--- a/packages/gateway/gateway.h
+++ b/packages/gateway/gateway.h
@@ -116,6 +116,7 @@
   uint32_t version;      /* that began the stream; 0 until it is known */
   uint64_t lookup_us;    /* peers were asked for it; 0: not yet */
   uint32_t lookups;      /* answers of peers that are awaited */
+  uint32_t asked;        /* peers */
   uint64_t fingerprint;  /* of the content and the workspace */
   ca_catalog_t *catalog; /* that admitted it; holds a reference */
   const ca_route_t *route;
--- a/packages/gateway/stream_versions.c
+++ b/packages/gateway/stream_versions.c
@@ -11,6 +11,7 @@
 #include "gateway/private.h"
 #include "wire/frame.h"
 
+#include <inttypes.h>
 #include <stdlib.h>
 #include <string.h>
 #include <xxhash.h>
@@ -50,6 +51,9 @@
  * another one; no endpoint has it. */
 #define STREAM_VERSION_UNSURE UINT32_MAX
 
+/* Names of peers in a log line; more are left out. */
+#define STREAM_LOG_NAMES_BYTES 160
+
 /* A record to be sent to a peer. */
 typedef struct
 {
@@ -406,11 +410,31 @@
   stream_drop (gateway, record);
 }
 
+/* Logs which peers were sent the record of a stream that begins. */
+static void
+stream_log_recorded (ca_gateway_t *gateway, const ca_exchange_t *exchange,
+                     const stream_notice_t *notices, size_t count)
+{
+  char names[STREAM_LOG_NAMES_BYTES] = "";
+
+  for (size_t i = 0; i < count; i++)
+    {
+      strlcat (names, " ", sizeof names);
+      strlcat (names, notices[i].peer->name, sizeof names);
+    }
+  ca_gateway_log (
+      gateway, CA_EVENT_STREAM_RECORDED, exchange->id, exchange->service->name,
+      "stream of %s, sent to %zu entries:%s",
+      exchange->resumes[0] == '\0' ? exchange->id : exchange->resumes, count,
+      names);
+}
+
 void
 ca_stream_versions_began (ca_gateway_t *gateway, ca_exchange_t *exchange)
 {
   stream_notice_t notices[CA_STREAM_HOLDERS];
   ca_stream_record_t *record;
+  size_t count;
 
   if (!stream_is_resumable (exchange))
     return;
@@ -424,9 +448,11 @@
   record->service = ca_service_stats (gateway, exchange->service->name);
   record->sent = false;
   TAILQ_INSERT_TAIL (&gateway->own_streams, record, entries);
-  if (stream_needs_record (gateway, record))
-    stream_send_notices (gateway, notices,
-                         stream_add_notices (gateway, record, notices));
+  if (!stream_needs_record (gateway, record))
+    return;
+  count = stream_add_notices (gateway, record, notices);
+  stream_send_notices (gateway, notices, count);
+  stream_log_recorded (gateway, exchange, notices, count);
 }
 
 void
@@ -490,10 +516,35 @@
       if (asked)
         continue;
       exchange->lookups++;
+      exchange->asked++;
       ca_peers_send (gateway, &peers[i]->address, &envelope);
     }
 }
 
+/* Logs on what grounds the stream is refused. */
+static void
+stream_log_unknown (ca_gateway_t *gateway, const ca_exchange_t *exchange)
+{
+  const ca_service_stats_t *stats
+      = ca_service_stats (gateway, exchange->service->name);
+  uint32_t versions = 0;
+
+  for (size_t i = 0; i < CA_SOFTWARE_VERSIONS_MAX; i++)
+    versions
+        += ca_version_history_may_have_begun (gateway, &stats->versions[i]);
+  ca_gateway_log (
+      gateway, CA_EVENT_STREAM_VERSION_UNKNOWN, exchange->id,
+      exchange->service->name,
+      "stream of %s: no record here, nor at %u of %u entries asked; %u did not "
+      "answer in %" PRIu64 " ms; %u versions may have begun it, history %s, "
+      "list validated %" PRIu64 " ms before",
+      exchange->resumes, exchange->asked - exchange->lookups, exchange->asked,
+      exchange->lookups, (gateway->now_us - exchange->lookup_us) / CA_US_PER_MS,
+      versions,
+      ca_version_history_is_complete (gateway) ? "complete" : "incomplete",
+      (gateway->now_us - gateway->list_validated_us) / CA_US_PER_MS);
+}
+
 ca_stream_lookup_t
 ca_stream_versions_resolve (ca_gateway_t *gateway, ca_exchange_t *exchange)
 {
@@ -523,7 +574,10 @@
   gateway->list_wanted = gateway->list_wanted || awaits_list;
   if ((exchange->lookups == 0 && !awaits_list)
       || gateway->now_us - exchange->lookup_us >= STREAM_LOOKUP_US)
-    return CA_STREAM_LOOKUP_UNKNOWN;
+    {
+      stream_log_unknown (gateway, exchange);
+      return CA_STREAM_LOOKUP_UNKNOWN;
+    }
   return CA_STREAM_LOOKUP_PENDING;
 }
 
