--- a/packages/base/counters.c
+++ b/packages/base/counters.c
@@ -37,6 +37,8 @@
   "limited_attempts",
   "streams_taken_up",
   "streams_unknown",
+  "stream_store_writes",
+  "stream_store_reads",
   "delegated",
   "store_bytes",
   "peer_links_stalled",
--- a/packages/base/counters.h
+++ b/packages/base/counters.h
@@ -38,8 +38,10 @@
   CA_COUNT_LIMITED_ATTEMPTS, /* at endpoints that name a limit */
   CA_COUNT_STREAMS_TAKEN_UP, /* by callers, after they had been interrupted */
   CA_COUNT_STREAMS_UNKNOWN,  /* of these, refused: the version is unknown */
-  CA_COUNT_DELEGATED,        /* requests passed on to other entries */
-  CA_COUNT_STORE_BYTES,      /* of answers to reads of watched tables */
+  CA_COUNT_STREAM_STORE_WRITES,
+  CA_COUNT_STREAM_STORE_READS,
+  CA_COUNT_DELEGATED,   /* requests passed on to other entries */
+  CA_COUNT_STORE_BYTES, /* of answers to reads of watched tables */
   CA_COUNT_PEER_LINKS_STALLED,
   CA_COUNT_CONFIGS_REQUESTED, /* by this entry from its peers */
   CA_COUNT_CONFIGS_SENT,      /* to peers that requested them */
--- a/packages/gateway/contact.c
+++ b/packages/gateway/contact.c
@@ -94,8 +94,8 @@
                       + CONTACT_PERIODS * gateway->heartbeat_period_us;
 }
 
-static uint64_t
-peer_rank (uint64_t id, uint64_t key)
+uint64_t
+ca_peers_rank (uint64_t id, uint64_t key)
 {
   return XXH3_64bits_withSeed (&id, sizeof id, key);
 }
@@ -120,7 +120,7 @@
   if (*is_self)
     {
       known = in_contact = 1;
-      best = peer_rank (gateway->id, key);
+      best = ca_peers_rank (gateway->id, key);
     }
   for (peer = gateway->peers; peer != NULL; peer = peer->hh.next)
     {
@@ -133,9 +133,9 @@
         continue;
       if (peer_receives (gateway, peer))
         in_contact++;
-      if (peer_rank (peer->id, key) <= best)
+      if (ca_peers_rank (peer->id, key) <= best)
         continue;
-      best = peer_rank (peer->id, key);
+      best = ca_peers_rank (peer->id, key);
       *coordinator = peer;
       *is_self = false;
     }
@@ -175,26 +175,33 @@
 ca_peers_ranked (const ca_gateway_t *gateway, uint64_t key, bool in_contact,
                  const ca_peer_t **peers, size_t max)
 {
+  uint64_t ranks[CA_PEERS_RANKED_MAX];
   const ca_peer_t *peer;
   size_t count = 0;
 
+  if (max > CA_PEERS_RANKED_MAX)
+    max = CA_PEERS_RANKED_MAX;
   for (peer = gateway->peers; peer != NULL; peer = peer->hh.next)
     {
-      uint64_t rank = peer_rank (peer->id, key);
+      uint64_t rank = ca_peers_rank (peer->id, key);
       size_t at = count;
 
       if (in_contact
           && (peer->leaving || !ca_peers_in_close_contact (gateway, peer)))
         continue;
-      while (at > 0 && rank > peer_rank (peers[at - 1]->id, key))
+      while (at > 0 && rank > ranks[at - 1])
         at--;
       if (at == max)
         continue;
       if (count < max)
         count++;
       for (size_t i = count - 1; i > at; i--)
-        peers[i] = peers[i - 1];
+        {
+          peers[i] = peers[i - 1];
+          ranks[i] = ranks[i - 1];
+        }
       peers[at] = peer;
+      ranks[at] = rank;
     }
   return count;
 }
--- a/packages/gateway/gateway.c
+++ b/packages/gateway/gateway.c
@@ -39,7 +39,7 @@
   TAILQ_INIT (&gateway->exchanges);
   TAILQ_INIT (&gateway->usage);
   TAILQ_INIT (&gateway->suspected_crashes);
-  TAILQ_INIT (&gateway->own_streams);
+  ca_stream_versions_init (gateway);
   LIST_INIT (&gateway->slot_permits);
 }
 
--- a/packages/gateway/gateway.h
+++ b/packages/gateway/gateway.h
@@ -16,6 +16,7 @@
 #include "gateway/config_transfer.h"
 #include "gateway/freshness.h"
 #include "gateway/registry.h"
+#include "gateway/stream_store.h"
 #include "gateway/stream_versions.h"
 #include "gateway/version_history.h"
 #include "gateway/window.h"
@@ -117,6 +118,7 @@
   uint64_t lookup_us;    /* peers were asked for it; 0: not yet */
   uint32_t lookups;      /* answers of peers that are awaited */
   uint32_t asked;        /* peers */
+  bool asked_widely;     /* not only the first peers in rank */
   uint64_t fingerprint;  /* of the content and the workspace */
   ca_catalog_t *catalog; /* that admitted it; holds a reference */
   const ca_route_t *route;
@@ -266,6 +268,13 @@
   /* The store came back from an older copy: its tables must be read again, and
    * this entry's rows be written again. */
   void (*store_restored) (void *context);
+  /* Writes rows of the table of streams, all or none, if each has the version
+   * given; answered by ca_gateway_streams_written.  NULL: there is no such
+   * table, and the next is NULL, too. */
+  void (*write_streams) (void *context, const ca_stream_row_t *rows,
+                         size_t count);
+  /* Reads a bucket's rows; answered by ca_gateway_streams_read. */
+  void (*read_streams) (void *context, uint32_t bucket);
   /* Leader tasks (gateway/leader.h). */
   void (*log) (void *context, const ca_log_event_t *event);
 } ca_gateway_ports_t;
@@ -398,7 +407,10 @@
   bool zone_is_small; /* and so is this entry's (ca_peers_in_reading_group) */
   bool reads_store;
   bool leads;
-  bool grants_slots; /* of brittle engines; older entries do not */
+  bool grants_slots;        /* of brittle engines; older entries do not */
+  bool stores_streams;      /* likewise */
+  uint64_t streams_process; /* incarnation that has got copies of the records
+                               of this entry's streams */
   uint16_t delegate_port;
   uint64_t lost_services[CA_LOST_SERVICES_MAX]; /* hashes of their names */
   size_t lost_count;
@@ -522,6 +534,8 @@
   ca_stream_record_t *streams; /* by number, of this entry and others */
   TAILQ_HEAD (, ca_stream_record) own_streams; /* begun or gone on here */
   uint64_t stream_peers_signature; /* of the peers that may keep records */
+  ca_bucket_t stream_bytes;        /* of records, that may be sent */
+  ca_stream_store_t stream_store;
   uint64_t next_stream_expiry_us;
   uint64_t next_version_survey_us;
   uint64_t next_speed_survey_us;
@@ -624,6 +638,17 @@
 /* True if the balancer may send callers here. */
 bool ca_gateway_ready (const ca_gateway_t *gateway);
 
+/* Handles the results of the ports `write_streams`, with the version that the
+ * rows have or, after a conflict, those of the rows that exist; and
+ * `read_streams`. */
+void ca_gateway_streams_written (ca_gateway_t *gateway, uint64_t now_us,
+                                 ca_stream_write_status_t status,
+                                 uint64_t version, const ca_stream_row_t *rows,
+                                 size_t count);
+void ca_gateway_streams_read (ca_gateway_t *gateway, uint64_t now_us,
+                              uint32_t number, bool ok,
+                              const ca_stream_row_t *rows, size_t count);
+
 /* Begins a planned stop. */
 void ca_gateway_stop (ca_gateway_t *gateway, uint64_t now_us);
 
--- a/packages/gateway/peers.c
+++ b/packages/gateway/peers.c
@@ -592,6 +592,7 @@
   heartbeat->delegate_port = gateway->options.delegate_port;
   heartbeat->grants_slots = true;
   heartbeat->lends_quota = true;
+  heartbeat->stores_streams = gateway->ports.write_streams != NULL;
   heartbeat->lost_services = buffer->lost_services;
   heartbeat->n_lost_services
       = ca_reach_report (gateway, buffer->lost_services, CA_LOST_SERVICES_MAX);
@@ -869,6 +870,7 @@
   peer->leads = heartbeat->leads;
   peer->delegate_port = (uint16_t)heartbeat->delegate_port;
   peer->grants_slots = heartbeat->grants_slots;
+  peer->stores_streams = heartbeat->stores_streams;
   peer_apply_lost_services (peer, heartbeat->lost_services,
                             heartbeat->n_lost_services);
   peer->wall_offset_us
--- a/packages/gateway/private.h
+++ b/packages/gateway/private.h
@@ -366,9 +366,38 @@
 void ca_stream_versions_apply (ca_gateway_t *gateway,
                                const Camphor__StreamVersions *message);
 
+/* Keeps a record that was read from the store; NULL if there are too many. */
+ca_stream_record_t *ca_stream_versions_keep (ca_gateway_t *gateway,
+                                             uint64_t stream, uint32_t version);
+
+void ca_stream_versions_init (ca_gateway_t *gateway);
 void ca_stream_versions_tick (ca_gateway_t *gateway);
 void ca_stream_versions_finish (ca_gateway_t *gateway);
 
+/* stream_store.c */
+
+void ca_stream_store_init (ca_stream_store_t *store);
+void ca_stream_store_tick (ca_gateway_t *gateway);
+
+/* The entry that writes the records of a stream's bucket to the store: a peer,
+ * this entry, or none (NULL and false). */
+const ca_peer_t *ca_stream_store_writer (const ca_gateway_t *gateway,
+                                         uint64_t stream, bool *is_self);
+
+/* True if the peer can be the writer of a bucket. */
+bool ca_stream_store_may_write (const ca_gateway_t *gateway,
+                                const ca_peer_t *peer);
+
+/* Queues a record to be written, again if it has been changed; takes one from
+ * the queue. */
+void ca_stream_store_add (ca_gateway_t *gateway, ca_stream_record_t *record);
+void ca_stream_store_remove (ca_gateway_t *gateway, ca_stream_record_t *record);
+
+/* Reads the bucket of a stream, unless that has been done since `since_us`.
+ * True if the store's answer is awaited. */
+bool ca_stream_store_want (ca_gateway_t *gateway, uint64_t stream,
+                           uint64_t since_us);
+
 /* reach.c */
 
 /* Record that the endpoint has sent something, or that a connection to it
@@ -798,6 +827,12 @@
 bool ca_peers_in_close_contact (const ca_gateway_t *gateway,
                                 const ca_peer_t *peer);
 
+/* Rank of an entry for a key, the same at all entries. */
+uint64_t ca_peers_rank (uint64_t id, uint64_t key);
+
+/* Peers that ca_peers_ranked fills in at most. */
+#define CA_PEERS_RANKED_MAX 64
+
 /* Fills in the first `max` peers in a ranking by `key` that is the same at all
  * entries: of those in close contact that are not stopping, or of all.  Returns
  * their number. */
--- a/packages/gateway/stream_versions.c
+++ b/packages/gateway/stream_versions.c
@@ -2,9 +2,12 @@
  *
  * What two versions write does not fit together, so a stream goes on only at
  * the version that began it.  A caller may take an interrupted stream up at any
- * entry.  The entry at which a stream begins records the version at two peers,
- * which follow from the stream's number by a ranking that is the same at all
- * entries; the entry that is to go on with it asks them.
+ * entry.  The entry at which a stream begins sends a record of the version to
+ * its peers, before the first event: to as many as a budget for such messages
+ * allows, in an order that follows from the stream's number and is the same at
+ * all entries.  One of them writes it to the store (stream_store.c).  The entry
+ * that is to go on with a stream of which it has no record asks some of the
+ * first peers in that order, then more of them and the store.
  *
  * While a service has had a single version for long, nothing is recorded, and a
  * stream without a record is one of that version. */
@@ -32,6 +35,26 @@
 /* Time for the answers of the peers that are asked. */
 #define STREAM_LOOKUP_US (200 * CA_US_PER_MS)
 
+/* If no peer has answered by then, more are asked, and the store is. */
+#define STREAM_WIDEN_US (50 * CA_US_PER_MS)
+#define STREAM_ASKED_WIDELY 32
+
+/* Time for the store's answer; it takes half a second when it is slow. */
+#define STREAM_STORE_LOOKUP_US (700 * CA_US_PER_MS)
+
+/* Budget for records: what an entry may spend on control (docs/CAPACITY.md).
+ * What those that must be sent leave of it is for copies at more peers than
+ * CA_STREAM_HOLDERS.  The copies of one record may take a part of what is left,
+ * so that their number follows from the rate of streams. */
+#define STREAM_BYTES_PER_S 10000
+#define STREAM_COPY_SHARE 8
+#define STREAM_NOTICE_BYTES 27 /* a record in a message of its own */
+#define STREAM_RECORD_BYTES 12 /* one more in a message */
+#define STREAM_COPIES_MAX (CA_PEERS_RANKED_MAX - CA_STREAM_HOLDERS)
+
+/* Notices for one record at most. */
+#define STREAM_NOTICES_MAX (CA_PEERS_RANKED_MAX + 1)
+
 /* The list of endpoints is current if it was validated this recently. */
 #define STREAM_LIST_AGE_US (1500 * CA_US_PER_MS)
 
@@ -60,6 +83,7 @@
   const ca_peer_t *peer;
   uint64_t stream;
   uint32_t version;
+  bool to_store;
 } stream_notice_t;
 
 uint32_t
@@ -112,16 +136,26 @@
       record->stream = stream;
       HASH_ADD (hh, gateway->streams, stream, sizeof record->stream, record);
     }
-  record->version = version;
+  /* A correction is final. */
+  if (record->version != STREAM_VERSION_UNSURE)
+    record->version = version;
   record->updated_us = gateway->now_us;
   return record;
 }
 
+ca_stream_record_t *
+ca_stream_versions_keep (ca_gateway_t *gateway, uint64_t stream,
+                         uint32_t version)
+{
+  return version == 0 ? NULL : stream_put (gateway, stream, version);
+}
+
 static void
 stream_drop (ca_gateway_t *gateway, ca_stream_record_t *record)
 {
   if (record->service != NULL)
     TAILQ_REMOVE (&gateway->own_streams, record, entries);
+  ca_stream_store_remove (gateway, record);
   HASH_DEL (gateway->streams, record);
   free (record);
 }
@@ -263,17 +297,22 @@
          || stream_single_version (gateway, record->service) == 0;
 }
 
-/* Changes with the peers that may keep records. */
+/* Changes with the entries that may keep records or write them to the store. */
 static uint64_t
 stream_peers_signature (const ca_gateway_t *gateway)
 {
   const ca_peer_t *peer;
-  uint64_t signature = 0;
+  uint64_t signature = gateway->store_era * 4 + gateway->store_down * 2
+                       + ca_peers_are_known (gateway);
 
   for (peer = gateway->peers; peer != NULL; peer = peer->hh.next)
     {
+      uint64_t process = (peer->id ^ peer->incarnation) | 1;
+
       if (!peer->leaving && ca_peers_in_close_contact (gateway, peer))
-        signature += (peer->id ^ peer->incarnation) | 1;
+        signature += process;
+      if (ca_stream_store_may_write (gateway, peer))
+        signature += process << 1;
     }
   return signature;
 }
@@ -284,11 +323,12 @@
   const stream_notice_t *left = a;
   const stream_notice_t *right = b;
 
-  return left->peer->id < right->peer->id ? -1
-                                          : left->peer->id > right->peer->id;
+  if (left->peer->id != right->peer->id)
+    return left->peer->id < right->peer->id ? -1 : 1;
+  return left->to_store - right->to_store;
 }
 
-/* Sends the notices, one message to each peer. */
+/* Sends the notices, one message of each kind to each peer. */
 static void
 stream_send_notices (ca_gateway_t *gateway, stream_notice_t *notices,
                      size_t count)
@@ -302,9 +342,12 @@
       Camphor__Envelope envelope = CAMPHOR__ENVELOPE__INIT;
       Camphor__StreamVersions message = CAMPHOR__STREAM_VERSIONS__INIT;
       const ca_peer_t *peer = notices[i].peer;
+      bool to_store = notices[i].to_store;
       size_t rows = 0;
 
-      for (; i < count && notices[i].peer == peer; i++)
+      for (; i < count && notices[i].peer == peer
+             && notices[i].to_store == to_store;
+           i++)
         {
           streams[rows] = notices[i].stream;
           versions[rows++] = notices[i].version;
@@ -313,6 +356,7 @@
       message.n_streams = rows;
       message.versions = versions;
       message.n_versions = rows;
+      message.to_store = to_store;
       envelope.body_case = CAMPHOR__ENVELOPE__BODY_STREAM_VERSIONS;
       envelope.stream_versions = &message;
       /* Without the sender, which does not matter, a third of the bytes is
@@ -323,41 +367,97 @@
     }
 }
 
-/* Adds the notices for a record to the peers that are to keep it and have not
- * been sent it. */
+/* Number of further peers to which a record can be copied now. */
+static size_t
+stream_copies (ca_gateway_t *gateway)
+{
+  ca_bucket_t *bytes = &gateway->stream_bytes;
+  double copies;
+
+  ca_bucket_set (bytes, gateway->now_us, STREAM_BYTES_PER_S,
+                 STREAM_BYTES_PER_S);
+  if (bytes->level < 0)
+    bytes->level = 0;
+  copies = bytes->level / STREAM_COPY_SHARE / STREAM_NOTICE_BYTES;
+  return copies < STREAM_COPIES_MAX ? (size_t)copies : STREAM_COPIES_MAX;
+}
+
+/* Adds the notice for a record to the entry that is to write it to the store,
+ * if that has not been told yet. */
+static size_t
+stream_add_writer (ca_gateway_t *gateway, ca_stream_record_t *record,
+                   stream_notice_t *notices, size_t count)
+{
+  bool is_self;
+  const ca_peer_t *writer
+      = ca_stream_store_writer (gateway, record->stream, &is_self);
+  uint64_t process = writer != NULL ? writer->id ^ writer->incarnation
+                     : is_self      ? gateway->id
+                                    : 0;
+
+  /* A store that comes back from an older copy may have lost the record. */
+  if (process != 0)
+    process ^= gateway->store_era;
+  if (process == record->writer)
+    return count;
+  record->writer = process;
+  if (is_self)
+    ca_stream_store_add (gateway, record);
+  if (writer == NULL)
+    return count;
+  for (size_t i = 0; i < count; i++)
+    {
+      if (notices[i].stream != record->stream || notices[i].peer != writer)
+        continue;
+      notices[i].to_store = true;
+      return count;
+    }
+  notices[count++]
+      = (stream_notice_t){ writer, record->stream, record->version, true };
+  return count;
+}
+
+/* Adds the notices for a record to the entries that are to keep it or write it
+ * to the store and have not been sent it.  Those that are to keep it in any
+ * case change with the peers in contact. */
 static size_t
-stream_add_notices (const ca_gateway_t *gateway, ca_stream_record_t *record,
+stream_add_notices (ca_gateway_t *gateway, ca_stream_record_t *record,
                     stream_notice_t *notices)
 {
-  const ca_peer_t *peers[CA_STREAM_HOLDERS];
+  const ca_peer_t *peers[CA_PEERS_RANKED_MAX];
   uint64_t holders[CA_STREAM_HOLDERS] = { 0 };
+  size_t copies = record->sent ? 0 : stream_copies (gateway);
   size_t found = ca_peers_ranked (gateway, record->stream, true, peers,
-                                  CA_STREAM_HOLDERS);
+                                  CA_STREAM_HOLDERS + copies);
   size_t count = 0;
 
   for (size_t i = 0; i < found; i++)
     {
+      uint64_t process = peers[i]->id ^ peers[i]->incarnation;
       bool sent = false;
 
-      holders[i] = peers[i]->id ^ peers[i]->incarnation;
-      for (size_t k = 0; k < CA_STREAM_HOLDERS; k++)
-        sent = sent || record->holders[k] == holders[i];
+      for (size_t k = 0; k < CA_STREAM_HOLDERS && i < CA_STREAM_HOLDERS; k++)
+        sent = sent || record->holders[k] == process;
+      if (i < CA_STREAM_HOLDERS)
+        holders[i] = process;
       if (!sent)
-        notices[count++]
-            = (stream_notice_t){ peers[i], record->stream, record->version };
+        notices[count++] = (stream_notice_t){ peers[i], record->stream,
+                                              record->version, false };
     }
   memcpy (record->holders, holders, sizeof holders);
   record->sent = true;
+  count = stream_add_writer (gateway, record, notices, count);
+  gateway->stream_bytes.level -= (double)(count * STREAM_NOTICE_BYTES);
   return count;
 }
 
-/* Sends the records of this entry's streams to the peers that are to keep them,
- * if other peers are than before or the records were not needed. */
+/* Sends the records of this entry's streams to the entries that are to have
+ * them, if these are others than before or the records were not needed. */
 static void
 stream_send_records (ca_gateway_t *gateway)
 {
   uint64_t signature = stream_peers_signature (gateway);
-  stream_notice_t notices[STREAM_BATCH_MAX + CA_STREAM_HOLDERS];
+  stream_notice_t notices[STREAM_BATCH_MAX];
   ca_stream_record_t *record;
   bool all = signature != gateway->stream_peers_signature;
   size_t count = 0;
@@ -368,7 +468,7 @@
     if ((record->sent && !all) || !stream_needs_record (gateway, record))
       continue;
     count += stream_add_notices (gateway, record, notices + count);
-    if (count < STREAM_BATCH_MAX)
+    if (count + STREAM_NOTICES_MAX <= STREAM_BATCH_MAX)
       continue;
     stream_send_notices (gateway, notices, count);
     count = 0;
@@ -376,6 +476,65 @@
   stream_send_notices (gateway, notices, count);
 }
 
+/* Sends a peer that has started copies of the records of this entry's streams,
+ * once the budget allows. */
+static void
+stream_send_copies (ca_gateway_t *gateway, ca_peer_t *peer)
+{
+  stream_notice_t notices[STREAM_BATCH_MAX];
+  const ca_stream_record_t *record;
+  double bytes = 0;
+  size_t count = 0;
+
+  TAILQ_FOREACH (record, &gateway->own_streams, entries)
+  {
+    if (!record->sent || !stream_needs_record (gateway, record)
+        || count == STREAM_BATCH_MAX)
+      continue;
+    notices[count++]
+        = (stream_notice_t){ peer, record->stream, record->version, false };
+    bytes += STREAM_RECORD_BYTES;
+  }
+  if (bytes > gateway->stream_bytes.level)
+    return;
+  gateway->stream_bytes.level -= bytes;
+  peer->streams_process = peer->incarnation;
+  stream_send_notices (gateway, notices, count);
+}
+
+static void
+stream_send_to_started (ca_gateway_t *gateway)
+{
+  ca_peer_t *peer;
+
+  stream_copies (gateway); /* refills the budget */
+  for (peer = gateway->peers; peer != NULL; peer = peer->hh.next)
+    {
+      if (peer->streams_process != peer->incarnation && !peer->leaving
+          && ca_peers_in_close_contact (gateway, peer))
+        stream_send_copies (gateway, peer);
+    }
+}
+
+/* Sends a correction to all peers: any of them may have a copy. */
+static void
+stream_send_correction (ca_gateway_t *gateway, ca_stream_record_t *record)
+{
+  stream_notice_t notices[STREAM_NOTICES_MAX];
+  const ca_peer_t *peer;
+
+  for (peer = gateway->peers; peer != NULL; peer = peer->hh.next)
+    {
+      notices[0]
+          = (stream_notice_t){ peer, record->stream, record->version, false };
+      if (peer->received_us != 0)
+        stream_send_notices (gateway, notices, 1);
+    }
+  record->writer = 0;
+  stream_send_notices (gateway, notices,
+                       stream_add_writer (gateway, record, notices, 0));
+}
+
 static void
 stream_expire (ca_gateway_t *gateway)
 {
@@ -392,14 +551,6 @@
   }
 }
 
-void
-ca_stream_versions_tick (ca_gateway_t *gateway)
-{
-  stream_survey_versions (gateway);
-  stream_send_records (gateway);
-  stream_expire (gateway);
-}
-
 void
 ca_stream_versions_finish (ca_gateway_t *gateway)
 {
@@ -432,7 +583,7 @@
 void
 ca_stream_versions_began (ca_gateway_t *gateway, ca_exchange_t *exchange)
 {
-  stream_notice_t notices[CA_STREAM_HOLDERS];
+  stream_notice_t notices[STREAM_NOTICES_MAX];
   ca_stream_record_t *record;
   size_t count;
 
@@ -460,7 +611,6 @@
                              const ca_gateway_endpoint_t *endpoint,
                              uint64_t started_ms)
 {
-  stream_notice_t notices[CA_STREAM_HOLDERS];
   ca_stream_record_t *record;
   ca_exchange_t *exchange;
 
@@ -474,9 +624,7 @@
     if (record == NULL)
       continue;
     record->version = STREAM_VERSION_UNSURE;
-    memset (record->holders, 0, sizeof record->holders);
-    stream_send_notices (gateway, notices,
-                         stream_add_notices (gateway, record, notices));
+    stream_send_correction (gateway, record);
   }
 }
 
@@ -490,13 +638,14 @@
     stream_drop (gateway, record);
 }
 
-/* Asks the peers that may have the stream's record. */
+/* Asks the first peers in the stream's ranking. */
 static void
-stream_ask (ca_gateway_t *gateway, ca_exchange_t *exchange, uint64_t stream)
+stream_ask (ca_gateway_t *gateway, ca_exchange_t *exchange)
 {
   Camphor__Envelope envelope = CAMPHOR__ENVELOPE__INIT;
   Camphor__StreamWant want = CAMPHOR__STREAM_WANT__INIT;
   const ca_peer_t *peers[2 * STREAM_ASKED];
+  uint64_t stream = stream_number (exchange);
   size_t count = ca_peers_ranked (gateway, stream, true, peers, STREAM_ASKED);
   size_t in_contact = count;
 
@@ -521,6 +670,84 @@
     }
 }
 
+/* True if the first peers have not told which version began the stream. */
+static bool
+stream_is_to_be_asked_widely (const ca_gateway_t *gateway,
+                              const ca_exchange_t *exchange)
+{
+  return exchange->phase == CA_EXCHANGE_WAITING && exchange->version == 0
+         && exchange->lookup_us != 0 && !exchange->asked_widely
+         && (exchange->lookups == 0
+             || gateway->now_us - exchange->lookup_us >= STREAM_WIDEN_US);
+}
+
+/* Fills in the peers that were heard last: these are up.  Returns their number.
+ */
+static size_t
+stream_latest_peers (const ca_gateway_t *gateway, const ca_peer_t **peers)
+{
+  const ca_peer_t *peer;
+  size_t count = 0;
+
+  for (peer = gateway->peers; peer != NULL; peer = peer->hh.next)
+    {
+      size_t at = count;
+
+      while (at > 0 && peer->received_us > peers[at - 1]->received_us)
+        at--;
+      if (at == STREAM_ASKED_WIDELY || peer->received_us == 0)
+        continue;
+      if (count < STREAM_ASKED_WIDELY)
+        count++;
+      for (size_t i = count - 1; i > at; i--)
+        peers[i] = peers[i - 1];
+      peers[at] = peer;
+    }
+  return count;
+}
+
+/* Asks more peers for the streams of a service, all in one message to each. */
+static void
+stream_ask_for_service (ca_gateway_t *gateway, const ca_service_t *service)
+{
+  Camphor__Envelope envelope = CAMPHOR__ENVELOPE__INIT;
+  Camphor__StreamWant want = CAMPHOR__STREAM_WANT__INIT;
+  const ca_peer_t *peers[STREAM_ASKED_WIDELY];
+  uint64_t streams[STREAM_BATCH_MAX];
+  size_t count = stream_latest_peers (gateway, peers);
+  ca_exchange_t *exchange;
+
+  TAILQ_FOREACH (exchange, &gateway->exchanges, entries)
+  {
+    if (want.n_streams == STREAM_BATCH_MAX
+        || !stream_is_to_be_asked_widely (gateway, exchange)
+        || strcmp (exchange->service->name, service->name) != 0)
+      continue;
+    streams[want.n_streams++] = stream_number (exchange);
+    exchange->asked_widely = true;
+    exchange->lookups += (uint32_t)count;
+    exchange->asked += (uint32_t)count;
+  }
+  want.streams = streams;
+  want.service = service->name;
+  envelope.body_case = CAMPHOR__ENVELOPE__BODY_STREAM_WANT;
+  envelope.stream_want = &want;
+  for (size_t i = 0; i < count; i++)
+    ca_peers_send (gateway, &peers[i]->address, &envelope);
+}
+
+static void
+stream_ask_widely (ca_gateway_t *gateway)
+{
+  const ca_exchange_t *exchange;
+
+  TAILQ_FOREACH (exchange, &gateway->exchanges, entries)
+  {
+    if (stream_is_to_be_asked_widely (gateway, exchange))
+      stream_ask_for_service (gateway, exchange->service);
+  }
+}
+
 /* Logs on what grounds the stream is refused. */
 static void
 stream_log_unknown (ca_gateway_t *gateway, const ca_exchange_t *exchange)
@@ -545,18 +772,37 @@
       (gateway->now_us - gateway->list_validated_us) / CA_US_PER_MS);
 }
 
+/* True if an answer that may tell the stream's version is awaited. */
+static bool
+stream_awaits_answer (ca_gateway_t *gateway, const ca_exchange_t *exchange)
+{
+  uint64_t waited_us = gateway->now_us - exchange->lookup_us;
+  bool awaits_list
+      = !stream_list_is_recent (gateway)
+        && stream_single_listed_version (
+               gateway, ca_service_stats (gateway, exchange->service->name))
+               != 0;
+  bool awaits_store;
+
+  gateway->list_wanted = gateway->list_wanted || awaits_list;
+  if (!exchange->asked_widely && waited_us < STREAM_LOOKUP_US)
+    return true;
+  awaits_store = ca_stream_store_want (gateway, stream_number (exchange),
+                                       exchange->lookup_us);
+  return ((exchange->lookups > 0 || awaits_list)
+          && waited_us < STREAM_LOOKUP_US)
+         || (awaits_store && waited_us < STREAM_STORE_LOOKUP_US);
+}
+
 ca_stream_lookup_t
 ca_stream_versions_resolve (ca_gateway_t *gateway, ca_exchange_t *exchange)
 {
   const ca_stream_record_t *record;
-  uint64_t stream;
-  bool awaits_list;
 
   if (exchange->resumes[0] == '\0' || exchange->version != 0
       || !stream_is_resumable (exchange))
     return CA_STREAM_LOOKUP_KNOWN;
-  stream = stream_number (exchange);
-  record = stream_find (gateway, stream);
+  record = stream_find (gateway, stream_number (exchange));
   exchange->version
       = record != NULL
             ? record->version
@@ -565,20 +811,11 @@
   if (exchange->version != 0)
     return CA_STREAM_LOOKUP_KNOWN;
   if (exchange->lookup_us == 0)
-    stream_ask (gateway, exchange, stream);
-  awaits_list
-      = !stream_list_is_recent (gateway)
-        && stream_single_listed_version (
-               gateway, ca_service_stats (gateway, exchange->service->name))
-               != 0;
-  gateway->list_wanted = gateway->list_wanted || awaits_list;
-  if ((exchange->lookups == 0 && !awaits_list)
-      || gateway->now_us - exchange->lookup_us >= STREAM_LOOKUP_US)
-    {
-      stream_log_unknown (gateway, exchange);
-      return CA_STREAM_LOOKUP_UNKNOWN;
-    }
-  return CA_STREAM_LOOKUP_PENDING;
+    stream_ask (gateway, exchange);
+  if (stream_awaits_answer (gateway, exchange))
+    return CA_STREAM_LOOKUP_PENDING;
+  stream_log_unknown (gateway, exchange);
+  return CA_STREAM_LOOKUP_UNKNOWN;
 }
 
 void
@@ -587,47 +824,107 @@
 {
   const Camphor__StreamWant *want = envelope->stream_want;
   const ca_peer_t *peer = ca_peers_find (gateway, envelope->from);
-  const ca_stream_record_t *record = stream_find (gateway, want->stream);
   Camphor__Envelope answer = CAMPHOR__ENVELOPE__INIT;
   Camphor__StreamVersions message = CAMPHOR__STREAM_VERSIONS__INIT;
-  uint64_t stream = want->stream;
-  uint32_t version = 0;
+  const uint64_t *streams = want->n_streams > 0 ? want->streams : &want->stream;
+  size_t count = want->n_streams > 0 ? want->n_streams : 1;
+  uint32_t versions[STREAM_BATCH_MAX];
+  uint32_t single = 0;
 
   if (peer == NULL)
     return;
-  if (record != NULL)
-    version = record->version;
-  else if (gateway->services != NULL)
-    version = stream_single_version (gateway,
-                                     ca_service_stats (gateway, want->service));
-  message.streams = &stream;
-  message.n_streams = 1;
-  message.versions = &version;
-  message.n_versions = 1;
+  if (count > STREAM_BATCH_MAX)
+    count = STREAM_BATCH_MAX;
+  if (gateway->services != NULL)
+    single = stream_single_version (gateway,
+                                    ca_service_stats (gateway, want->service));
+  for (size_t i = 0; i < count; i++)
+    {
+      const ca_stream_record_t *record = stream_find (gateway, streams[i]);
+
+      versions[i] = record != NULL ? record->version : single;
+    }
+  message.streams = (uint64_t *)streams;
+  message.n_streams = count;
+  message.versions = versions;
+  message.n_versions = count;
   message.answers = true;
   answer.body_case = CAMPHOR__ENVELOPE__BODY_STREAM_VERSIONS;
   answer.stream_versions = &message;
   ca_peers_send (gateway, &peer->address, &answer);
 }
 
-void
-ca_stream_versions_apply (ca_gateway_t *gateway,
-                          const Camphor__StreamVersions *message)
+static int
+stream_compare_numbers (const void *a, const void *b)
 {
+  uint64_t left = *(const uint64_t *)a;
+  uint64_t right = *(const uint64_t *)b;
+
+  return (left > right) - (left < right);
+}
+
+/* Counts a peer's answer at the exchanges that await it. */
+static void
+stream_note_answer (ca_gateway_t *gateway,
+                    const Camphor__StreamVersions *message)
+{
+  uint64_t streams[STREAM_BATCH_MAX];
+  size_t count = message->n_streams < STREAM_BATCH_MAX ? message->n_streams
+                                                       : STREAM_BATCH_MAX;
   ca_exchange_t *exchange;
 
-  for (size_t i = 0; i < message->n_streams && i < message->n_versions; i++)
-    {
-      if (message->versions[i] != 0)
-        stream_put (gateway, message->streams[i], message->versions[i]);
-    }
-  if (!message->answers || message->n_streams != 1)
+  if (count == 0)
     return;
+  memcpy (streams, message->streams, count * sizeof streams[0]);
+  qsort (streams, count, sizeof streams[0], stream_compare_numbers);
   TAILQ_FOREACH (exchange, &gateway->exchanges, entries)
   {
-    if (exchange->lookups > 0
-        && stream_number (exchange) == message->streams[0])
+    uint64_t stream;
+
+    if (exchange->lookups == 0)
+      continue;
+    stream = stream_number (exchange);
+    if (bsearch (&stream, streams, count, sizeof streams[0],
+                 stream_compare_numbers)
+        != NULL)
       exchange->lookups--;
   }
+}
+
+void
+ca_stream_versions_apply (ca_gateway_t *gateway,
+                          const Camphor__StreamVersions *message)
+{
+  for (size_t i = 0; i < message->n_streams && i < message->n_versions; i++)
+    {
+      ca_stream_record_t *record = ca_stream_versions_keep (
+          gateway, message->streams[i], message->versions[i]);
+
+      if (message->to_store && record != NULL)
+        ca_stream_store_add (gateway, record);
+    }
+  if (!message->answers)
+    return;
+  stream_note_answer (gateway, message);
   ca_exchanges_dispatch_waiting (gateway);
 }
+
+void
+ca_stream_versions_init (ca_gateway_t *gateway)
+{
+  TAILQ_INIT (&gateway->own_streams);
+  ca_bucket_init (&gateway->stream_bytes, gateway->now_us, STREAM_BYTES_PER_S,
+                  STREAM_BYTES_PER_S);
+  ca_stream_store_init (&gateway->stream_store);
+}
+
+void
+ca_stream_versions_tick (ca_gateway_t *gateway)
+{
+  stream_survey_versions (gateway);
+  stream_send_records (gateway);
+  stream_send_to_started (gateway);
+  stream_expire (gateway);
+  stream_ask_widely (gateway);
+  ca_stream_store_tick (gateway);
+}
--- a/packages/gateway/stream_versions.h
+++ b/packages/gateway/stream_versions.h
@@ -10,7 +10,8 @@
 /* Versions of one service that an entry distinguishes. */
 #define CA_SOFTWARE_VERSIONS_MAX 8
 
-/* Peers that keep the record of a stream. */
+/* Peers that keep the record of a stream in any case.  Others get copies as far
+ * as the budget for them allows. */
 #define CA_STREAM_HOLDERS 2
 
 /* A version of a service's software. */
@@ -33,7 +34,14 @@
   struct ca_service_stats *service; /* NULL for others */
   bool sent;
   uint64_t holders[CA_STREAM_HOLDERS]; /* processes that it was sent to */
+  uint64_t writer; /* process that was to write it to the store */
   TAILQ_ENTRY (ca_stream_record) entries;
+  /* Of those that this entry is to write to the store. */
+  bool is_queued;
+  uint64_t shared_period; /* another entry has written it in this period: to be
+                             repeated then, but not later; 0: in any one */
+  uint32_t written_version; /* in the write in progress; 0: not in it */
+  TAILQ_ENTRY (ca_stream_record) queue_entries;
   UT_hash_handle hh;
 } ca_stream_record_t;
 
--- a/packages/wire/peer.pb-c.c
+++ b/packages/wire/peer.pb-c.c
@@ -1402,6 +1402,51 @@
   assert(message->base.descriptor == &camphor__stream_want__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   camphor__stream_row__init
+                     (Camphor__StreamRow         *message)
+{
+  static const Camphor__StreamRow init_value = CAMPHOR__STREAM_ROW__INIT;
+  *message = init_value;
+}
+size_t camphor__stream_row__get_packed_size
+                     (const Camphor__StreamRow *message)
+{
+  assert(message->base.descriptor == &camphor__stream_row__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t camphor__stream_row__pack
+                     (const Camphor__StreamRow *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &camphor__stream_row__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t camphor__stream_row__pack_to_buffer
+                     (const Camphor__StreamRow *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &camphor__stream_row__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Camphor__StreamRow *
+       camphor__stream_row__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Camphor__StreamRow *)
+     protobuf_c_message_unpack (&camphor__stream_row__descriptor,
+                                allocator, len, data);
+}
+void   camphor__stream_row__free_unpacked
+                     (Camphor__StreamRow *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &camphor__stream_row__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   camphor__reach_notice__init
                      (Camphor__ReachNotice         *message)
 {
@@ -4746,7 +4791,7 @@
   (ProtobufCMessageInit) camphor__permit__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor camphor__stream_versions__field_descriptors[3] =
+static const ProtobufCFieldDescriptor camphor__stream_versions__field_descriptors[4] =
 {
   {
     "streams",
@@ -4784,16 +4829,29 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "to_store",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Camphor__StreamVersions, to_store),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned camphor__stream_versions__field_indices_by_name[] = {
   2,   /* field[2] = answers */
   0,   /* field[0] = streams */
+  3,   /* field[3] = to_store */
   1,   /* field[1] = versions */
 };
 static const ProtobufCIntRange camphor__stream_versions__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor camphor__stream_versions__descriptor =
 {
@@ -4803,14 +4861,14 @@
   "Camphor__StreamVersions",
   "camphor",
   sizeof(Camphor__StreamVersions),
-  3,
+  4,
   camphor__stream_versions__field_descriptors,
   camphor__stream_versions__field_indices_by_name,
   1,  camphor__stream_versions__number_ranges,
   (ProtobufCMessageInit) camphor__stream_versions__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor camphor__stream_want__field_descriptors[2] =
+static const ProtobufCFieldDescriptor camphor__stream_want__field_descriptors[3] =
 {
   {
     "stream",
@@ -4836,15 +4894,28 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "streams",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Camphor__StreamWant, n_streams),
+    offsetof(Camphor__StreamWant, streams),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned camphor__stream_want__field_indices_by_name[] = {
   1,   /* field[1] = service */
   0,   /* field[0] = stream */
+  2,   /* field[2] = streams */
 };
 static const ProtobufCIntRange camphor__stream_want__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor camphor__stream_want__descriptor =
 {
@@ -4854,13 +4925,90 @@
   "Camphor__StreamWant",
   "camphor",
   sizeof(Camphor__StreamWant),
-  2,
+  3,
   camphor__stream_want__field_descriptors,
   camphor__stream_want__field_indices_by_name,
   1,  camphor__stream_want__number_ranges,
   (ProtobufCMessageInit) camphor__stream_want__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor camphor__stream_row__field_descriptors[4] =
+{
+  {
+    "era",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Camphor__StreamRow, era),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "period",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Camphor__StreamRow, period),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "streams",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Camphor__StreamRow, n_streams),
+    offsetof(Camphor__StreamRow, streams),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "versions",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED32,
+    offsetof(Camphor__StreamRow, n_versions),
+    offsetof(Camphor__StreamRow, versions),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned camphor__stream_row__field_indices_by_name[] = {
+  0,   /* field[0] = era */
+  1,   /* field[1] = period */
+  2,   /* field[2] = streams */
+  3,   /* field[3] = versions */
+};
+static const ProtobufCIntRange camphor__stream_row__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor camphor__stream_row__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "camphor.StreamRow",
+  "StreamRow",
+  "Camphor__StreamRow",
+  "camphor",
+  sizeof(Camphor__StreamRow),
+  4,
+  camphor__stream_row__field_descriptors,
+  camphor__stream_row__field_indices_by_name,
+  1,  camphor__stream_row__number_ranges,
+  (ProtobufCMessageInit) camphor__stream_row__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor camphor__reach_notice__field_descriptors[1] =
 {
   {
@@ -5361,7 +5509,7 @@
   (ProtobufCMessageInit) camphor__lease_notice__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor camphor__pulse__field_descriptors[32] =
+static const ProtobufCFieldDescriptor camphor__pulse__field_descriptors[33] =
 {
   {
     "name",
@@ -5747,6 +5895,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "stores_streams",
+    33,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Camphor__Pulse, stores_streams),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned camphor__pulse__field_indices_by_name[] = {
   26,   /* field[26] = brittle */
@@ -5775,6 +5935,7 @@
   31,   /* field[31] = rollouts */
   4,   /* field[4] = stamp_us */
   21,   /* field[21] = store_era */
+  32,   /* field[32] = stores_streams */
   15,   /* field[15] = strikes */
   13,   /* field[13] = usage */
   23,   /* field[23] = usage_reported */
@@ -5785,7 +5946,7 @@
 static const ProtobufCIntRange camphor__pulse__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 32 }
+  { 0, 33 }
 };
 const ProtobufCMessageDescriptor camphor__pulse__descriptor =
 {
@@ -5795,7 +5956,7 @@
   "Camphor__Pulse",
   "camphor",
   sizeof(Camphor__Pulse),
-  32,
+  33,
   camphor__pulse__field_descriptors,
   camphor__pulse__field_indices_by_name,
   1,  camphor__pulse__number_ranges,
--- a/packages/wire/peer.pb-c.h
+++ b/packages/wire/peer.pb-c.h
@@ -46,6 +46,7 @@
 typedef struct Camphor__Permit Camphor__Permit;
 typedef struct Camphor__StreamVersions Camphor__StreamVersions;
 typedef struct Camphor__StreamWant Camphor__StreamWant;
+typedef struct Camphor__StreamRow Camphor__StreamRow;
 typedef struct Camphor__ReachNotice Camphor__ReachNotice;
 typedef struct Camphor__BrittleService Camphor__BrittleService;
 typedef struct Camphor__SlotReport Camphor__SlotReport;
@@ -636,24 +637,57 @@
   size_t n_versions;
   uint32_t *versions;
   protobuf_c_boolean answers;
+  /*
+   * the receiver is to write the records to the store
+   */
+  protobuf_c_boolean to_store;
 };
 #define CAMPHOR__STREAM_VERSIONS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&camphor__stream_versions__descriptor) \
-    , 0,NULL, 0,NULL, 0 }
+    , 0,NULL, 0,NULL, 0, 0 }
 
 
 /*
- * Asks which version began a stream of a service.
+ * Asks which version began streams of a service: one, or several.
  */
 struct  Camphor__StreamWant
 {
   ProtobufCMessage base;
   uint64_t stream;
   char *service;
+  /*
+   * if there are any, `stream` is unused
+   */
+  size_t n_streams;
+  uint64_t *streams;
 };
 #define CAMPHOR__STREAM_WANT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&camphor__stream_want__descriptor) \
-    , 0, (char *)protobuf_c_empty_string }
+    , 0, (char *)protobuf_c_empty_string, 0,NULL }
+
+
+/*
+ * Row of the store: streams that began, and their versions.
+ */
+struct  Camphor__StreamRow
+{
+  ProtobufCMessage base;
+  /*
+   * of the store
+   */
+  uint64_t era;
+  /*
+   * of its clock, in which the row was written
+   */
+  uint64_t period;
+  size_t n_streams;
+  uint64_t *streams;
+  size_t n_versions;
+  uint32_t *versions;
+};
+#define CAMPHOR__STREAM_ROW__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&camphor__stream_row__descriptor) \
+    , 0, 0, 0,NULL, 0,NULL }
 
 
 /*
@@ -894,10 +928,14 @@
   Camphor__VersionHistory *history;
   size_t n_rollouts;
   Camphor__RolloutReport **rollouts;
+  /*
+   * writes records of streams to the store
+   */
+  protobuf_c_boolean stores_streams;
 };
 #define CAMPHOR__PULSE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&camphor__pulse__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0,NULL, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0, 0, NULL, 0,NULL }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0,NULL, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0, 0, NULL, 0,NULL, 0 }
 
 
 /*
@@ -1758,6 +1796,25 @@
 void   camphor__stream_want__free_unpacked
                      (Camphor__StreamWant *message,
                       ProtobufCAllocator *allocator);
+/* Camphor__StreamRow methods */
+void   camphor__stream_row__init
+                     (Camphor__StreamRow         *message);
+size_t camphor__stream_row__get_packed_size
+                     (const Camphor__StreamRow   *message);
+size_t camphor__stream_row__pack
+                     (const Camphor__StreamRow   *message,
+                      uint8_t             *out);
+size_t camphor__stream_row__pack_to_buffer
+                     (const Camphor__StreamRow   *message,
+                      ProtobufCBuffer     *buffer);
+Camphor__StreamRow *
+       camphor__stream_row__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   camphor__stream_row__free_unpacked
+                     (Camphor__StreamRow *message,
+                      ProtobufCAllocator *allocator);
 /* Camphor__ReachNotice methods */
 void   camphor__reach_notice__init
                      (Camphor__ReachNotice         *message);
@@ -2157,6 +2214,9 @@
 typedef void (*Camphor__StreamWant_Closure)
                  (const Camphor__StreamWant *message,
                   void *closure_data);
+typedef void (*Camphor__StreamRow_Closure)
+                 (const Camphor__StreamRow *message,
+                  void *closure_data);
 typedef void (*Camphor__ReachNotice_Closure)
                  (const Camphor__ReachNotice *message,
                   void *closure_data);
@@ -2242,6 +2302,7 @@
 extern const ProtobufCMessageDescriptor camphor__permit__descriptor;
 extern const ProtobufCMessageDescriptor camphor__stream_versions__descriptor;
 extern const ProtobufCMessageDescriptor camphor__stream_want__descriptor;
+extern const ProtobufCMessageDescriptor camphor__stream_row__descriptor;
 extern const ProtobufCMessageDescriptor camphor__reach_notice__descriptor;
 extern const ProtobufCMessageDescriptor camphor__brittle_service__descriptor;
 extern const ProtobufCMessageDescriptor camphor__slot_report__descriptor;
--- a/tests/gateway/streaming_entries.c
+++ b/tests/gateway/streaming_entries.c
@@ -460,6 +460,12 @@
   ca_gateway_options_t options;
   char zone[16];
 
+  if (world.fleet->stores_streams)
+    {
+      ports.write_streams = store_on_write;
+      ports.read_streams = store_on_read;
+    }
+
   snprintf (zone, sizeof zone, "z%zu", index % ZONES);
   cluster_options (&options, index, zone);
   options.delegate_port = 1; /* peers are told apart by their own ports */
--- a/tests/gateway/streaming_fleet.c
+++ b/tests/gateway/streaming_fleet.c
@@ -318,6 +318,8 @@
 {
   const streaming_fleet_t *fleet = world.fleet;
 
+  if (is_due (fleet->kill_period_us))
+    world.store_away_until_us = world.now_us + fleet->store_away_us;
   if (is_due (fleet->kill_period_us)
       && (fleet->kill_spares > 0 || fleet->kills_zone))
     kill_most ();
@@ -386,6 +388,7 @@
 world_run (const streaming_fleet_t *fleet, uint64_t seed)
 {
   uint64_t run_us = fleet->run_us == 0 ? RUN_US : fleet->run_us;
+  size_t versions = fleet->version_count == 0 ? 2 : fleet->version_count;
 
   memset (&world, 0, sizeof world);
   world.fleet = fleet;
@@ -396,7 +399,7 @@
   TAILQ_INIT (&world.proxies);
   STAILQ_INIT (&world.messages);
   for (size_t i = 0; i < fleet->endpoints; i++)
-    endpoint_start (i, fleet->versions_fixed ? (uint32_t)i % 2 : 0);
+    endpoint_start (i, fleet->versions_fixed ? (uint32_t)(i % versions) : 0);
   for (size_t i = 0; i < fleet->entries; i++)
     entry_start (i);
   for (; world.now_us < START_US + run_us; world.now_us += STEP_US)
@@ -405,6 +408,7 @@
       step_silence ();
       step_entries ();
       step_messages ();
+      step_store ();
       step_cut ();
       step_runs ();
       step_proxies ();
@@ -421,6 +425,7 @@
     }
   while (!TAILQ_EMPTY (&world.requests))
     request_free (TAILQ_FIRST (&world.requests));
+  store_reset ();
   while (!STAILQ_EMPTY (&world.messages))
     {
       message_t *message = STAILQ_FIRST (&world.messages);
@@ -433,14 +438,16 @@
       "%zu entries, %zu endpoints, seed %llu: %llu streams of two versions; "
       "%llu of %llu new ones begun, %llu of %llu taken up gone on, %llu of "
       "%llu at entries that have just started, %llu complete; %.0f bytes/s an "
-      "entry\n",
+      "entry, %.1f calls/s and %.0f bytes/s of all to the store\n",
       fleet->entries, fleet->endpoints, (unsigned long long)seed,
       (unsigned long long)world.mixed, (unsigned long long)world.new_begun,
       (unsigned long long)world.new_sent, (unsigned long long)world.gone_on,
       (unsigned long long)world.taken_up,
       (unsigned long long)world.early_gone_on,
       (unsigned long long)world.early_taken_up,
-      (unsigned long long)world.complete, streaming_fleet_message_bytes ());
+      (unsigned long long)world.complete, streaming_fleet_message_bytes (),
+      (double)world.store_calls * CA_US_PER_S / (double)(run_us - WARM_US),
+      (double)world.store_bytes * CA_US_PER_S / (double)(run_us - WARM_US));
 }
 
 double
--- a/tests/gateway/streaming_fleet.h
+++ b/tests/gateway/streaming_fleet.h
@@ -41,6 +41,10 @@
                                at entries that have just started again */
   bool versions_fixed;      /* half of the endpoints run the other version all
                                the time; else versions come and go */
+  size_t version_count;     /* of these versions; 0: two */
+  bool stores_streams;      /* the store has the table of streams */
+  uint64_t store_away_us;   /* the store does not answer from a kill of entries
+                               on */
   uint64_t run_us;          /* 0: the default */
   double plain_share; /* of the requests: plain ones, half of which may run once
                          only */
--- a/tests/gateway/streaming_world.h
+++ b/tests/gateway/streaming_world.h
@@ -236,6 +236,9 @@
   size_t next_roll;
   uint32_t latest_version;
   size_t release_left;
+  uint64_t store_away_until_us;
+  uint64_t store_calls; /* for the table of streams */
+  uint64_t store_bytes; /* of its rows, written and read */
   uint64_t message_bytes;
   uint64_t permit_messages; /* while endpoints are brittle */
   uint64_t new_sent;
@@ -296,4 +299,10 @@
 void entry_start (size_t index);
 void entry_end (size_t index);
 
+/* streaming_store.c: the table of streams. */
+void store_on_write (void *context, const ca_stream_row_t *rows, size_t count);
+void store_on_read (void *context, uint32_t bucket);
+void step_store (void);
+void store_reset (void);
+
 #endif
--- a/tests/site/store.c
+++ b/tests/site/store.c
@@ -231,12 +231,14 @@
   return strcmp ((*(row_t *const *)a)->key, (*(row_t *const *)b)->key);
 }
 
-/* Returns the live rows of a table from a key on, in key order. */
+/* Returns the live rows of a table from a key on, in key order, up to another
+ * one. */
 static void
 serve_get (ca_http_server_request_t *request)
 {
   char table[64] = "";
   char from[1024] = "";
+  char to[1024] = "";
   char limit[32] = "500";
   row_t *sorted[4096];
   size_t count = 0;
@@ -248,6 +250,8 @@
   site_query (request, "table_name", table, sizeof table);
   site_query (request, "from", from, sizeof from);
   site_query (request, "limit", limit, sizeof limit);
+  if (site_query (request, "target", to, sizeof to))
+    key_decode (to);
   page = strtoul (limit, NULL, 10);
   if (store.page_rows > 0 && store.page_rows < page)
     page = store.page_rows;
@@ -257,7 +261,8 @@
     int order = strcmp (row->key, from);
 
     if (strcmp (row->table, table) == 0 && !row->deleted && count < 4096
-        && (is_after ? order > 0 : order >= 0))
+        && (is_after ? order > 0 : order >= 0)
+        && (to[0] == '\0' || strcmp (row->key, to) < 0))
       sorted[count++] = row;
   }
   qsort (sorted, count, sizeof sorted[0], row_compare);
@@ -430,6 +435,25 @@
   return true;
 }
 
+/* Returns the present rows of those that a call expects. */
+static json_t *
+expected_rows (const json_t *body)
+{
+  json_t *rows = json_array ();
+  size_t index;
+  json_t *json;
+
+  json_array_foreach (json_object_get (body, "expect"), index, json)
+  {
+    const row_t *row
+        = row_find (text_of (json, "table_name"), text_of (json, "key"));
+
+    if (row != NULL && !row->deleted)
+      json_array_append_new (rows, row_json (row, store.shifted));
+  }
+  return rows;
+}
+
 static void
 serve_tx (ca_http_server_request_t *request)
 {
@@ -439,7 +463,7 @@
 
   if (!conditions_hold (json_object_get (body, "expect")))
     {
-      store_respond (request, 412, rows_response (json_array ()));
+      store_respond (request, 412, rows_response (expected_rows (body)));
       json_decref (body);
       return;
     }
--- a/tests/site/streamers.c
+++ b/tests/site/streamers.c
@@ -1,6 +1,7 @@
 /* Callers of streams that take interrupted ones up at other entries.
  *
  *   site-streamers --entries PORT,PORT,... --seconds N --rate N --seed N
+ *                  [--retry-ms N]
  *
  * Endpoints must name their version in each piece (site-replica --version).
  * Prints how many streams hold pieces of two versions, miss a piece or have one
@@ -13,7 +14,6 @@
 
 #define STREAMERS_MAX_ENTRIES 64
 #define STREAMERS_TRIES_MAX 4
-#define STREAMERS_RETRY_MS 50
 #define STREAMERS_VERSION_BYTES 16
 #define STREAMERS_PIECE_BYTES 256
 
@@ -43,6 +43,7 @@
   size_t entry_count;
   uint64_t sent;
   uint64_t limit;
+  unsigned long retry_ms; /* pause before the next try */
   uint64_t open;
   uint64_t begun;
   uint64_t taken_up;
@@ -131,7 +132,8 @@
 on_done (void *context, ca_http_outcome_t outcome)
 {
   stream_t *stream = context;
-  struct timeval wait = { 0, STREAMERS_RETRY_MS * 1000 };
+  struct timeval wait = { (time_t)(streamers.retry_ms / 1000),
+                          (suseconds_t)(streamers.retry_ms % 1000 * 1000) };
 
   /* A try that reached no entry is none. */
   if (stream->pieces_before > 0 && outcome != CA_HTTP_OUTCOME_NOT_SENT)
@@ -244,6 +246,8 @@
 
   setvbuf (stdout, NULL, _IOLBF, 0);
   srand ((unsigned)strtoul (site_argument (argc, argv, "seed", "1"), NULL, 10));
+  streamers.retry_ms
+      = strtoul (site_argument (argc, argv, "retry-ms", "50"), NULL, 10);
   parse_entries (site_argument (argc, argv, "entries", ""));
   streamers.limit = seconds * rate;
   streamers.base = event_base_new ();
