--- a/packages/http/client.c
+++ b/packages/http/client.c
@@ -4,6 +4,7 @@
 #include "base/clock_source.h"
 
 #include <arpa/inet.h>
+#include <errno.h>
 #include <event2/bufferevent.h>
 #include <netinet/tcp.h>
 #include <stdlib.h>
@@ -35,6 +36,9 @@
 /* A response that is slower than this on average is given up at its timeout. */
 #define CLIENT_MIN_BYTES_PER_MS 64
 
+/* Read at a time after an error. */
+#define CLIENT_READ_BYTES 65536
+
 /* A connection whose peer acknowledges nothing for this long is considered
  * dead. */
 #define CLIENT_UNACKED_MS 4000
@@ -63,6 +67,7 @@
   bool idle;
   bool reused; /* the connection has carried another call */
   bool connected;
+  bool failed;            /* it cannot carry another call */
   bool skipping;          /* the current response belongs to an earlier call */
   uint32_t skipped;       /* interim and earlier responses of this call */
   size_t skipped_bytes;   /* of their bodies */
@@ -179,7 +184,7 @@
 call_is_reusable (const ca_http_pool_call_t *call)
 {
   return call->reader.head.keep_alive && call->reader.head.has_framing
-         && call->idle_limit_ms > 0
+         && !call->failed && call->idle_limit_ms > 0
          && evbuffer_get_length (bufferevent_get_input (call->stream)) == 0
          && evbuffer_get_length (bufferevent_get_output (call->stream)) == 0
          && call->host->idle_count < CLIENT_MAX_IDLE_PER_HOST;
@@ -278,20 +283,12 @@
     }
 }
 
-/* Parses input of a call; closes an idle connection that gets any. */
-static void
-call_on_readable (struct bufferevent *stream, void *context)
+/* Parses the input of a call.  Returns false if that has ended the call. */
+static bool
+call_read (ca_http_pool_call_t *call)
 {
-  ca_http_pool_call_t *call = context;
   ca_http_read_t read;
 
-  (void)stream;
-  if (call->idle)
-    {
-      /* Unsolicited bytes: the connection cannot be reused. */
-      call_free (call);
-      return;
-    }
   call->parsing = true;
   read = call_parse (call);
   call->parsing = false;
@@ -301,6 +298,25 @@
     call_complete (call);
   else if (read == CA_HTTP_READ_MALFORMED)
     call_fail (call, CA_HTTP_OUTCOME_MALFORMED);
+  else
+    return true;
+  return false;
+}
+
+/* Handles input; closes an idle connection that gets any. */
+static void
+call_on_readable (struct bufferevent *stream, void *context)
+{
+  ca_http_pool_call_t *call = context;
+
+  (void)stream;
+  if (call->idle)
+    {
+      /* Unsolicited bytes: the connection cannot be reused. */
+      call_free (call);
+      return;
+    }
+  call_read (call);
 }
 
 static void
@@ -342,12 +358,53 @@
         call, call->deadline_us > now_us ? call->deadline_us - now_us : 0);
 }
 
+/* Ends a call whose connection has ended: in order, or by an error. */
+static void
+call_on_end (ca_http_pool_call_t *call, bool in_order)
+{
+  bool complete;
+
+  call->parsing = true;
+  complete = in_order && !call->skipping && ca_http_reader_eof (&call->reader);
+  call->parsing = false;
+  if (call->cancelled)
+    call_free (call);
+  else
+    call_fail (call, complete ? CA_HTTP_OUTCOME_COMPLETE
+                              : CA_HTTP_OUTCOME_INTERRUPTED);
+}
+
+/* Handles an error that the socket reported to a write.  The server may have
+ * answered before it has read the request, so what has arrived is read.  The
+ * socket reports an error once: the reads end as if the stream had ended in
+ * order, which it has only if EPIPE says that its end arrived before a reset.
+ */
+static void
+call_on_write_error (ca_http_pool_call_t *call, int error)
+{
+  struct evbuffer *input = bufferevent_get_input (call->stream);
+  evutil_socket_t fd = bufferevent_getfd (call->stream);
+  int count;
+
+  call->failed = true;
+  do
+    {
+      evbuffer_unfreeze (input, 0);
+      count = evbuffer_read (input, fd, CLIENT_READ_BYTES);
+      evbuffer_freeze (input, 0);
+      if (count > 0 && !call_read (call))
+        return;
+    }
+  while (count > 0);
+  call_on_end (call, error == EPIPE && count == 0);
+}
+
 /* Handles the connect result, the end of the stream and errors. */
 static void
 call_on_event (struct bufferevent *stream, short what, void *context)
 {
   ca_http_pool_call_t *call = context;
-  bool complete;
+  int error = EVUTIL_SOCKET_ERROR ();
 
   (void)stream;
   if (what & BEV_EVENT_CONNECTED)
@@ -362,24 +419,13 @@
   if (!(what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)))
     return;
   if (call->idle)
-    {
-      call_free (call);
-      return;
-    }
-  if (!call->connected)
-    {
-      call_fail (call, CA_HTTP_OUTCOME_NOT_SENT);
-      return;
-    }
-  call->parsing = true;
-  complete = (what & BEV_EVENT_EOF) && !call->skipping
-             && ca_http_reader_eof (&call->reader);
-  call->parsing = false;
-  if (call->cancelled)
     call_free (call);
+  else if (!call->connected)
+    call_fail (call, CA_HTTP_OUTCOME_NOT_SENT);
+  else if (what & BEV_EVENT_WRITING)
+    call_on_write_error (call, error);
   else
-    call_fail (call, complete ? CA_HTTP_OUTCOME_COMPLETE
-                              : CA_HTTP_OUTCOME_INTERRUPTED);
+    call_on_end (call, (what & BEV_EVENT_ERROR) == 0);
 }
 
 /* Closes the idle connections that were not used since the call was sent. */
@@ -453,8 +499,9 @@
 
   call->pool = pool;
   call->host = client_host (pool, address);
-  call->stream = bufferevent_socket_new (
-      pool->base, -1, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
+  /* Callbacks are not deferred: that would merge an error and the end of the
+   * stream into one event, without their order. */
+  call->stream = bufferevent_socket_new (pool->base, -1, BEV_OPT_CLOSE_ON_FREE);
   call->timer = evtimer_new (pool->base, call_on_timeout, call);
   call->connect_error = evtimer_new (pool->base, call_on_connect_error, call);
   call->request = evbuffer_new ();
