--- a/packages/http/reader.c
+++ b/packages/http/reader.c
@@ -1,6 +1,7 @@
 /* HTTP parser callbacks that collect the head and pass the body on. */
 #include "http/reader.h"
 
+#include <ctype.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -76,8 +77,43 @@
   return 0;
 }
 
+/* Keeps the start of a response, whose status the parser takes for a number. */
+static void
+reader_keep_status_line (ca_http_reader_t *reader, const char *bytes,
+                         size_t count)
+{
+  for (size_t i = 0;
+       i < count && reader->status_line_bytes < CA_HTTP_STATUS_LINE_BYTES; i++)
+    {
+      /* The parser skips line ends before a response. */
+      if (reader->status_line_bytes > 0
+          || (bytes[i] != '\r' && bytes[i] != '\n'))
+        reader->status_line[reader->status_line_bytes++] = bytes[i];
+    }
+}
+
+/* True if the response's status is one of a final response, or of an interim
+ * one without a body. */
+static bool
+reader_status_is_valid (const ca_http_reader_t *reader)
+{
+  const char *text = reader->status_line + strlen ("HTTP/1.1 ");
+  const http_parser *parser = &reader->parser;
+  bool has_body = (parser->flags & F_CHUNKED) != 0
+                  || ((parser->flags & F_CONTENTLENGTH) != 0
+                      && parser->content_length > 0);
+
+  if (reader->status_line_bytes < CA_HTTP_STATUS_LINE_BYTES || text[0] < '1'
+      || text[0] > '5' || !isdigit ((unsigned char)text[1])
+      || !isdigit ((unsigned char)text[2]) || isdigit ((unsigned char)text[3]))
+    return false;
+  return parser->status_code >= 200
+         || (parser->status_code != HTTP_STATUS_SWITCHING_PROTOCOLS
+             && !has_body);
+}
+
 /* Makes the parser expect no body in a response to HEAD, or ends it if the
- * message is not to be read. */
+ * message is malformed or not to be read. */
 static int
 reader_on_head (http_parser *parser)
 {
@@ -90,6 +126,8 @@
   head->keep_alive = http_should_keep_alive (parser) != 0;
   head->has_framing = (parser->flags & F_CHUNKED) != 0
                       || (parser->flags & F_CONTENTLENGTH) != 0;
+  if (reader->is_response && !reader_status_is_valid (reader))
+    return -1;
   reader->head_complete = true;
   if (reader->on_head != NULL && !reader->on_head (reader->context))
     {
@@ -139,6 +177,7 @@
   ca_headers_finish (&reader->head.headers);
   memset (&reader->head, 0, sizeof reader->head);
   reader->target_bytes = 0;
+  reader->status_line_bytes = 0;
   reader->head_bytes = 0;
   reader->response_to_head = false;
   reader->started = false;
@@ -181,9 +220,12 @@
   while ((bytes = evbuffer_get_contiguous_space (input)) > 0)
     {
       const char *data = (const char *)evbuffer_pullup (input, (ssize_t)bytes);
-      size_t used = http_parser_execute (&reader->parser, &reader_settings,
-                                         data, bytes);
+      size_t used;
 
+      if (reader->is_response)
+        reader_keep_status_line (reader, data, bytes);
+      used = http_parser_execute (&reader->parser, &reader_settings, data,
+                                  bytes);
       reader->started = true;
       evbuffer_drain (input, used);
       if (reader->message_complete && !reader->parser.upgrade)
--- a/packages/http/reader.h
+++ b/packages/http/reader.h
@@ -1,6 +1,9 @@
 /* Parses HTTP/1.1 messages from a byte stream, one at a time, on top of the
  * http_parser library.  Requests with both a Content-Length and chunked
- * encoding are malformed, as is everything that the library rejects. */
+ * encoding are malformed, as is everything that the library rejects.  So are
+ * responses whose status is not three digits from 100 to 599, that switch
+ * protocols (101), or that are interim (1xx) and announce a body (RFC 9110,
+ * section 15). */
 #ifndef CA_HTTP_READER_H
 #define CA_HTTP_READER_H
 
@@ -28,6 +31,9 @@
   CA_HTTP_READ_MALFORMED   /* not HTTP, or the head is too large */
 } ca_http_read_t;
 
+/* Length of "HTTP/1.1 200" and the byte after it. */
+#define CA_HTTP_STATUS_LINE_BYTES 13
+
 typedef struct
 {
   http_parser parser;
@@ -41,6 +47,8 @@
   bool stopped;        /* by on_head */
   uint32_t head_bytes;
   uint32_t max_head_bytes;
+  char status_line[CA_HTTP_STATUS_LINE_BYTES]; /* of a response: its start */
+  size_t status_line_bytes;
   char *name; /* field being parsed */
   char *value;
   size_t name_bytes;
--- a/tests/gateway/test_http.c
+++ b/tests/gateway/test_http.c
@@ -6,6 +6,7 @@
 
 #include <cmocka.h>
 
+#include "base/clock_source.h"
 #include "http/client.h"
 #include "http/server.h"
 
@@ -317,6 +318,93 @@
     AFTER_KEEP_OPEN, CA_HTTP_OUTCOME_COMPLETE, "hi" },
 };
 
+/* Status lines, with what follows them, and what the client makes of it. */
+typedef struct
+{
+  const char *status;
+  const char *rest;
+  ca_http_outcome_t outcome;
+} status_case_t;
+
+#define BODY "\r\nContent-Length: 2\r\n\r\nhi"
+#define FINAL "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi"
+
+static const status_case_t status_cases[] = {
+  /* Final responses. */
+  { "200 OK", BODY, CA_HTTP_OUTCOME_COMPLETE },
+  { "200", BODY, CA_HTTP_OUTCOME_COMPLETE },
+  { "299 Odd", BODY, CA_HTTP_OUTCOME_COMPLETE },
+  { "404 Not Found", BODY, CA_HTTP_OUTCOME_COMPLETE },
+  { "599 Odd", BODY, CA_HTTP_OUTCOME_COMPLETE },
+  /* Interim ones, before a final one. */
+  { "100 Continue", "\r\n\r\n" FINAL, CA_HTTP_OUTCOME_COMPLETE },
+  { "102 Processing", "\r\n\r\n" FINAL, CA_HTTP_OUTCOME_COMPLETE },
+  { "103 Early Hints", "\r\nLink: x\r\n\r\n" FINAL, CA_HTTP_OUTCOME_COMPLETE },
+  { "199 Odd", "\r\n\r\n" FINAL, CA_HTTP_OUTCOME_COMPLETE },
+  /* No responses. */
+  { "000 OK", BODY, CA_HTTP_OUTCOME_MALFORMED },
+  { "000 OK", "\r\n\r\nhi", CA_HTTP_OUTCOME_MALFORMED },
+  { "001 OK", BODY, CA_HTTP_OUTCOME_MALFORMED },
+  { "020 OK", BODY, CA_HTTP_OUTCOME_MALFORMED },
+  { "099 OK", BODY, CA_HTTP_OUTCOME_MALFORMED },
+  { "600 OK", BODY, CA_HTTP_OUTCOME_MALFORMED },
+  { "999 OK", BODY, CA_HTTP_OUTCOME_MALFORMED },
+  { "1000 OK", BODY, CA_HTTP_OUTCOME_MALFORMED },
+  { "2 OK", BODY, CA_HTTP_OUTCOME_MALFORMED },
+  { "20 OK", BODY, CA_HTTP_OUTCOME_MALFORMED },
+  { "0200 OK", BODY, CA_HTTP_OUTCOME_MALFORMED },
+  { "2000 OK", BODY, CA_HTTP_OUTCOME_MALFORMED },
+  { "-200 OK", BODY, CA_HTTP_OUTCOME_MALFORMED },
+  { "2xx OK", BODY, CA_HTTP_OUTCOME_MALFORMED },
+  { "OK", BODY, CA_HTTP_OUTCOME_MALFORMED },
+  { "", BODY, CA_HTTP_OUTCOME_MALFORMED },
+  /* A switch of protocols is never asked for, and interim responses have no
+   * body. */
+  { "101 Switching Protocols", "\r\n\r\n" FINAL, CA_HTTP_OUTCOME_MALFORMED },
+  { "101 Switching Protocols", "\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\n",
+    CA_HTTP_OUTCOME_MALFORMED },
+  { "100 Continue", BODY, CA_HTTP_OUTCOME_MALFORMED },
+  { "150 Odd", BODY, CA_HTTP_OUTCOME_MALFORMED },
+  { "150 Odd", "\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n\r\n",
+    CA_HTTP_OUTCOME_MALFORMED },
+};
+
+/* Longest time until a response that is none ends its call, whose timeout is
+ * 2 s. */
+#define REFUSED_MAX_US (500 * 1000)
+
+/* Guards against calls that wait for their timeout after a response that is
+ * none, and against callers that get its status. */
+static void
+test_statuses (void **state)
+{
+  (void)state;
+  for (size_t i = 0; i < sizeof status_cases / sizeof status_cases[0]; i++)
+    {
+      const status_case_t *row = &status_cases[i];
+      uint64_t started_us = ca_clock_boot_us ();
+      char answer[512];
+      raw_server_t server;
+      ca_http_pool_t pool;
+      call_result_t result;
+
+      snprintf (answer, sizeof answer, "HTTP/1.1 %s%s", row->status, row->rest);
+      raw_start (&server, answer, AFTER_KEEP_OPEN);
+      ca_http_pool_init (&pool, server.base);
+      result = make_call (&server, &pool, NULL);
+      print_message ("%s: outcome %d, status %u, after %llu ms\n", row->status,
+                     (int)result.outcome, result.status,
+                     (unsigned long long)(ca_clock_boot_us () - started_us)
+                         / 1000);
+      assert_int_equal (result.outcome, row->outcome);
+      assert_true (ca_clock_boot_us () - started_us < REFUSED_MAX_US);
+      assert_true (row->outcome == CA_HTTP_OUTCOME_COMPLETE
+                   || result.status == 0);
+      ca_http_pool_finish (&pool);
+      raw_end (&server);
+    }
+}
+
 static void
 test_answers (void **state)
 {
@@ -897,6 +985,7 @@
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_answers),
+    cmocka_unit_test (test_statuses),
     cmocka_unit_test (test_answers_without_end),
     cmocka_unit_test (test_extra_answer),
     cmocka_unit_test (test_late_answer),
