http: tell the handler before a connection with a request is cut (LOST)

Cause: a connection was reset for its unread answers while its next request was with the handler, which kept the freed request and answered it.

Evidence: gateway/test_http_limits, test_unread_with_request: after the cut the handler still holds the request and has not been told (failed before).

Change: the handler is told first, as at a disconnect, and withdraws the request.

--- a/packages/http/server.c
+++ b/packages/http/server.c
@@ -112,6 +112,16 @@
     shutdown (bufferevent_getfd (connection->stream), SHUT_WR);
 }
 
+/* Takes the request in progress, if there is one, from the handler. */
+static void
+connection_withdraw_request (ca_http_connection_t *connection)
+{
+  if (connection->state == CONNECTION_HANDLING
+      || connection->state == CONNECTION_RESPONDING)
+    connection->server->handler.on_disconnect (
+        connection->server->handler.context, &connection->request);
+}
+
 /* Closes with a TCP reset instead of an orderly end. */
 static void
 connection_reset (ca_http_connection_t *connection)
@@ -487,7 +497,7 @@
 }
 
 /* Cuts connections that do not read their responses until these are within the
- * budget. */
+ * budget.  Such a client may have sent its next request. */
 static void
 server_on_unread (evutil_socket_t fd, short what, void *context)
 {
@@ -501,6 +511,7 @@
          != NULL)
     {
       ca_http_server_report_cut (server, CA_HTTP_CUT_UNREAD);
+      connection_withdraw_request (victim->owner);
       connection_reset (victim->owner);
     }
 }
@@ -526,10 +537,7 @@
   (void)stream;
   if (!(what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)))
     return;
-  if (connection->state == CONNECTION_HANDLING
-      || connection->state == CONNECTION_RESPONDING)
-    connection->server->handler.on_disconnect (
-        connection->server->handler.context, &connection->request);
+  connection_withdraw_request (connection);
   connection_free (connection);
 }
 
--- a/tests/gateway/test_http_limits.c
+++ b/tests/gateway/test_http_limits.c
@@ -18,6 +18,7 @@
 #define SECOND_US 1000000
 
 #define BIG_ANSWER_BYTES 100000
+#define SOME_ANSWER_BYTES 16000
 #define MAX_CLIENTS 8
 
 typedef struct
@@ -32,6 +33,8 @@
   int cut[CA_HTTP_CUT_REASONS];
   int clients[MAX_CLIENTS];
   int client_count;
+  ca_http_server_request_t *held; /* to /held, not answered yet */
+  int held_disconnects;
 } fixture_t;
 
 /* Admits requests to paths other than /refused. */
@@ -51,7 +54,11 @@
   fixture->requests++;
   fixture->dropped += request->body_dropped;
   fixture->body_bytes = evbuffer_get_length (request->body);
-  if (strcmp (request->head->target, "/big") == 0)
+  if (strcmp (request->head->target, "/held") == 0)
+    fixture->held = request;
+  else if (strcmp (request->head->target, "/some") == 0)
+    ca_http_respond (request, 200, NULL, big, SOME_ANSWER_BYTES);
+  else if (strcmp (request->head->target, "/big") == 0)
     ca_http_respond (request, 200, NULL, big, sizeof big);
   else if (strcmp (request->head->target, "/refused") == 0)
     ca_http_respond (request, 404, NULL, "none", 4);
@@ -62,8 +69,12 @@
 static void
 fixture_on_disconnect (void *context, ca_http_server_request_t *request)
 {
-  (void)context;
-  (void)request;
+  fixture_t *fixture = context;
+
+  if (request != fixture->held)
+    return;
+  fixture->held = NULL;
+  fixture->held_disconnects++;
 }
 
 static void
@@ -354,6 +365,30 @@
   fixture_end (&fixture);
 }
 
+/* Guards against a request that is answered after its connection was cut for
+ * answers that nobody reads: its handler is told. */
+static void
+test_unread_with_request (void **state)
+{
+  fixture_t fixture;
+
+  (void)state;
+  fixture_start (&fixture, 1000000, 2 * SOME_ANSWER_BYTES);
+  fixture_connect (&fixture);
+  for (int i = 0; i < 1000 && fixture.memory.unsent.held_bytes == 0; i++)
+    fixture_send (&fixture, 0, "GET /some HTTP/1.1\r\nHost: h\r\n\r\n", 0);
+  fixture_send (&fixture, 0, "GET /held HTTP/1.1\r\nHost: h\r\n\r\n", 0);
+  assert_non_null (fixture.held);
+  fixture_run_ms (&fixture, 1100);
+  fixture_connect (&fixture);
+  for (int i = 0; i < 100 && fixture.cut[CA_HTTP_CUT_UNREAD] == 0; i++)
+    fixture_send (&fixture, 1, "GET /big HTTP/1.1\r\nHost: h\r\n\r\n", 0);
+  assert_int_equal (fixture.cut[CA_HTTP_CUT_UNREAD], 1);
+  assert_int_equal (fixture.held_disconnects, 1);
+  assert_null (fixture.held);
+  fixture_end (&fixture);
+}
+
 /* At the limit, a new connection takes the place of the one that has been idle
  * for longest, else of one in the middle of a head or a body. */
 static void
@@ -393,9 +428,13 @@
 main (void)
 {
   const struct CMUnitTest tests[] = {
-    cmocka_unit_test (test_victim), cmocka_unit_test (test_refused_heads),
-    cmocka_unit_test (test_memory), cmocka_unit_test (test_alone),
-    cmocka_unit_test (test_unread), cmocka_unit_test (test_connections),
+    cmocka_unit_test (test_victim),
+    cmocka_unit_test (test_refused_heads),
+    cmocka_unit_test (test_memory),
+    cmocka_unit_test (test_alone),
+    cmocka_unit_test (test_unread),
+    cmocka_unit_test (test_connections),
+    cmocka_unit_test (test_unread_with_request),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
