--- a/packages/http/server.c
+++ b/packages/http/server.c
@@ -699,10 +699,11 @@
     {
       ca_http_connection_t *next = TAILQ_NEXT (connection, entries);
 
+      /* Its latest answer may not have been sent to its end. */
       if (connection->state == CONNECTION_READING && !connection->reader.started
           && evbuffer_get_length (bufferevent_get_input (connection->stream))
                  == 0)
-        connection_free (connection);
+        connection_linger (connection);
       connection = next;
     }
 }
--- a/tests/gateway/test_http_limits.c
+++ b/tests/gateway/test_http_limits.c
@@ -176,6 +176,30 @@
   return count == 0 || (count < 0 && errno != EAGAIN);
 }
 
+/* Reads until the server closes the connection.  Returns the number of bytes, 0
+ * if it was reset. */
+static size_t
+fixture_receive_all (fixture_t *fixture, int client)
+{
+  char bytes[4096];
+  size_t total = 0;
+
+  for (int i = 0; i < 10000; i++)
+    {
+      ssize_t count
+          = recv (fixture->clients[client], bytes, sizeof bytes, MSG_DONTWAIT);
+
+      if (count == 0)
+        return total;
+      if (count < 0 && errno != EAGAIN)
+        return 0;
+      if (count > 0)
+        total += (size_t)count;
+      fixture_run_ms (fixture, 1);
+    }
+  return 0;
+}
+
 static void
 fixture_end (fixture_t *fixture)
 {
@@ -389,6 +413,24 @@
   fixture_end (&fixture);
 }
 
+/* Guards against answers whose last bytes are dropped as idle connections are
+ * closed: those of a stopped server. */
+static void
+test_close_idle_unsent (void **state)
+{
+  fixture_t fixture;
+
+  (void)state;
+  fixture_start (&fixture, 1000000, 100 * BIG_ANSWER_BYTES);
+  fixture_connect (&fixture);
+  while (fixture.memory.unsent.held_bytes == 0)
+    fixture_send (&fixture, 0, "GET /big HTTP/1.1\r\nHost: h\r\n\r\n", 0);
+  ca_http_server_close_idle (&fixture.server);
+  assert_true (fixture_receive_all (&fixture, 0)
+               > (size_t)fixture.requests * BIG_ANSWER_BYTES);
+  fixture_end (&fixture);
+}
+
 /* At the limit, a new connection takes the place of the one that has been idle
  * for longest, else of one in the middle of a head or a body. */
 static void
@@ -435,6 +477,7 @@
     cmocka_unit_test (test_unread),
     cmocka_unit_test (test_connections),
     cmocka_unit_test (test_unread_with_request),
+    cmocka_unit_test (test_close_idle_unsent),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
