tests: a server that closes with the upload unread has something unread

A trace: 24 had an error of the write with EPIPE, one ECONNRESET. The server closed before a byte of the upload had arrived; the kernel then ends the connection in order, and all of the answer has come. So the answer was whole, and the case did not play what its name says.

The server now waits for a byte of the upload, which it does not read, before it closes, so that the kernel must reset the connection. The check and the number of calls are as they were: none may be complete.

--- a/tests/gateway/test_early_answers.c
+++ b/tests/gateway/test_early_answers.c
@@ -156,6 +156,9 @@
       shutdown (fd, SHUT_WR);
       read_some (fd, SIZE_MAX);
     }
+  /* The kernel ends a connection in order if nothing is unread at its close. */
+  if (row->end == END_CLOSE)
+    recv (fd, body, 1, MSG_PEEK);
   if (row->end == END_ORDER_RESET)
     {
       shutdown (fd, SHUT_WR);
