--- a/packages/gateway/stream_store.h
+++ b/packages/gateway/stream_store.h
@@ -1,8 +1,8 @@
 /* The table of the store that keeps which software version began a stream.
  *
  * Streams are divided into buckets by their number, and each bucket has a ring
- * of rows.  One entry writes a bucket: every quarter of a second, a row with
- * all streams of the bucket that began since the latest one. */
+ * of rows.  One entry writes a bucket: in each period, a row with all streams
+ * of the bucket that began since the latest one. */
 #ifndef CA_GATEWAY_STREAM_STORE_H
 #define CA_GATEWAY_STREAM_STORE_H
 
@@ -16,8 +16,9 @@
 /* Buckets that streams are divided into, each with one writer. */
 #define CA_STREAM_BUCKETS 4
 
-/* Rows of a bucket, which are used in turn, one in CA_STREAM_WRITE_US.  All of
- * them together reach back further than callers go on with a stream. */
+/* Rows of a bucket, which are used in turn, one in a period of
+ * CA_STREAM_WRITE_US.  All of them together reach back further than callers go
+ * on with a stream. */
 #define CA_STREAM_ROWS 256
 #define CA_STREAM_WRITE_US (100 * CA_US_PER_MS)
 
