--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -10,7 +10,7 @@
 LIBS="target/packages/http/libca_http.a -lhttp_parser"
 LIBS="$LIBS target/packages/base/libca_base.a"
 LIBS="$LIBS $(pkg-config --libs libevent jansson libxxhash libzstd libbsd-overlay) -lresolv -lm"
-for name in store replica; do
+for name in store replica streamers; do
   # shellcheck disable=SC2086
   cc $FLAGS -o "$OUT/site-$name" "tests/site/$name.c" tests/site/site.c $LIBS
 done
--- a/review/lib-3.sh
+++ b/review/lib-3.sh
@@ -1,3 +1,4 @@
+#!/bin/bash
 # Runs a small deployment on loopback for the cases 11 and later: the project's daemon,
 # started with the command of the deploy file, and stand-ins. Sourced by run.sh of a case,
 # from its folder. Every process is recorded and ended by its own id.
@@ -26,7 +27,7 @@
     kill -CONT "${PID[$name]}" 2> /dev/null
     kill -KILL "${PID[$name]}" 2> /dev/null
   done
-  for name in "${!PID[@]}"; do wait "${PID[$name]}" 2> /dev/null; done
+  for name in "${!PID[@]}"; do wait "${PID[$name]}"; done 2> /dev/null
   if [ "${KEEP:-0}" = 1 ]; then echo "logs are kept in $WORK"; else rm -rf "$WORK"; fi
   exit "$status"
 }
@@ -43,10 +44,10 @@
 is_free () { ! (exec 3<> "/dev/tcp/127.0.0.1/$1") 2> /dev/null; }
 
 find_base () {
-  local try port
-  for try in $(seq 50); do
+  local port
+  for _ in $(seq 50); do
     BASE=$((20000 + (RANDOM % 110) * 100))
-    for port in 0 1 2 11 12 13 14 110 111 112 113 120 121 122 123 130 131 132 133; do
+    for port in $(seq 0 2) $(seq 11 22) $(seq 110 139); do
       is_free $((BASE + port)) || continue 2
     done
     return
@@ -60,6 +61,7 @@
   shift
   "$@" >> "$WORK/$name.log" 2>&1 &
   PID[$name]=$!
+  disown
 }
 
 signal () { # SIGNAL NAME
