--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -16,5 +16,5 @@
 done
 for source in review/standins-3/*.c; do
   # shellcheck disable=SC2086
-  cc $FLAGS -o "$OUT/$(basename "$source" .c)" "$source" $LIBS
+  cc $FLAGS -o "$OUT/$(basename "$source" .c)" "$source" tests/site/site.c $LIBS
 done
