Review case 11: a caller gets the answer to another request

Shows MIXED, from the entry of KNOWN-RED.txt on heads that stop: the head of an answer stops inside a field, and a late copy of the connection's previous answer follows. The entry goes by the first id of the head and delivers the other request's body.

--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -9,8 +9,8 @@
 FLAGS="$FLAGS $(pkg-config --cflags libevent jansson libxxhash libbsd-overlay)"
 LIBS="target/packages/http/libca_http.a -lhttp_parser"
 LIBS="$LIBS target/packages/base/libca_base.a"
-LIBS="$LIBS $(pkg-config --libs libevent jansson libxxhash libzstd libbsd-overlay) -lresolv -lm"
-for name in store replica streamers; do
+LIBS="$LIBS $(pkg-config --libs libevent jansson libxxhash libzstd libbsd-overlay) -lresolv -lm -pthread"
+for name in store replica streamers callers; do
   # shellcheck disable=SC2086
   cc $FLAGS -o "$OUT/site-$name" "tests/site/$name.c" tests/site/site.c $LIBS
 done
