--- a/review/13/run.sh
+++ b/review/13/run.sh
@@ -41,14 +41,17 @@
   all_endpoints "{\"share\":$SHARE}"
   note "the endpoints reset $SHARE of their requests"
 fi
-sleep 2.5
+sleep 1.5
 signal KILL entry3
-sleep 3.5
+sleep 2.2
 for i in $(seq $ENDPOINTS); do
   echo "endpoint $i: $(http "$(endpoint_port "$i")" GET /record | tail -1)" >> "$RECORD"
 done
 all_endpoints '{"share":0}'
 note "the endpoints reset no more"
+sleep 1
+start_entry 3 "$(zone_of 3)"
+note "the entry is back"
 wait $streamers
 cat "$WORK/streams" >> "$RECORD"
 grep -h '"event":"request_refused"' "$WORK"/entry*.log | cut -c1-300 >> "$RECORD"
--- a/review/lib-3.sh
+++ b/review/lib-3.sh
@@ -47,7 +47,7 @@
   local port
   for _ in $(seq 50); do
     BASE=$((20000 + (RANDOM % 110) * 100))
-    for port in $(seq 0 2) $(seq 11 22) $(seq 110 139); do
+    for port in $(seq 0 2) $(seq 11 22) $(seq 110 179); do
       is_free $((BASE + port)) || continue 2
     done
     return
--- a/review/standins-3/torn-replica.c
+++ b/review/standins-3/torn-replica.c
@@ -2,13 +2,14 @@
  * copy of the connection's previous answer follows.
  *
  *   torn-replica --id ID --service S --zone Z --port N --store N --runs FILE
- *                --every N
+ *                --every N --on-s N --off-s N
  *
  * Registers itself in the store and answers each request with "answer to ID".
  * One answer in N, from the second on a connection on, is torn: its head stops
  * at any place, and the previous answer is written once more after that.  0
- * tears none.  Appends a line "run ID REQUEST PATH TENANT KEY" to FILE for each
- * request that runs, and prints one for each torn answer. */
+ * tears none.  This goes on for so many seconds, with pauses between.  Appends
+ * a line "run ID REQUEST PATH TENANT KEY" to FILE for each request that runs,
+ * and prints one for each torn answer. */
 #include <arpa/inet.h>
 #include <fcntl.h>
 #include <netinet/in.h>
@@ -20,6 +21,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
+#include <time.h>
 #include <unistd.h>
 
 #define REPLICA_HEAD_BYTES 16384
@@ -32,6 +34,8 @@
   const char *id;
   int runs_fd;
   unsigned every;
+  unsigned on_s;
+  unsigned off_s;
   unsigned answers;
   pthread_mutex_t lock;
 } replica_t;
@@ -102,6 +106,17 @@
   return true;
 }
 
+/* True while answers are torn. */
+static bool
+replica_is_on (void)
+{
+  unsigned period_s = replica.on_s + replica.off_s;
+  struct timespec now;
+
+  clock_gettime (CLOCK_MONOTONIC, &now);
+  return period_s > 0 && (uint64_t)now.tv_sec % period_s < replica.on_s;
+}
+
 /* True if this answer is one of those to be torn; sets where. */
 static bool
 replica_tears (size_t head_bytes, size_t *at)
@@ -109,7 +124,8 @@
   bool tears;
 
   pthread_mutex_lock (&replica.lock);
-  tears = replica.every > 0 && ++replica.answers % replica.every == 0;
+  tears = replica.every > 0 && replica_is_on ()
+          && ++replica.answers % replica.every == 0;
   *at = 1 + (size_t)rand () % (head_bytes - 1);
   pthread_mutex_unlock (&replica.lock);
   return tears;
@@ -256,6 +272,8 @@
   setvbuf (stdout, NULL, _IOLBF, 0);
   replica.id = replica_argument (argc, argv, "id", "i-1");
   replica.every = replica_port (argc, argv, "every");
+  replica.on_s = replica_port (argc, argv, "on-s");
+  replica.off_s = replica_port (argc, argv, "off-s");
   replica.runs_fd = open (replica_argument (argc, argv, "runs", "/dev/null"),
                           O_WRONLY | O_APPEND | O_CREAT, 0600);
   srand (port);
