--- a/packages/gateway/exchange.c
+++ b/packages/gateway/exchange.c
@@ -866,6 +866,13 @@
   exchange_free (gateway, exchange);
 }
 
+/* Why an attempt brought no valid response. */
+static const char *const exchange_end_reasons[] = {
+  [CA_END_INTERRUPTED] = "response interrupted",
+  [CA_END_MALFORMED] = "malformed response",
+  [CA_END_EMBEDDED] = "another response begins within this one",
+};
+
 /* Handles the end of a streamed response. */
 static void
 exchange_stream_end (ca_gateway_t *gateway, ca_exchange_t *exchange,
@@ -873,7 +880,9 @@
 {
   if (end != CA_END_COMPLETE)
     {
-      exchange_broken (gateway, exchange, "stream interrupted");
+      exchange_broken (gateway, exchange,
+                       end == CA_END_EMBEDDED ? exchange_end_reasons[end]
+                                              : "stream interrupted");
       return;
     }
   exchange_complete_stream (gateway, exchange);
@@ -952,7 +961,7 @@
       exchange_retry (gateway, exchange, false);
       return;
     }
-  if (end == CA_END_MALFORMED)
+  if (end == CA_END_MALFORMED || end == CA_END_EMBEDDED)
     ca_rollout_outcome (gateway, exchange, CA_ROLLOUT_MALFORMED);
   if (exchange->phase == CA_EXCHANGE_STREAMING
       || (end == CA_END_COMPLETE && exchange_is_stream (&exchange->facts)))
@@ -963,9 +972,7 @@
   if (end == CA_END_COMPLETE)
     exchange_plain_answer (gateway, exchange);
   else
-    exchange_broken (gateway, exchange,
-                     end == CA_END_INTERRUPTED ? "response interrupted"
-                                               : "malformed response");
+    exchange_broken (gateway, exchange, exchange_end_reasons[end]);
 }
 
 void
--- a/packages/gateway/gateway.h
+++ b/packages/gateway/gateway.h
@@ -92,7 +92,8 @@
   CA_END_COMPLETE,    /* complete response */
   CA_END_UNREACHABLE, /* no byte was sent */
   CA_END_INTERRUPTED, /* sent, but the response is missing or incomplete */
-  CA_END_MALFORMED    /* sent, but the response is invalid */
+  CA_END_MALFORMED,   /* sent, but the response is invalid */
+  CA_END_EMBEDDED     /* sent, but another response begins within this one */
 } ca_attempt_end_t;
 
 typedef enum
--- a/packages/http/client.c
+++ b/packages/http/client.c
@@ -11,6 +11,7 @@
 #include <string.h>
 #include <strings.h>
 #include <sys/socket.h>
+#include <xxhash.h>
 
 #define CLIENT_MAX_HEAD_BYTES (64 * 1024)
 
@@ -44,6 +45,14 @@
 #define CLIENT_UNACKED_MS 4000
 #define CLIENT_KEEPALIVE_S 1
 
+/* A response that may hold the start of another one is complete if nothing
+ * follows for so long: the rest of a head arrives with its start, or with the
+ * next segment. */
+#define CLIENT_REST_WAIT_US (100 * 1000)
+
+/* Identities of responses that a connection keeps, the latest ones. */
+#define CLIENT_IDENTITIES 64
+
 /* Idle connections to one address. */
 typedef struct ca_http_host
 {
@@ -80,6 +89,10 @@
   uint64_t body_us;     /* time of its latest bytes */
   uint64_t idle_since_us;
   uint32_t idle_limit_ms;
+  bool awaits_rest; /* complete, but for bytes that may show otherwise */
+  /* Hashes of the identity fields of its requests and responses. */
+  uint64_t identities[CLIENT_IDENTITIES];
+  uint32_t identity_count; /* of all so far */
   TAILQ_ENTRY (ca_http_pool_call) entries;
 };
 
@@ -215,19 +228,68 @@
   options.on_done (options.context, CA_HTTP_OUTCOME_COMPLETE);
 }
 
+/* True if the field is among those that identify a response. */
+static bool
+call_is_identity (const ca_http_pool_call_t *call, const char *name)
+{
+  const char *const *field = call->options.identity_fields;
+
+  for (; field != NULL && *field != NULL; field++)
+    {
+      if (strcasecmp (*field, name) == 0)
+        return true;
+    }
+  return false;
+}
+
+/* True if the field names a response of this connection. */
+static bool
+call_names_response (void *context, const char *name, const char *value)
+{
+  const ca_http_pool_call_t *call = context;
+  uint64_t hash;
+
+  if (!call_is_identity (call, name))
+    return false;
+  hash = XXH3_64bits (value, strlen (value));
+  for (uint32_t i = 0; i < CLIENT_IDENTITIES && i < call->identity_count; i++)
+    {
+      if (call->identities[i] == hash)
+        return true;
+    }
+  return false;
+}
+
+/* Keeps the identities among the fields of a request or a response. */
+static void
+call_keep_identities (ca_http_pool_call_t *call, const ca_headers_t *headers)
+{
+  for (uint32_t i = 0; headers != NULL && i < headers->count; i++)
+    {
+      const char *value = headers->items[i].value;
+
+      if (call_is_identity (call, headers->items[i].name)
+          && !call_names_response (call, headers->items[i].name, value))
+        call->identities[call->identity_count++ % CLIENT_IDENTITIES]
+            = XXH3_64bits (value, strlen (value));
+    }
+}
+
 /* Skips interim responses and those that the call's on_head rejects. */
 static bool
 call_on_head (void *context)
 {
   ca_http_pool_call_t *call = context;
   const ca_http_head_t *head = &call->reader.head;
+  ca_http_head_action_t action;
 
   call->skipping = head->status < 200;
   if (call->skipping || call->cancelled)
     return true;
-  call->skipping = call->options.on_head (call->options.context, head)
-                   == CA_HTTP_HEAD_SKIP;
-  return true;
+  call_keep_identities (call, &head->headers);
+  action = call->options.on_head (call->options.context, head);
+  call->skipping = action == CA_HTTP_HEAD_SKIP;
+  return action != CA_HTTP_HEAD_REJECT;
 }
 
 static bool
@@ -283,20 +345,58 @@
     }
 }
 
+/* Awaits the bytes after a complete response that show whether it is whole. */
+static void
+call_await_rest (ca_http_pool_call_t *call)
+{
+  struct evbuffer *input = bufferevent_get_input (call->stream);
+
+  evbuffer_drain (input, evbuffer_get_length (input));
+  call->awaits_rest = true;
+  call->failed = true;
+  call_set_timer (call, CLIENT_REST_WAIT_US);
+}
+
+/* Handles bytes after a complete response.  Returns false if they have ended
+ * the call. */
+static bool
+call_read_rest (ca_http_pool_call_t *call)
+{
+  struct evbuffer *input = bufferevent_get_input (call->stream);
+
+  if (ca_http_reader_feed_rest (&call->reader, input))
+    call_fail (call, CA_HTTP_OUTCOME_EMBEDDED);
+  else if (!ca_http_reader_is_open (&call->reader))
+    call_complete (call);
+  else
+    return true;
+  return false;
+}
+
 /* Parses the input of a call.  Returns false if that has ended the call. */
 static bool
 call_read (ca_http_pool_call_t *call)
 {
   ca_http_read_t read;
 
+  if (call->awaits_rest)
+    return call_read_rest (call);
   call->parsing = true;
   read = call_parse (call);
   call->parsing = false;
   if (call->cancelled)
     call_free (call);
+  else if (read == CA_HTTP_READ_COMPLETE
+           && ca_http_reader_is_open (&call->reader))
+    {
+      call_await_rest (call);
+      return true;
+    }
   else if (read == CA_HTTP_READ_COMPLETE)
     call_complete (call);
-  else if (read == CA_HTTP_READ_MALFORMED)
+  else if (call->reader.embedded.found)
+    call_fail (call, CA_HTTP_OUTCOME_EMBEDDED);
+  else if (read != CA_HTTP_READ_INCOMPLETE)
     call_fail (call, CA_HTTP_OUTCOME_MALFORMED);
   else
     return true;
@@ -364,6 +464,11 @@
 {
   bool complete;
 
+  if (call->awaits_rest)
+    {
+      call_complete (call);
+      return;
+    }
   call->parsing = true;
   complete = in_order && !call->skipping && ca_http_reader_eof (&call->reader);
   call->parsing = false;
@@ -455,6 +560,8 @@
   (void)what;
   if (call->idle)
     call_free (call);
+  else if (call->awaits_rest)
+    call_complete (call);
   else if (call->connected && call_extended_deadline_us (call) > now_us)
     call_set_timer (call, call_extended_deadline_us (call) - now_us);
   else
@@ -509,6 +616,8 @@
   call->reader.on_head = call_on_head;
   call->reader.on_body = call_on_body;
   call->reader.context = call;
+  call->reader.embedded.names_response = call_names_response;
+  call->reader.embedded.context = call;
   bufferevent_setcb (call->stream, call_on_readable, NULL, call_on_event, call);
   bufferevent_enable (call->stream, EV_READ | EV_WRITE);
   return call;
@@ -576,6 +685,7 @@
   call->body_bytes = 0;
   call->reader.response_to_head = strcmp (options->method, "HEAD") == 0;
   call->options.method = call->reader.response_to_head ? "HEAD" : "";
+  call_keep_identities (call, options->headers);
   call->started_us = ca_clock_boot_us ();
   call->deadline_us
       = options->timeout_ms == 0
--- a/packages/http/client.h
+++ b/packages/http/client.h
@@ -31,14 +31,17 @@
   CA_HTTP_OUTCOME_NOT_SENT,    /* no connection: no byte was sent */
   CA_HTTP_OUTCOME_INTERRUPTED, /* bytes may have been sent; the response is
                                   incomplete */
-  CA_HTTP_OUTCOME_MALFORMED    /* what was received is not a valid response */
+  CA_HTTP_OUTCOME_MALFORMED,   /* what was received is not a valid response */
+  CA_HTTP_OUTCOME_EMBEDDED     /* the response holds another one */
 } ca_http_outcome_t;
 
 /* Returned by a call's on_head. */
 typedef enum
 {
   CA_HTTP_HEAD_ACCEPT, /* the response to this call */
-  CA_HTTP_HEAD_SKIP    /* the response to an earlier call: discard it */
+  CA_HTTP_HEAD_SKIP,   /* the response to an earlier call: discard it */
+  CA_HTTP_HEAD_REJECT  /* not a valid response: the outcome is
+                          CA_HTTP_OUTCOME_MALFORMED */
 } ca_http_head_action_t;
 
 typedef struct
@@ -61,6 +64,9 @@
   bool timeout_closes_idle;
   uint32_t max_idle_ms; /* maximum idle time of a reused connection; 0: open a
                            new one */
+  /* Names of header fields that tell one response on a connection from another,
+   * in requests or responses; ends with NULL.  NULL: there are none. */
+  const char *const *identity_fields;
   ca_http_head_action_t (*on_head) (void *context, const ca_http_head_t *head);
   /* If false, the response is not wanted: its connection is closed, and the
    * outcome is CA_HTTP_OUTCOME_MALFORMED. */
--- a/packages/http/headers.c
+++ b/packages/http/headers.c
@@ -67,6 +67,20 @@
   return NULL;
 }
 
+bool
+ca_headers_differ (const ca_headers_t *headers, const char *name)
+{
+  const char *first = ca_headers_find (headers, name);
+
+  for (uint32_t i = 0; first != NULL && i < headers->count; i++)
+    {
+      if (strcasecmp (headers->items[i].name, name) == 0
+          && strcmp (headers->items[i].value, first) != 0)
+        return true;
+    }
+  return false;
+}
+
 static bool
 headers_list_has (const char *list, const char *token)
 {
--- a/packages/http/headers.h
+++ b/packages/http/headers.h
@@ -34,6 +34,9 @@
  * none.  Valid until the list changes. */
 const char *ca_headers_find (const ca_headers_t *headers, const char *name);
 
+/* True if there are fields with this name and different values. */
+bool ca_headers_differ (const ca_headers_t *headers, const char *name);
+
 /* True if a comma-separated field contains `token`, ignoring case. */
 bool ca_headers_has_token (const ca_headers_t *headers, const char *name,
                            const char *token);
--- a/packages/http/reader.c
+++ b/packages/http/reader.c
@@ -126,7 +126,10 @@
   head->keep_alive = http_should_keep_alive (parser) != 0;
   head->has_framing = (parser->flags & F_CHUNKED) != 0
                       || (parser->flags & F_CONTENTLENGTH) != 0;
-  if (reader->is_response && !reader_status_is_valid (reader))
+  if (reader->is_response
+      && (!reader_status_is_valid (reader) || reader->embedded.own_head
+          || ca_embedded_head_is_before (&reader->embedded,
+                                         reader->embedded.own_head_end)))
     return -1;
   reader->head_complete = true;
   if (reader->on_head != NULL && !reader->on_head (reader->context))
@@ -142,12 +145,42 @@
 {
   ca_http_reader_t *reader = parser->data;
 
+  if (reader->is_response
+      && ca_embedded_head_is_before (
+          &reader->embedded,
+          reader->block_offset + (uint64_t)(bytes + count - reader->block)))
+    return 1;
   if (reader->on_body != NULL
       && !reader->on_body (reader->context, bytes, count))
     return 1;
   return 0;
 }
 
+/* Pauses the parser after the line end of a chunk's size, and after that of its
+ * data. */
+static int
+reader_on_chunk_header (http_parser *parser)
+{
+  ca_http_reader_t *reader = parser->data;
+
+  reader->is_last_chunk = parser->content_length == 0;
+  reader->chunk_line_ended = true;
+  http_parser_pause (parser, 1);
+  return 0;
+}
+
+static int
+reader_on_chunk_end (http_parser *parser)
+{
+  ca_http_reader_t *reader = parser->data;
+
+  if (reader->is_last_chunk)
+    return 0;
+  reader->chunk_line_ended = true;
+  http_parser_pause (parser, 1);
+  return 0;
+}
+
 /* Pauses the parser, so that input after the message is left. */
 static int
 reader_on_end (http_parser *parser)
@@ -165,6 +198,8 @@
   .on_header_value = reader_on_value,
   .on_headers_complete = reader_on_head,
   .on_body = reader_on_body,
+  .on_chunk_header = reader_on_chunk_header,
+  .on_chunk_complete = reader_on_chunk_end,
   .on_message_complete = reader_on_end,
 };
 
@@ -185,6 +220,8 @@
   reader->message_complete = false;
   reader->head_too_large = false;
   reader->stopped = false;
+  reader->block_offset = 0;
+  ca_embedded_head_reset (&reader->embedded);
 }
 
 void
@@ -212,6 +249,58 @@
   reader->parser.data = reader;
 }
 
+/* Handles the end of a response after `used` bytes of the input, all of which
+ * has been scanned since `before`.  False if the response holds another one. */
+static bool
+reader_check_end (ca_http_reader_t *reader, struct evbuffer *input,
+                  const ca_embedded_head_t *before, size_t used)
+{
+  ca_embedded_head_t *embedded = &reader->embedded;
+  size_t bytes = evbuffer_get_length (input);
+  const char *data = NULL;
+
+  if (used < bytes)
+    {
+      data = (const char *)evbuffer_pullup (input, -1);
+      *embedded = *before;
+      ca_embedded_head_scan (embedded, data, used);
+    }
+  ca_embedded_head_end (embedded);
+  if (used < bytes)
+    ca_embedded_head_scan (embedded, data + used, bytes - used);
+  return !embedded->found;
+}
+
+/* Parses some bytes; sets how many were used.  The parser takes any two bytes
+ * for the line end of a chunk.  False if they are others. */
+static bool
+reader_parse (ca_http_reader_t *reader, const char *data, size_t bytes,
+              size_t *used)
+{
+  *used = 0;
+  do
+    {
+      size_t parsed;
+
+      reader->chunk_line_ended = false;
+      parsed = http_parser_execute (&reader->parser, &reader_settings,
+                                    data + *used, bytes - *used);
+      *used += parsed;
+      if (parsed > 1)
+        reader->last_byte = data[*used - 2];
+      if (reader->chunk_line_ended)
+        {
+          if (reader->last_byte != '\r' || data[*used - 1] != '\n')
+            return false;
+          http_parser_pause (&reader->parser, 0);
+        }
+      if (parsed > 0)
+        reader->last_byte = data[*used - 1];
+    }
+  while (reader->chunk_line_ended && *used < bytes);
+  return true;
+}
+
 ca_http_read_t
 ca_http_reader_feed (ca_http_reader_t *reader, struct evbuffer *input)
 {
@@ -220,13 +309,23 @@
   while ((bytes = evbuffer_get_contiguous_space (input)) > 0)
     {
       const char *data = (const char *)evbuffer_pullup (input, (ssize_t)bytes);
+      ca_embedded_head_t before = reader->embedded;
       size_t used;
 
       if (reader->is_response)
-        reader_keep_status_line (reader, data, bytes);
-      used = http_parser_execute (&reader->parser, &reader_settings, data,
-                                  bytes);
+        {
+          reader_keep_status_line (reader, data, bytes);
+          ca_embedded_head_scan (&reader->embedded, data, bytes);
+        }
+      reader->block = data;
+      if (!reader_parse (reader, data, bytes, &used))
+        return CA_HTTP_READ_MALFORMED;
+      reader->block_offset += used;
       reader->started = true;
+      if (reader->message_complete && !reader->parser.upgrade
+          && reader->is_response
+          && !reader_check_end (reader, input, &before, used))
+        return CA_HTTP_READ_MALFORMED;
       evbuffer_drain (input, used);
       if (reader->message_complete && !reader->parser.upgrade)
         return CA_HTTP_READ_COMPLETE;
@@ -239,6 +338,28 @@
   return CA_HTTP_READ_INCOMPLETE;
 }
 
+bool
+ca_http_reader_is_open (const ca_http_reader_t *reader)
+{
+  return reader->is_response && reader->message_complete
+         && ca_embedded_head_is_open (&reader->embedded);
+}
+
+bool
+ca_http_reader_feed_rest (ca_http_reader_t *reader, struct evbuffer *input)
+{
+  size_t bytes;
+
+  while ((bytes = evbuffer_get_contiguous_space (input)) > 0)
+    {
+      ca_embedded_head_scan (
+          &reader->embedded,
+          (const char *)evbuffer_pullup (input, (ssize_t)bytes), bytes);
+      evbuffer_drain (input, bytes);
+    }
+  return reader->embedded.found;
+}
+
 uint64_t
 ca_http_reader_announced_bytes (const ca_http_reader_t *reader)
 {
--- a/packages/http/reader.h
+++ b/packages/http/reader.h
@@ -2,11 +2,13 @@
  * http_parser library.  Requests with both a Content-Length and chunked
  * encoding are malformed, as is everything that the library rejects.  So are
  * responses whose status is not three digits from 100 to 599, that switch
- * protocols (101), or that are interim (1xx) and announce a body (RFC 9110,
- * section 15). */
+ * protocols (101), that are interim (1xx) and announce a body (RFC 9110,
+ * section 15), or that hold the head of another response, and messages with a
+ * chunk that does not end in CRLF. */
 #ifndef CA_HTTP_READER_H
 #define CA_HTTP_READER_H
 
+#include "http/embedded_head.h"
 #include "http/headers.h"
 
 #include <event2/buffer.h>
@@ -43,8 +45,15 @@
   bool started;          /* a byte of the message was received */
   bool head_complete;
   bool message_complete;
-  bool head_too_large; /* its head is why the message is malformed */
-  bool stopped;        /* by on_head */
+  bool head_too_large;   /* its head is why the message is malformed */
+  bool stopped;          /* by on_head */
+  bool chunk_line_ended; /* the parser has stopped there */
+  bool is_last_chunk;
+  char last_byte; /* parsed */
+  /* Of a response: the head of another one in it. */
+  ca_embedded_head_t embedded;
+  const char *block; /* being parsed */
+  uint64_t block_offset;
   uint32_t head_bytes;
   uint32_t max_head_bytes;
   char status_line[CA_HTTP_STATUS_LINE_BYTES]; /* of a response: its start */
@@ -75,6 +84,15 @@
 ca_http_read_t ca_http_reader_feed (ca_http_reader_t *reader,
                                     struct evbuffer *input);
 
+/* True if a complete response ends within what may be the head of another one,
+ * so that only the bytes after it show whether it is whole. */
+bool ca_http_reader_is_open (const ca_http_reader_t *reader);
+
+/* Discards bytes after a complete response.  True if they show that it holds
+ * another one. */
+bool ca_http_reader_feed_rest (ca_http_reader_t *reader,
+                               struct evbuffer *input);
+
 /* Length of the body that the head announces; 0 if it announces none. */
 uint64_t ca_http_reader_announced_bytes (const ca_http_reader_t *reader);
 
--- a/tests/site/early.c
+++ b/tests/site/early.c
@@ -8,7 +8,11 @@
  * itself or as the request is unread; "events" does so after an event; "whole"
  * reads the request and ends in order; "length" sends a body with its length
  * and then resets; "status-TEXT" answers with that status, an interim one
- * followed by 200.  All else is answered with 200. */
+ * followed by 200.  "torn-PLACE-NEXT" stops in its answer, within a field's
+ * "value", the "body", a "chunk" or an "event", and goes on with the "late"
+ * answer to the connection's earlier request, once more, or with a "refusal" of
+ * that one; on a new connection the answer is whole.  All else is answered with
+ * 200.  Prints a line for each request. */
 #include "tests/site/site.h"
 
 #include <event2/bufferevent.h>
@@ -23,6 +27,9 @@
 #define EARLY_WAIT_MS 50
 #define EARLY_BODY_BYTES 500
 #define EARLY_TEXT_BYTES 128
+#define EARLY_ANSWER_BYTES 1024
+#define EARLY_TORN_BODY                                                        \
+  "a body that is longer than the answer to another request: %0250d"
 
 typedef struct
 {
@@ -32,7 +39,8 @@
   char id[EARLY_TEXT_BYTES];
   char form[EARLY_TEXT_BYTES];
   bool answered;
-  uint64_t unread; /* bytes of the request */
+  uint64_t unread;                   /* bytes of the request */
+  char earlier_id[EARLY_TEXT_BYTES]; /* of the connection's latest request */
 } early_t;
 
 static void
@@ -49,20 +57,6 @@
   return strcmp (early->form, form) == 0;
 }
 
-static void
-early_on_timer (evutil_socket_t fd, short what, void *context)
-{
-  early_t *early = context;
-  struct linger now = { 1, 0 };
-
-  (void)fd;
-  (void)what;
-  if (!early_is (early, "close") && !early_is (early, "whole"))
-    setsockopt (bufferevent_getfd (early->stream), SOL_SOCKET, SO_LINGER, &now,
-                sizeof now);
-  early_free (early);
-}
-
 /* Writes a head without a length. */
 static void
 early_write_head (early_t *early, const char *status, const char *more)
@@ -83,6 +77,92 @@
   bufferevent_write (early->stream, body, count);
 }
 
+/* Writes what follows the torn part of an answer. */
+static void
+early_write_next (early_t *early)
+{
+  struct evbuffer *output = bufferevent_get_output (early->stream);
+
+  if (strstr (early->form, "-refusal") != NULL)
+    evbuffer_add_printf (output,
+                         "HTTP/1.1 503 Service Unavailable\r\n"
+                         "Camphorarch-Attempt-Id: %s\r\n"
+                         "Camphorarch-Not-Executed: 1\r\n"
+                         "Content-Length: 0\r\n\r\n",
+                         early->earlier_id);
+  else
+    evbuffer_add_printf (output,
+                         "HTTP/1.1 200 OK\r\nCamphorarch-Attempt-Id: %s\r\n"
+                         "Camphorarch-Replica-Signature: s.%s\r\n"
+                         "Content-Length: 5\r\n\r\nLATE!",
+                         early->earlier_id, early->earlier_id);
+}
+
+static void
+early_on_timer (evutil_socket_t fd, short what, void *context)
+{
+  early_t *early = context;
+  struct linger now = { 1, 0 };
+
+  (void)fd;
+  (void)what;
+  if (strncmp (early->form, "torn-", strlen ("torn-")) == 0)
+    {
+      early_write_next (early);
+      return;
+    }
+  if (!early_is (early, "close") && !early_is (early, "whole"))
+    setsockopt (bufferevent_getfd (early->stream), SOL_SOCKET, SO_LINGER, &now,
+                sizeof now);
+  early_free (early);
+}
+
+/* Writes an answer that stops in the place that the form names, or a whole one
+ * on a connection that has carried no other. */
+static void
+early_answer_torn (early_t *early)
+{
+  struct timeval wait = { 0, EARLY_WAIT_MS * 1000 };
+  bool is_event = strncmp (early->form, "torn-event-", 11) == 0;
+  bool is_chunk = strncmp (early->form, "torn-chunk-", 11) == 0;
+  char body[EARLY_ANSWER_BYTES];
+  char fields[EARLY_TEXT_BYTES];
+  char framed[EARLY_ANSWER_BYTES + EARLY_TEXT_BYTES];
+  int bytes = snprintf (body, sizeof body,
+                        is_event ? "id: 1\ndata: a\n\nid: 2\ndata: %0250d\n\n"
+                                 : EARLY_TORN_BODY,
+                        7);
+
+  snprintf (fields, sizeof fields, "Content-Type: text/%s\r\n%s",
+            is_event ? "event-stream" : "plain",
+            is_chunk ? "Transfer-Encoding: chunked\r\n" : "");
+  if (!is_chunk)
+    snprintf (fields + strlen (fields), sizeof fields - strlen (fields),
+              "Content-Length: %d\r\n", bytes);
+  if (is_chunk)
+    snprintf (framed, sizeof framed, "%x\r\n%s\r\n0\r\n\r\n", (unsigned)bytes,
+              body);
+  else
+    strlcpy (framed, body, sizeof framed);
+  if (early->earlier_id[0] == '\0')
+    {
+      early_write_head (early, "200 OK", fields);
+      bufferevent_write (early->stream, framed, strlen (framed));
+      return;
+    }
+  if (strncmp (early->form, "torn-value-", 11) == 0)
+    evbuffer_add_printf (bufferevent_get_output (early->stream),
+                         "HTTP/1.1 200 OK\r\nCamphorarch-Attempt-Id: %s\r\n"
+                         "Camphorarch-Replica-Signature: s.%s\r\nDate: Mon, ",
+                         early->id, early->id);
+  else
+    {
+      early_write_head (early, "200 OK", fields);
+      bufferevent_write (early->stream, framed, is_event ? 30 : 10);
+    }
+  event_add (early->timer, &wait);
+}
+
 static void
 early_answer_status (early_t *early, const char *text)
 {
@@ -109,6 +189,11 @@
       early_answer_status (early, early->form + strlen ("status-"));
       return;
     }
+  if (strncmp (early->form, "torn-", strlen ("torn-")) == 0)
+    {
+      early_answer_torn (early);
+      return;
+    }
   if (early_is (early, "length"))
     early_write_head (early, "200 OK", "Content-Length: 500\r\n");
   else if (early_is (early, "events"))
@@ -155,7 +240,9 @@
   const char *last;
 
   early_copy (head, " ", " \r", path);
+  strlcpy (early->earlier_id, early->id, sizeof early->earlier_id);
   early_copy (head, "Camphorarch-Attempt-Id: ", "\r", early->id);
+  printf ("request %s\n", early->id);
   early_copy (head, "Content-Length: ", "\r", length);
   last = strrchr (path, '/');
   strlcpy (early->form, last == NULL ? path : last + 1, sizeof early->form);
@@ -238,6 +325,7 @@
   struct evconnlistener *listener;
   int bytes = EARLY_RECEIVE_BYTES;
 
+  setvbuf (stdout, NULL, _IOLBF, 0);
   at.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
   at.sin_port = htons (
       (uint16_t)strtoul (site_argument (argc, argv, "port", "0"), NULL, 10));
