--- a/packages/gateway/exchange.c
+++ b/packages/gateway/exchange.c
@@ -353,7 +353,9 @@
 }
 
 /* True if queued prompts would delay the first event for too long.  Only
- * engines and first attempts are checked. */
+ * engines and first attempts are checked.  A stream that is taken up was
+ * admitted as it began, and the load that its former entry has reported may
+ * still count for a while. */
 static bool
 exchange_is_overloaded (const ca_exchange_t *exchange,
                         const ca_selection_t *selection, uint64_t now_us)
@@ -361,6 +363,7 @@
   uint64_t at_us = now_us + selection->predicted_us;
 
   return exchange->service->is_engine && exchange->sends == 0
+         && exchange->resumes[0] == '\0'
          && at_us > exchange->accepted_us
                         + (uint64_t)(exchange->route->target_ms * CA_US_PER_MS
                                      * OVERLOAD_SHARE)
