--- a/packages/base/events.c
+++ b/packages/base/events.c
@@ -267,6 +267,22 @@
     "a caller took up a stream and no record tells which version began it; the "
     "detail has who was asked, and the request is refused",
     "see which entries ended before, and whether the store answered" },
+  { CA_EVENT_STREAMS_VERIFIED, CA_LEVEL_DEBUG, "streams_verified",
+    "streams that began after an interrupted response of their endpoint began "
+    "at its listed process, and have its version",
+    NO_ACTION },
+  { CA_EVENT_ENDPOINT_IN_DOUBT, CA_LEVEL_DEBUG, "endpoint_in_doubt",
+    "a response was interrupted, so another process may have taken the "
+    "endpoint's place; streams go on there on verified connections only",
+    NO_ACTION },
+  { CA_EVENT_ENDPOINT_VERIFIED, CA_LEVEL_DEBUG, "endpoint_verified",
+    "a response shows that the endpoint's process has outlived its latest "
+    "interruption",
+    NO_ACTION },
+  { CA_EVENT_STREAM_UNVERIFIED, CA_LEVEL_INFO, "stream_unverified",
+    "no endpoint of the stream's version was verified to be the listed process "
+    "in time, and the request is refused",
+    "see endpoint_in_doubt, and whether the store answered" },
 };
 
 static const char *const level_names[]
--- a/packages/gateway/exchange.c
+++ b/packages/gateway/exchange.c
@@ -296,6 +296,11 @@
   attempt.last_event = exchange->last_event;
   attempt.source = selection->source;
   attempt.delegate = NULL;
+  attempt.connected_by_us
+      = ca_stream_versions_check (gateway, exchange, endpoint)
+                == CA_STREAM_VERIFIED
+            ? ca_endpoint_process_verified_us (gateway, endpoint)
+            : 0;
   ca_counters_add (&gateway->counters, CA_COUNT_ATTEMPTS, 1);
   ca_endpoint_limit_take (gateway, endpoint);
   ca_slot_permits_take (gateway, endpoint);
@@ -567,10 +572,21 @@
   else if (is_brittle && selection.any_open && !exchange->head_sent)
     exchange_give_up (gateway, exchange, CA_REFUSE_OVERLOADED,
                       RETRY_AFTER_DEFAULT_US);
-  else if ((!selection.any_open && !exchange->head_sent)
+  else if ((!selection.any_open && !selection.any_unverified
+            && !exchange->head_sent)
            || gateway->now_us >= exchange_wait_until_us (exchange))
-    exchange_give_up (gateway, exchange, CA_REFUSE_NO_ENDPOINT,
-                      exchange_resume_after_us (gateway, &selection));
+    {
+      if (selection.any_unverified)
+        ca_gateway_log (
+            gateway, CA_EVENT_STREAM_UNVERIFIED, exchange->id,
+            exchange->service->name,
+            "stream of %s, version %08x: endpoints of it in doubt, "
+            "%" PRIu64 " ms after the request came",
+            exchange->resumes[0] == '\0' ? "this request" : exchange->resumes,
+            (unsigned)exchange->version, exchange_age_ms (gateway, exchange));
+      exchange_give_up (gateway, exchange, CA_REFUSE_NO_ENDPOINT,
+                        exchange_resume_after_us (gateway, &selection));
+    }
 }
 
 /* Adds the endpoint to those that the exchange avoids; when the list is full,
@@ -660,9 +676,7 @@
 exchange_broken (ca_gateway_t *gateway, ca_exchange_t *exchange,
                  const char *reason)
 {
-  exchange->endpoint->interrupted_us = gateway->now_us;
-  /* It shows soon if another process has taken the endpoint's place. */
-  gateway->list_wanted = true;
+  ca_endpoint_process_interrupted (gateway, exchange->endpoint);
   exchange_interrupted (gateway, exchange, reason);
 }
 
@@ -798,6 +812,7 @@
   if (exchange->delegate != 0)
     return exchange_is_stream (facts);
   ca_reach_heard (gateway, exchange->endpoint);
+  ca_endpoint_process_answered (gateway, exchange, facts);
   ca_endpoint_limit_observe (gateway, exchange, facts);
   ca_endpoint_notice_observe (gateway, exchange, facts);
   ca_brittle_observe (gateway, exchange, facts);
--- a/packages/gateway/gateway.h
+++ b/packages/gateway/gateway.h
@@ -70,10 +70,12 @@
 typedef struct
 {
   uint32_t status;
-  bool is_signed;      /* has the endpoint's signature */
-  bool not_run;        /* the endpoint reports that it did not run it */
-  bool wrong_endpoint; /* the address belongs to another endpoint */
-  bool encoded;        /* altered by a content encoding */
+  uint64_t connected_us; /* its connection was established; 0: unknown */
+  bool names_request;    /* it names the request that it answers */
+  bool is_signed;        /* has the endpoint's signature */
+  bool not_run;          /* the endpoint reports that it did not run it */
+  bool wrong_endpoint;   /* the address belongs to another endpoint */
+  bool encoded;          /* altered by a content encoding */
   bool is_stream;
   bool has_limit;        /* limits the endpoint's requests to `limit_per_s` */
   double limit_per_s;    /* of all entries together */
@@ -201,6 +203,9 @@
    * again; NULL if there is none. */
   const ca_gateway_endpoint_t *source;
   const struct ca_peer *delegate; /* send it there, not to the endpoint */
+  /* Use a kept connection that was established by then; 0: any, or a new one.
+   */
+  uint64_t connected_by_us;
 } ca_attempt_t;
 
 /* Reasons for a refusal.  The adapter's table maps them to HTTP statuses, and
@@ -246,6 +251,12 @@
   /* True while no byte of the attempt can have been sent, as its connection is
    * not established.  NULL if the adapter does not know. */
   bool (*is_connecting) (void *context, const ca_exchange_t *exchange);
+  /* True if a kept connection to the endpoint, established by
+   * `connected_by_us`, can carry the request.  NULL if the adapter does not
+   * know. */
+  bool (*has_connection) (void *context, const ca_exchange_t *exchange,
+                          const ca_gateway_endpoint_t *endpoint,
+                          uint64_t connected_by_us);
   /* Opens a connection to the endpoint and closes it again.  The adapter passes
    * the result to ca_gateway_endpoint_checked. */
   void (*check_endpoint) (void *context, const ca_gateway_endpoint_t *endpoint);
@@ -534,6 +545,7 @@
   TAILQ_HEAD (, ca_suspected_crash) suspected_crashes;
   ca_stream_record_t *streams; /* by number, of this entry and others */
   TAILQ_HEAD (, ca_stream_record) own_streams; /* begun or gone on here */
+  bool streams_in_doubt;                       /* some of them began in doubt */
   uint64_t stream_peers_signature; /* of the peers that may keep records */
   ca_bucket_t stream_bytes;        /* of records, that may be sent */
   ca_stream_store_t stream_store;
--- a/packages/gateway/private.h
+++ b/packages/gateway/private.h
@@ -164,16 +164,18 @@
 typedef struct
 {
   ca_gateway_endpoint_t *endpoint; /* NULL if none can take it now */
-  bool any_open;    /* the service has an open endpoint that is not limited */
-  bool any_limited; /* it has one that gets no more now due to its limit */
-  bool any_paced;   /* it has one that gets no more now since it starts */
-  uint64_t resumes_us;   /* when the first one that paused takes requests; 0 if
-                            none has */
-  uint64_t predicted_us; /* time to the first event or response */
-  uint64_t expected_us;  /* the same without its fixed part, at an endpoint of
-                            the service's speed */
-  uint32_t prefill_tokens;             /* prompt tokens that it must prefill */
-  uint32_t fetched_tokens;             /* prompt tokens fetched from `source` */
+  bool any_open; /* the service has an open endpoint that is not limited */
+  bool any_unverified; /* it has one of the stream's version, at which it may go
+                          on once its process is verified */
+  bool any_limited;    /* it has one that gets no more now due to its limit */
+  bool any_paced;      /* it has one that gets no more now since it starts */
+  uint64_t resumes_us; /* when the first one that paused takes requests; 0 if
+                          none has */
+  uint64_t predicted_us;   /* time to the first event or response */
+  uint64_t expected_us;    /* the same without its fixed part, at an endpoint of
+                              the service's speed */
+  uint32_t prefill_tokens; /* prompt tokens that it must prefill */
+  uint32_t fetched_tokens; /* prompt tokens fetched from `source` */
   const ca_gateway_endpoint_t *source; /* NULL if there is none */
   bool endpoint_idle;                  /* no prompt is queued there */
 } ca_selection_t;
@@ -338,10 +340,18 @@
 ca_stream_lookup_t ca_stream_versions_resolve (ca_gateway_t *gateway,
                                                ca_exchange_t *exchange);
 
-/* True if the exchange's stream may begin or go on at the endpoint. */
-bool ca_stream_versions_allows (ca_gateway_t *gateway,
-                                const ca_exchange_t *exchange,
-                                const ca_gateway_endpoint_t *endpoint);
+/* Whether the exchange's stream may begin or go on at an endpoint. */
+typedef enum
+{
+  CA_STREAM_NOT_THERE,
+  CA_STREAM_UNVERIFIED, /* not now: its process may have been replaced */
+  CA_STREAM_VERIFIED,   /* on a connection that leads to the listed process */
+  CA_STREAM_ANYHOW
+} ca_stream_permission_t;
+
+ca_stream_permission_t
+ca_stream_versions_check (ca_gateway_t *gateway, const ca_exchange_t *exchange,
+                          const ca_gateway_endpoint_t *endpoint);
 
 /* Notes that the endpoint is listed, and from when on all entries know that its
  * version serves. */
@@ -354,6 +364,11 @@
 void ca_stream_versions_completed (ca_gateway_t *gateway,
                                    const ca_exchange_t *exchange);
 
+/* Handles that connections of the endpoint were verified to lead to the listed
+ * process: streams that began there in doubt have its version. */
+void ca_stream_versions_verified (ca_gateway_t *gateway,
+                                  const ca_gateway_endpoint_t *endpoint);
+
 /* Streams that were sent to the endpoint after another process had started
  * under its id, of another version, cannot go on. */
 void ca_stream_versions_replaced (ca_gateway_t *gateway,
@@ -398,6 +413,38 @@
 bool ca_stream_store_want (ca_gateway_t *gateway, uint64_t stream,
                            uint64_t since_us);
 
+/* endpoint_process.c */
+
+/* Connections to the endpoint that were established by then lead to the listed
+ * process, or to one that has ended. */
+uint64_t
+ca_endpoint_process_verified_us (const ca_gateway_t *gateway,
+                                 const ca_gateway_endpoint_t *endpoint);
+
+/* Notes a response of the exchange's endpoint. */
+void ca_endpoint_process_answered (ca_gateway_t *gateway,
+                                   const ca_exchange_t *exchange,
+                                   const ca_answer_facts_t *facts);
+
+/* Notes that a response of the endpoint was interrupted. */
+void ca_endpoint_process_interrupted (ca_gateway_t *gateway,
+                                      ca_gateway_endpoint_t *endpoint);
+
+/* True if the connection of the response leads to the listed process. */
+bool ca_endpoint_process_is_verified (const ca_gateway_t *gateway,
+                                      const ca_exchange_t *exchange,
+                                      const ca_answer_facts_t *facts);
+
+/* True if another process may have taken the endpoint's place, since a response
+ * of it was interrupted. */
+bool ca_endpoint_process_is_in_doubt (ca_gateway_t *gateway,
+                                      const ca_gateway_endpoint_t *endpoint);
+
+/* True if a connection to the listed process can carry the request. */
+bool ca_endpoint_process_has_connection (const ca_gateway_t *gateway,
+                                         const ca_exchange_t *exchange,
+                                         const ca_gateway_endpoint_t *endpoint);
+
 /* reach.c */
 
 /* Record that the endpoint has sent something, or that a connection to it
--- a/packages/gateway/registry.h
+++ b/packages/gateway/registry.h
@@ -111,6 +111,8 @@
   uint64_t paused_until_us;   /* asked for no requests until then */
   uint64_t connect_failed_us; /* last failed connection */
   uint64_t interrupted_us;    /* last response that was interrupted */
+  uint64_t verified_us;       /* a response shows that connections established
+                                 by then lead to this process */
   uint64_t added_us;          /* its record was first read */
   uint64_t listed_us;         /* its record was last read */
   uint64_t settles_us;        /* all entries know its version from then on */
--- a/packages/gateway/select.c
+++ b/packages/gateway/select.c
@@ -168,6 +168,8 @@
 {
   SELECT_INELIGIBLE,  /* draining, not listed, of another service, or of a
                          version at which the stream cannot go on */
+  SELECT_UNVERIFIED,  /* of the stream's version, if its process is the listed
+                         one */
   SELECT_PAUSED,      /* asked for no requests for a time */
   SELECT_LIMITED,     /* at the limit that it names, or its slots are taken */
   SELECT_UNPERMITTED, /* a permit for one of its slots can be requested */
@@ -182,14 +184,19 @@
 select_eligibility (ca_gateway_t *gateway, const ca_exchange_t *exchange,
                     ca_gateway_endpoint_t *endpoint)
 {
+  ca_stream_permission_t stream;
   ca_slot_permission_t permission;
   bool is_fallback;
 
   if (!ca_gateway_endpoint_is_open (endpoint)
       || strcmp (endpoint->service, exchange->service->name) != 0
-      || !ca_stream_versions_allows (gateway, exchange, endpoint)
       || !ca_rollout_permits (gateway, exchange, endpoint))
     return SELECT_INELIGIBLE;
+  stream = ca_stream_versions_check (gateway, exchange, endpoint);
+  if (stream == CA_STREAM_NOT_THERE)
+    return SELECT_INELIGIBLE;
+  if (stream == CA_STREAM_UNVERIFIED)
+    return SELECT_UNVERIFIED;
   if (gateway->now_us < endpoint->paused_until_us)
     return SELECT_PAUSED;
   if (!ca_endpoint_limit_allows (gateway, endpoint))
@@ -466,6 +473,8 @@
       ca_selection_t selection = { .endpoint = endpoint, .any_open = true };
       double cost;
 
+      if (eligibility == SELECT_UNVERIFIED)
+        best.any_unverified = true;
       if (eligibility == SELECT_LIMITED || eligibility == SELECT_UNPERMITTED)
         best.any_limited = true;
       if (eligibility == SELECT_PAUSED
--- a/packages/gateway/stream_versions.c
+++ b/packages/gateway/stream_versions.c
@@ -64,16 +64,14 @@
 
 #define STREAM_SURVEY_PERIOD_US (500 * CA_US_PER_MS)
 
-/* After an interruption, the endpoint's next process may run another version.
- * Until its record has been written again, or a list that is so much later
- * still names the same process, no stream goes on there, and what begins there
- * is of an unknown version. */
-#define STREAM_UNSURE_US (3 * CA_US_PER_S)
-
 /* Version of a stream that was begun by a process that the entry took for
  * another one; no endpoint has it. */
 #define STREAM_VERSION_UNSURE UINT32_MAX
 
+/* Version of a stream whose process may be another one than listed, until that
+ * is verified; no endpoint has it. */
+#define STREAM_VERSION_IN_DOUBT (UINT32_MAX - 1)
+
 /* Names of peers in a log line; more are left out. */
 #define STREAM_LOG_NAMES_BYTES 160
 
@@ -93,7 +91,7 @@
 
   if (version != NULL && version[0] != '\0')
     hash = XXH32 (version, strlen (version), hash);
-  return hash == 0 || hash == STREAM_VERSION_UNSURE ? 1 : hash;
+  return hash == 0 || hash >= STREAM_VERSION_IN_DOUBT ? 1 : hash;
 }
 
 /* Number of a stream: hash of the request that began it. */
@@ -136,8 +134,10 @@
       record->stream = stream;
       HASH_ADD (hh, gateway->streams, stream, sizeof record->stream, record);
     }
-  /* A correction is final. */
-  if (record->version != STREAM_VERSION_UNSURE)
+  /* A correction is final, and what has been verified stays so. */
+  if (record->version == 0
+      || (record->version != STREAM_VERSION_UNSURE
+          && version != STREAM_VERSION_IN_DOUBT))
     record->version = version;
   record->updated_us = gateway->now_us;
   return record;
@@ -190,7 +190,10 @@
   gateway->next_version_survey_us = gateway->now_us + STREAM_SURVEY_PERIOD_US;
   for (endpoint = gateway->registry.endpoints; endpoint != NULL;
        endpoint = endpoint->hh.next)
-    ca_stream_versions_listed (gateway, endpoint);
+    {
+      ca_stream_versions_listed (gateway, endpoint);
+      ca_stream_versions_verified (gateway, endpoint);
+    }
 }
 
 /* True if the endpoint's version is expected to be named yet. */
@@ -210,46 +213,38 @@
   return gateway->now_us - gateway->list_validated_us < STREAM_LIST_AGE_US;
 }
 
-/* True if the process behind the endpoint may be another one than listed, since
- * a response of it was interrupted.  The wait for a list is short: one that is
- * old is renewed. */
+/* True if the version of the stream that begins is unknown: its endpoint's
+ * process may have been replaced, and the record of the new one may come too
+ * late to correct it. */
 static bool
-stream_process_is_unsure (ca_gateway_t *gateway,
-                          const ca_gateway_endpoint_t *endpoint)
+stream_begins_in_doubt (ca_gateway_t *gateway, const ca_exchange_t *exchange)
 {
-  uint64_t sure_us = endpoint->interrupted_us + STREAM_UNSURE_US;
+  const ca_gateway_endpoint_t *endpoint = exchange->endpoint;
 
-  if (endpoint->interrupted_us < endpoint->listed_us
-      || gateway->list_validated_us >= sure_us)
-    return false;
-  gateway->list_wanted = gateway->list_wanted || gateway->now_us >= sure_us;
-  return true;
-}
-
-/* True if the version of a stream that begins at the endpoint is unknown, and
- * the record of a new process may come too late to correct it. */
-static bool
-stream_begins_unsure (ca_gateway_t *gateway,
-                      const ca_gateway_endpoint_t *endpoint)
-{
-  return stream_process_is_unsure (gateway, endpoint)
+  return !ca_endpoint_process_is_verified (gateway, exchange, &exchange->facts)
+         && ca_endpoint_process_is_in_doubt (gateway, endpoint)
          && (gateway->list_validated_us < endpoint->interrupted_us
              || !stream_list_is_recent (gateway));
 }
 
-bool
-ca_stream_versions_allows (ca_gateway_t *gateway, const ca_exchange_t *exchange,
-                           const ca_gateway_endpoint_t *endpoint)
+ca_stream_permission_t
+ca_stream_versions_check (ca_gateway_t *gateway, const ca_exchange_t *exchange,
+                          const ca_gateway_endpoint_t *endpoint)
 {
   if (stream_is_resumable (exchange)
       && stream_awaits_version (
           gateway, endpoint,
           ca_service_stats (gateway, exchange->service->name)))
-    return false;
+    return CA_STREAM_NOT_THERE;
   if (exchange->version == 0)
-    return true;
-  return endpoint->version_number == exchange->version
-         && !stream_process_is_unsure (gateway, endpoint);
+    return CA_STREAM_ANYHOW;
+  if (endpoint->version_number != exchange->version)
+    return CA_STREAM_NOT_THERE;
+  if (!ca_endpoint_process_is_in_doubt (gateway, endpoint))
+    return CA_STREAM_ANYHOW;
+  return ca_endpoint_process_has_connection (gateway, exchange, endpoint)
+             ? CA_STREAM_VERIFIED
+             : CA_STREAM_UNVERIFIED;
 }
 
 /* The only version that can have begun a stream of the service, as of the
@@ -293,7 +288,7 @@
 stream_needs_record (const ca_gateway_t *gateway,
                      const ca_stream_record_t *record)
 {
-  return record->version == STREAM_VERSION_UNSURE
+  return record->version >= STREAM_VERSION_IN_DOUBT || record->connected_us != 0
          || stream_single_version (gateway, record->service) == 0;
 }
 
@@ -590,14 +585,20 @@
   if (!stream_is_resumable (exchange))
     return;
   if (exchange->version == 0)
-    exchange->version = stream_begins_unsure (gateway, exchange->endpoint)
-                            ? STREAM_VERSION_UNSURE
+    exchange->version = stream_begins_in_doubt (gateway, exchange)
+                            ? STREAM_VERSION_IN_DOUBT
                             : exchange->endpoint->version_number;
   record = stream_put (gateway, stream_number (exchange), exchange->version);
   if (record == NULL || record->service != NULL)
     return;
   record->service = ca_service_stats (gateway, exchange->service->name);
   record->sent = false;
+  if (exchange->version == STREAM_VERSION_IN_DOUBT)
+    {
+      record->began_at = ca_gateway_endpoint_instance (exchange->endpoint);
+      record->connected_us = exchange->facts.connected_us;
+      gateway->streams_in_doubt = true;
+    }
   TAILQ_INSERT_TAIL (&gateway->own_streams, record, entries);
   if (!stream_needs_record (gateway, record))
     return;
@@ -606,6 +607,61 @@
   stream_log_recorded (gateway, exchange, notices, count);
 }
 
+/* Sets the version of a stream that began in doubt. */
+static void
+stream_verified (ca_gateway_t *gateway, ca_stream_record_t *record,
+                 const ca_gateway_endpoint_t *endpoint)
+{
+  ca_exchange_t *exchange;
+
+  record->version = endpoint->version_number;
+  record->sent = false;
+  record->writer = 0;
+  memset (record->holders, 0, sizeof record->holders);
+  TAILQ_FOREACH (exchange, &gateway->exchanges, entries)
+  {
+    if (exchange->version == STREAM_VERSION_IN_DOUBT
+        && stream_number (exchange) == record->stream)
+      exchange->version = record->version;
+  }
+}
+
+void
+ca_stream_versions_verified (ca_gateway_t *gateway,
+                             const ca_gateway_endpoint_t *endpoint)
+{
+  uint64_t instance = ca_gateway_endpoint_instance (endpoint);
+  uint64_t verified_us = ca_endpoint_process_verified_us (gateway, endpoint);
+  ca_stream_record_t *record;
+  uint32_t verified = 0;
+  bool others = false;
+
+  if (!gateway->streams_in_doubt)
+    return;
+  TAILQ_FOREACH (record, &gateway->own_streams, entries)
+  {
+    if (record->version != STREAM_VERSION_IN_DOUBT)
+      continue;
+    if (record->began_at != instance || record->connected_us == 0
+        || record->connected_us > verified_us)
+      {
+        others = true;
+        continue;
+      }
+    stream_verified (gateway, record, endpoint);
+    verified++;
+  }
+  gateway->streams_in_doubt = others;
+  if (verified == 0)
+    return;
+  ca_gateway_log (gateway, CA_EVENT_STREAMS_VERIFIED, NULL, endpoint->id,
+                  "%u streams began at the listed process, started %" PRIu64
+                  ": connections up to %" PRIu64 " ms old lead there",
+                  verified, endpoint->started_ms,
+                  (gateway->now_us - verified_us) / CA_US_PER_MS);
+  stream_send_records (gateway);
+}
+
 void
 ca_stream_versions_replaced (ca_gateway_t *gateway,
                              const ca_gateway_endpoint_t *endpoint,
--- a/packages/gateway/stream_versions.h
+++ b/packages/gateway/stream_versions.h
@@ -32,6 +32,10 @@
   uint64_t updated_us;
   /* Of streams that began or go on at this entry. */
   struct ca_service_stats *service; /* NULL for others */
+  /* Of a stream that began in doubt: the listed process of its endpoint, and
+   * when its connection was established. */
+  uint64_t began_at;
+  uint64_t connected_us; /* 0: it did not begin in doubt, or it is unknown */
   bool sent;
   uint64_t holders[CA_STREAM_HOLDERS]; /* processes that it was sent to */
   uint64_t writer; /* process that was to write it to the store */
--- a/packages/http/client.c
+++ b/packages/http/client.c
@@ -83,10 +83,11 @@
   bool response_complete; /* read to its end: the request was received */
   bool cancelled;         /* by one of its own callbacks */
   bool parsing;
-  uint64_t started_us;  /* time of the call */
-  uint64_t deadline_us; /* 0: none */
-  size_t body_bytes;    /* of the response */
-  uint64_t body_us;     /* time of its latest bytes */
+  uint64_t connected_us; /* 0: not yet */
+  uint64_t started_us;   /* time of the call */
+  uint64_t deadline_us;  /* 0: none */
+  size_t body_bytes;     /* of the response */
+  uint64_t body_us;      /* time of its latest bytes */
   uint64_t idle_since_us;
   uint32_t idle_limit_ms;
   bool awaits_rest; /* complete, but for bytes that may show otherwise */
@@ -242,16 +243,12 @@
   return false;
 }
 
-/* True if the field names a response of this connection. */
+/* True if a request or response of the connection has borne the value. */
 static bool
-call_names_response (void *context, const char *name, const char *value)
+call_has_identity (const ca_http_pool_call_t *call, const char *value)
 {
-  const ca_http_pool_call_t *call = context;
-  uint64_t hash;
+  uint64_t hash = XXH3_64bits (value, strlen (value));
 
-  if (!call_is_identity (call, name))
-    return false;
-  hash = XXH3_64bits (value, strlen (value));
   for (uint32_t i = 0; i < CLIENT_IDENTITIES && i < call->identity_count; i++)
     {
       if (call->identities[i] == hash)
@@ -260,6 +257,13 @@
   return false;
 }
 
+/* True if the field names a response of this connection. */
+static bool
+call_names_response (void *context, const char *name, const char *value)
+{
+  return call_is_identity (context, name) && call_has_identity (context, value);
+}
+
 /* Keeps the identities among the fields of a request or a response. */
 static void
 call_keep_identities (ca_http_pool_call_t *call, const ca_headers_t *headers)
@@ -515,6 +519,7 @@
   if (what & BEV_EVENT_CONNECTED)
     {
       call->connected = true;
+      call->connected_us = ca_clock_boot_us ();
       call->pool->opened++;
       call_set_socket_options (call);
       call_start_deadline (call);
@@ -593,9 +598,10 @@
   to.sin_addr.s_addr = htonl (call->options.address.ip);
   to.sin_port = htons (call->options.address.port);
   call_set_timer (call, (uint64_t)call->options.connect_timeout_ms * 1000);
-  if (bufferevent_socket_connect (call->stream, (struct sockaddr *)&to,
-                                  sizeof to)
-      != 0)
+  if (call->options.connected_by_us != 0
+      || bufferevent_socket_connect (call->stream, (struct sockaddr *)&to,
+                                     sizeof to)
+             != 0)
     event_add (call->connect_error, &now);
 }
 
@@ -623,23 +629,53 @@
   return call;
 }
 
-/* Takes the most recently used idle connection, or returns NULL. */
+/* True if the idle connection may carry a call with these options. */
+static bool
+call_is_suitable (const ca_http_pool_call_t *call,
+                  const ca_http_pool_call_options_t *options)
+{
+  uint64_t idle_us = ca_clock_boot_us () - call->idle_since_us;
+
+  if (idle_us > (uint64_t)options->max_idle_ms * 1000
+      || idle_us > (uint64_t)call->idle_limit_ms * 1000)
+    return false;
+  return options->connected_by_us == 0
+         || (call->connected_us <= options->connected_by_us
+             && (options->not_carried == NULL
+                 || !call_has_identity (call, options->not_carried)));
+}
+
+/* The most recently used idle connection that is suitable, or NULL. */
+static ca_http_pool_call_t *
+call_find_idle (const ca_http_pool_t *pool,
+                const ca_http_pool_call_options_t *options)
+{
+  uint64_t key = client_key (&options->address);
+  const ca_http_host_t *host = NULL;
+  ca_http_pool_call_t *call;
+
+  HASH_FIND (hh, pool->hosts, &key, sizeof key, host);
+  if (host == NULL || options->max_idle_ms == 0)
+    return NULL;
+  TAILQ_FOREACH (call, &host->idle, entries)
+  {
+    if (call_is_suitable (call, options))
+      return call;
+  }
+  return NULL;
+}
+
+/* Takes an idle connection for the call, or returns NULL. */
 static ca_http_pool_call_t *
 call_reuse_idle (ca_http_pool_t *pool,
                  const ca_http_pool_call_options_t *options)
 {
-  ca_http_host_t *host = client_host (pool, &options->address);
-  ca_http_pool_call_t *call = TAILQ_FIRST (&host->idle);
-  uint64_t idle_us;
+  ca_http_pool_call_t *call = call_find_idle (pool, options);
 
-  if (call == NULL || options->max_idle_ms == 0)
+  if (call == NULL)
     return NULL;
-  idle_us = ca_clock_boot_us () - call->idle_since_us;
-  if (idle_us > (uint64_t)options->max_idle_ms * 1000
-      || idle_us > (uint64_t)call->idle_limit_ms * 1000)
-    return NULL;
-  TAILQ_REMOVE (&host->idle, call, entries);
-  host->idle_count--;
+  TAILQ_REMOVE (&call->host->idle, call, entries);
+  call->host->idle_count--;
   call->idle = false;
   call->response_complete = false;
   return call;
@@ -679,6 +715,7 @@
   call->options.headers = NULL;
   call->options.target = NULL;
   call->options.body = NULL;
+  call->options.not_carried = NULL;
   call->skipping = false;
   call->skipped = 0;
   call->skipped_bytes = 0;
@@ -708,6 +745,19 @@
   return call->reused;
 }
 
+uint64_t
+ca_http_pool_call_connected_us (const ca_http_pool_call_t *call)
+{
+  return call->connected_us;
+}
+
+bool
+ca_http_pool_has_idle (const ca_http_pool_t *pool,
+                       const ca_http_pool_call_options_t *options)
+{
+  return call_find_idle (pool, options) != NULL;
+}
+
 bool
 ca_http_pool_call_is_connecting (const ca_http_pool_call_t *call)
 {
--- a/packages/http/client.h
+++ b/packages/http/client.h
@@ -64,6 +64,12 @@
   bool timeout_closes_idle;
   uint32_t max_idle_ms; /* maximum idle time of a reused connection; 0: open a
                            new one */
+  /* Use an idle connection that was established by then; if there is none, the
+   * outcome is CA_HTTP_OUTCOME_NOT_SENT.  0: use any, or a new one. */
+  uint64_t connected_by_us;
+  /* Value of an identity field: a connection that has carried a call with it is
+   * not used if `connected_by_us` is set.  NULL: none. */
+  const char *not_carried;
   /* Names of header fields that tell one response on a connection from another,
    * in requests or responses; ends with NULL.  NULL: there are none. */
   const char *const *identity_fields;
@@ -95,6 +101,14 @@
  * may arrive late. */
 bool ca_http_pool_call_is_reused (const ca_http_pool_call_t *call);
 
+/* Time at which the call's connection was established, by the boot clock; 0 if
+ * it has not been. */
+uint64_t ca_http_pool_call_connected_us (const ca_http_pool_call_t *call);
+
+/* True if an idle connection can carry a call with these options. */
+bool ca_http_pool_has_idle (const ca_http_pool_t *pool,
+                            const ca_http_pool_call_options_t *options);
+
 /* True while the connection is being established: no byte has been sent. */
 bool ca_http_pool_call_is_connecting (const ca_http_pool_call_t *call);
 
--- a/tests/gateway/script.c
+++ b/tests/gateway/script.c
@@ -15,6 +15,9 @@
  *           [fingerprint=N] [resumes=ID]
  *   head ID STATUS [signed] [not-run] [wrong-endpoint] [encoded] [stream]
  *           [limit=REQUESTS-PER-SECOND] [bad-limit=TEXT] [leaving] [pause=MS]
+ *           [connected=MS]
+ *   kept ENDPOINT MS|none        a connection to it that was established at MS
+ *           is idle, or none is; other connections are new
  *   event ID [N]                 a complete event, with its id
  *   end ID complete|unreachable|interrupted|malformed
  *   connecting ID                its connection to the endpoint takes long
@@ -42,6 +45,7 @@
 #define SCRIPT_WORDS 12
 #define SCRIPT_REQUESTS 64
 #define SCRIPT_TEXT_BYTES 65536
+#define SCRIPT_KEPT 8
 #define SCRIPT_STEADY_US UINT64_C (1000000000)
 #define SCRIPT_WALL_US UINT64_C (1700000000000000)
 
@@ -61,6 +65,11 @@
   const char *folder;
   script_request_t requests[SCRIPT_REQUESTS];
   size_t request_count;
+  struct
+  {
+    char endpoint[64];
+    uint64_t connected_us; /* 0: none */
+  } kept[SCRIPT_KEPT];
 } script_t;
 
 static uint64_t
@@ -93,9 +102,28 @@
     printf (" after event %" PRIu64, attempt->last_event);
   if (attempt->source != NULL)
     printf (" fetches from %s", attempt->source->id);
+  if (attempt->connected_by_us != 0)
+    printf (" on a kept connection");
   printf ("\n");
 }
 
+static bool
+script_has_connection (void *context, const ca_exchange_t *exchange,
+                       const ca_gateway_endpoint_t *endpoint,
+                       uint64_t connected_by_us)
+{
+  const script_t *script = context;
+
+  (void)exchange;
+  for (size_t i = 0; i < SCRIPT_KEPT; i++)
+    {
+      if (strcmp (script->kept[i].endpoint, endpoint->id) == 0)
+        return script->kept[i].connected_us != 0
+               && script->kept[i].connected_us <= connected_by_us;
+    }
+  return false;
+}
+
 static bool
 script_is_connecting (void *context, const ca_exchange_t *exchange)
 {
@@ -213,6 +241,7 @@
   .attempt = script_attempt,
   .cancel = script_cancel,
   .is_connecting = script_is_connecting,
+  .has_connection = script_has_connection,
   .check_endpoint = script_check_endpoint,
   .deliver = script_deliver,
   .begin = script_begin,
@@ -413,6 +442,7 @@
 {
   const char *limit = script_value (words, "limit");
   const char *pause = script_value (words, "pause");
+  const char *connected = script_value (words, "connected");
   ca_answer_facts_t facts;
 
   memset (&facts, 0, sizeof facts);
@@ -428,6 +458,10 @@
   facts.leaving = script_has (words, "leaving");
   facts.pause_us
       = pause == NULL ? 0 : strtoull (pause, NULL, 10) * CA_US_PER_MS;
+  facts.names_request = true;
+  if (connected != NULL)
+    facts.connected_us
+        = script->start_us + strtoull (connected, NULL, 10) * CA_US_PER_MS;
   ca_exchange_head (&script->gateway, script->now_us,
                     script_open (script, words[1]), &facts);
 }
@@ -457,6 +491,21 @@
     }
 }
 
+static void
+script_kept (script_t *script, char **words)
+{
+  size_t i = 0;
+
+  while (script->kept[i].endpoint[0] != '\0'
+         && strcmp (script->kept[i].endpoint, words[1]) != 0)
+    i++;
+  strlcpy (script->kept[i].endpoint, words[1], sizeof script->kept[i].endpoint);
+  script->kept[i].connected_us
+      = strcmp (words[2], "none") == 0
+            ? 0
+            : script->start_us + strtoull (words[2], NULL, 10) * CA_US_PER_MS;
+}
+
 static void
 script_connecting (script_t *script, char **words)
 {
@@ -570,6 +619,7 @@
   { "head", 3, script_head },
   { "event", 2, script_event },
   { "end", 3, script_end },
+  { "kept", 3, script_kept },
   { "connecting", 2, script_connecting },
   { "connected", 2, script_connecting },
   { "disconnect", 2, script_disconnect },
--- a/tests/site/replica.c
+++ b/tests/site/replica.c
@@ -23,7 +23,7 @@
  * again on its connection it runs, and the rejection is written once more),
  * bare (it runs, and a rejection that names no request is written), copy (it
  * runs, and the latest whole answer is written in place of its own, without the
- * id of a request); or
+ * id of a request), with "every": N at one of so many requests only; or
  * {"leaving": true}, which all responses then say, {"brittle": N}, as
  * --brittle, except that it does not end in the first 3 s, {"pause": TEXT},
  * with which requests are turned away, "" for none, or {"limit": TEXT}, which
@@ -97,6 +97,8 @@
   bool registered; /* the store accepted the current state */
   char fault[16];
   int faults_left;
+  int fault_every; /* of so many requests one has the fault */
+  int fault_requests;
   /* Latest request rejected by the fault "repeat", by a hash of its connection;
    * a request's address is that of its connection. */
   char rejected_ids[REPLICA_REPEATS][64];
@@ -600,6 +602,8 @@
   strlcpy (replica.fault, fault == NULL ? "" : fault, sizeof replica.fault);
   replica.faults_left
       = (int)json_integer_value (json_object_get (body, "next"));
+  replica.fault_every
+      = (int)json_integer_value (json_object_get (body, "every"));
   if (json_is_true (json_object_get (body, "register")))
     replica.registered = false;
   json_decref (body);
@@ -633,7 +637,9 @@
       reject (request, 421);
       return;
     }
-  if (replica.faults_left > 0)
+  if (replica.faults_left > 0
+      && (replica.fault_every == 0
+          || ++replica.fault_requests % replica.fault_every == 0))
     {
       replica.faults_left--;
       fault = replica.fault;
