--- a/packages/gateway/delegation.c
+++ b/packages/gateway/delegation.c
@@ -92,7 +92,9 @@
     return false;
   peer = delegation_choose (gateway, exchange);
   if (peer == NULL
-      || (exchange->sends > 0 && !ca_retry_budget_take (gateway, stats->name)))
+      || (exchange->sends > 0
+          && !ca_retry_budget_take (gateway, stats->name,
+                                    ca_exchange_goes_on (exchange))))
     return false;
   memset (&attempt, 0, sizeof attempt);
   memset (&exchange->facts, 0, sizeof exchange->facts);
--- a/packages/gateway/exchange.c
+++ b/packages/gateway/exchange.c
@@ -216,6 +216,12 @@
                   exchange->sends, exchange->route->name);
 }
 
+bool
+ca_exchange_goes_on (const ca_exchange_t *exchange)
+{
+  return exchange->has_event || exchange->resumes[0] != '\0';
+}
+
 /* True if the request may run more than once. */
 static bool
 exchange_is_repeatable (const ca_exchange_t *exchange)
@@ -552,7 +558,8 @@
           return;
         }
       if (exchange->sends > 0
-          && !ca_retry_budget_take (gateway, exchange->service->name))
+          && !ca_retry_budget_take (gateway, exchange->service->name,
+                                    ca_exchange_goes_on (exchange)))
         {
           exchange_give_up (gateway, exchange, CA_REFUSE_OVERLOADED,
                             RETRY_AFTER_DEFAULT_US);
@@ -784,7 +791,8 @@
       exchange_avoid (exchange, exchange->endpoint);
       selection = ca_rollout_select (gateway, exchange);
       if (selection.endpoint != NULL
-          && ca_retry_budget_take (gateway, exchange->service->name))
+          && ca_retry_budget_take (gateway, exchange->service->name,
+                                   ca_exchange_goes_on (exchange)))
         {
           exchange_release_endpoint (gateway, exchange);
           exchange_send (gateway, exchange, &selection);
--- a/packages/gateway/private.h
+++ b/packages/gateway/private.h
@@ -248,9 +248,14 @@
 void ca_quota_tick (ca_gateway_t *gateway);
 void ca_quota_finish (ca_gateway_t *gateway);
 
+/* True if the request goes on with a stream that has brought events. */
+bool ca_exchange_goes_on (const ca_exchange_t *exchange);
+
 /* True if the retry budget of the service allows one more retry, which is then
- * counted. */
-bool ca_retry_budget_take (ca_gateway_t *gateway, const char *service);
+ * counted.  Requests that go on with a stream may use all of it, others only
+ * a part. */
+bool ca_retry_budget_take (ca_gateway_t *gateway, const char *service,
+                           bool goes_on);
 
 /* quota_loans.c */
 
--- a/packages/gateway/quota.c
+++ b/packages/gateway/quota.c
@@ -85,6 +85,10 @@
 #define RETRY_ALLOWANCE_USED 0.7
 #define RETRY_ENTRIES_MIN 4
 
+/* Fraction of the budget for requests that have brought nothing yet.  A caller
+ * whose stream broke off has lost more than one whose stream has not begun. */
+#define RETRY_NEW_SHARE 0.75
+
 double
 ca_quota_demand_per_s (ca_gateway_t *gateway, ca_quota_t *quota)
 {
@@ -583,7 +587,7 @@
 }
 
 bool
-ca_retry_budget_take (ca_gateway_t *gateway, const char *service)
+ca_retry_budget_take (ca_gateway_t *gateway, const char *service, bool goes_on)
 {
   const ca_bounds_t *bounds = &gateway->options.bounds;
   ca_service_stats_t *stats = ca_service_stats (gateway, service);
@@ -595,6 +599,8 @@
   budget = bounds->retry_ratio * RETRY_RATIO_USED
                * ca_window_sum (&stats->requests, gateway->now_us)
            + bounds->retry_allowance * RETRY_ALLOWANCE_USED / entries;
+  if (!goes_on)
+    budget *= RETRY_NEW_SHARE;
   if (ca_window_sum (&stats->retries, gateway->now_us) + 1 > budget)
     return false;
   ca_window_add (&stats->retries, gateway->now_us, 1);
--- a/tests/gateway/test_retry_budget.c
+++ b/tests/gateway/test_retry_budget.c
@@ -93,7 +93,7 @@
 
   ca_window_add (&ca_service_stats (gateway, "e")->requests, world.now_us, 1);
   world.requests[world.tick]++;
-  if (ca_retry_budget_take (gateway, "e"))
+  if (ca_retry_budget_take (gateway, "e", true))
     world.retries[world.tick]++;
 }
 
@@ -235,6 +235,43 @@
   check_fleets (&small, &large);
 }
 
+#define BURST_REQUESTS 400
+
+/* Number of retries that an entry grants after a burst of requests. */
+static uint32_t
+retries_of_burst (bool new_requests_first)
+{
+  static const fleet_t fleet = { SMALL_FLEET };
+  ca_gateway_t *gateway = &world.gateways[0];
+  uint32_t retries = 0;
+  uint32_t of_new;
+
+  memset (&world, 0, sizeof world);
+  world.fleet = &fleet;
+  world.now_us = UINT64_C (1000000000);
+  entry_start (0);
+  ca_window_add (&ca_service_stats (gateway, "e")->requests, world.now_us,
+                 BURST_REQUESTS);
+  while (new_requests_first && ca_retry_budget_take (gateway, "e", false))
+    retries++;
+  of_new = retries;
+  while (ca_retry_budget_take (gateway, "e", true))
+    retries++;
+  print_message ("%u retries, %u of them for new requests\n", retries, of_new);
+  assert_true (retries > of_new);
+  ca_gateway_finish (gateway);
+  return retries;
+}
+
+/* Guards against streams that break off and do not go on, since new requests
+ * have used up the budget. */
+static void
+test_streams_that_have_begun (void **state)
+{
+  (void)state;
+  assert_int_equal (retries_of_burst (true), retries_of_burst (false));
+}
+
 int
 main (void)
 {
@@ -243,6 +280,7 @@
     cmocka_unit_test (test_restarts_in_turn),
     cmocka_unit_test (test_restart_of_all),
     cmocka_unit_test (test_zones_cut),
+    cmocka_unit_test (test_streams_that_have_begun),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
