--- a/packages/http/connection.h
+++ b/packages/http/connection.h
@@ -21,6 +21,7 @@
   ca_http_server_t *server;
   struct bufferevent *stream;
   struct event *timer;
+  size_t unsent_at_timer; /* bytes of responses, when the timer was set */
   struct event *pipelined_event; /* reads a pipelined request */
   connection_state_t state;
   ca_http_reader_t reader;
--- a/packages/http/server.c
+++ b/packages/http/server.c
@@ -13,8 +13,9 @@
 /* Connections waiting to be accepted. */
 #define SERVER_BACKLOG 512
 
-/* A connection being closed is still read for this long.  Closing it with
- * unread input would reset it, and the client could lose the response. */
+/* A connection being closed is still read for this long after its last
+ * response was sent.  Closing it with unread input would reset it, and the
+ * client could lose the response. */
 #define SERVER_LINGER_MS 1000
 
 /* Maximum input buffered, and while a request is handled: one read. */
@@ -64,9 +65,30 @@
   struct timeval wait
       = { wait_ms / 1000, (suseconds_t)(wait_ms % 1000) * 1000 };
 
+  connection->unsent_at_timer
+      = evbuffer_get_length (bufferevent_get_output (connection->stream));
   event_add (connection->timer, &wait);
 }
 
+/* True if the client has read some of its responses since the timer was set,
+ * but not all. */
+static bool
+connection_is_being_read (const ca_http_connection_t *connection)
+{
+  size_t unsent
+      = evbuffer_get_length (bufferevent_get_output (connection->stream));
+
+  return unsent > 0 && unsent < connection->unsent_at_timer;
+}
+
+/* Ends the output, and awaits the client's end of the connection. */
+static void
+connection_shut_down (ca_http_connection_t *connection)
+{
+  connection_set_timer (connection, SERVER_LINGER_MS);
+  shutdown (bufferevent_getfd (connection->stream), SHUT_WR);
+}
+
 /* Discards what was read of a request. */
 static void
 connection_discard (ca_http_connection_t *connection)
@@ -107,9 +129,10 @@
       bufferevent_get_input (connection->stream),
       evbuffer_get_length (bufferevent_get_input (connection->stream)));
   ca_http_connection_count_received (connection, 0);
-  connection_set_timer (connection, SERVER_LINGER_MS);
   if (evbuffer_get_length (bufferevent_get_output (connection->stream)) == 0)
-    shutdown (bufferevent_getfd (connection->stream), SHUT_WR);
+    connection_shut_down (connection);
+  else
+    connection_set_timer (connection, connection->server->limits.idle_ms);
 }
 
 /* Takes the request in progress, if there is one, from the handler. */
@@ -523,8 +546,9 @@
 {
   ca_http_connection_t *connection = context;
 
+  (void)stream;
   if (connection->state == CONNECTION_LINGERING)
-    shutdown (bufferevent_getfd (stream), SHUT_WR);
+    connection_shut_down (connection);
   else if (connection->state == CONNECTION_READING)
     connection_read (connection);
 }
@@ -560,8 +584,12 @@
       connection_refuse (connection, 408);
       return;
     }
-  if (connection->state == CONNECTION_READING
-      || connection->state == CONNECTION_LINGERING)
+  if (connection->state != CONNECTION_READING
+      && connection->state != CONNECTION_LINGERING)
+    return;
+  if (connection_is_being_read (connection))
+    connection_set_timer (connection, connection->server->limits.idle_ms);
+  else
     connection_free (connection);
 }
 
@@ -684,6 +712,19 @@
     connection_free (TAILQ_FIRST (&server->connections));
 }
 
+bool
+ca_http_server_is_sending (const ca_http_server_t *server)
+{
+  const ca_http_connection_t *connection;
+
+  TAILQ_FOREACH (connection, &server->connections, entries)
+  {
+    if (evbuffer_get_length (bufferevent_get_output (connection->stream)) > 0)
+      return true;
+  }
+  return false;
+}
+
 void
 ca_http_server_close_soon (ca_http_server_t *server)
 {
--- a/packages/http/server.h
+++ b/packages/http/server.h
@@ -96,6 +96,9 @@
                           const ca_http_limits_t *limits, ca_error_t *error);
 void ca_http_server_finish (ca_http_server_t *server);
 
+/* True if clients have not read all of their responses. */
+bool ca_http_server_is_sending (const ca_http_server_t *server);
+
 /* All further responses close their connection. */
 void ca_http_server_close_soon (ca_http_server_t *server);
 
