--- a/packages/base/events.c
+++ b/packages/base/events.c
@@ -283,6 +283,13 @@
     "no endpoint of the stream's version was verified to be the listed process "
     "in time, and the request is refused",
     "see endpoint_in_doubt, and whether the store answered" },
+  { CA_EVENT_ENDPOINT_RECORD_OUTDATED, CA_LEVEL_INFO,
+    "endpoint_record_outdated",
+    "the store has the record of an earlier process of an endpoint, as after "
+    "it "
+    "came back from an older copy; the record is not used",
+    "if it stays, the endpoint cannot write to the store, or its clock went "
+    "back" },
 };
 
 static const char *const level_names[]
--- a/packages/gateway/registry.c
+++ b/packages/gateway/registry.c
@@ -190,6 +190,17 @@
   return endpoint;
 }
 
+bool
+ca_registry_is_outdated (const ca_registry_t *registry,
+                         const ca_endpoint_record_t *record)
+{
+  const ca_gateway_endpoint_t *endpoint
+      = ca_registry_find (registry, record->id);
+
+  return endpoint != NULL && record->started_ms != 0
+         && record->started_ms < endpoint->started_ms;
+}
+
 bool
 ca_registry_put (ca_registry_t *registry, uint64_t now_us,
                  const ca_endpoint_record_t *record)
@@ -200,6 +211,11 @@
                                           : CA_GATEWAY_ENDPOINT_READY;
   bool changed = false;
 
+  if (ca_registry_is_outdated (registry, record))
+    {
+      endpoint->missing_since_us = 0;
+      return false;
+    }
   if (endpoint != NULL && !registry_is_same_instance (endpoint, record))
     {
       registry_retire (registry, now_us, endpoint);
--- a/packages/gateway/registry.h
+++ b/packages/gateway/registry.h
@@ -160,7 +160,14 @@
 ca_registry_replaced (const ca_registry_t *registry,
                       const ca_endpoint_record_t *record);
 
-/* Adds or updates an endpoint; true if this changes where requests may go. */
+/* True if the record is that of an earlier process than the one that is listed
+ * under its id: the store has come back from a copy that is older than this. */
+bool ca_registry_is_outdated (const ca_registry_t *registry,
+                              const ca_endpoint_record_t *record);
+
+/* Adds or updates an endpoint, unless the record is outdated: then the listed
+ * process stays, and is not missing.  True if this changes where requests may
+ * go. */
 bool ca_registry_put (ca_registry_t *registry, uint64_t now_us,
                       const ca_endpoint_record_t *record);
 
--- a/packages/gateway/state_sync.c
+++ b/packages/gateway/state_sync.c
@@ -292,6 +292,12 @@
           != replaced->version_number)
         ca_stream_versions_replaced (gateway, replaced, record->started_ms);
     }
+  if (ca_registry_is_outdated (&gateway->registry, record))
+    ca_gateway_log (
+        gateway, CA_EVENT_ENDPOINT_RECORD_OUTDATED, NULL, record->id,
+        "started %" PRIu64 ", software version %s: a later start "
+        "was read before",
+        record->started_ms, record->version == NULL ? "" : record->version);
   is_changed = ca_registry_put (&gateway->registry, now_us, record);
   ca_endpoint_start_listed (gateway, record);
   if (!is_changed)
